--- /dev/null
+++ b/spokemast/__main__.py
@@ -0,0 +1,103 @@
+"""The real proxy: configuration, loop, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from typing import Any, NamedTuple, NoReturn
+
+import orjson
+import uvloop
+
+from spokemast.net.discovery import Discovery
+from spokemast.net.limits import Complaints, Limits
+from spokemast.net.proxy import Proxy
+from spokemast.net.server import Server
+from spokemast.settings import Deployment, read_deployment
+
+#: New objects between two collections. What the proxy drops has no cycles, so few are needed, and each
+#: one holds up all requests.
+GC_OBJECTS = 50_000
+
+
+class Configuration(NamedTuple):
+    deployment: Deployment
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    known: Any
+    told: Any  # the limits as the deployment words them, for the log
+
+
+def _address(text: Any, key: str) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{key}: {text!r} is not host:port")
+    return host, int(port)
+
+
+def read_configuration(path: str) -> Configuration:
+    with open(path, "rb") as file:
+        box = orjson.loads(file.read())
+    if not isinstance(box, dict):
+        raise ValueError("not an object")
+    for key in ("settings", "listen", "discovery"):
+        if key not in box:
+            raise ValueError(f"{key}: missing")
+    limits = box.get("limits", {})
+    return Configuration(
+        read_deployment(box["settings"]),
+        _address(box["listen"], "listen"),
+        _address(box["discovery"], "discovery"),
+        int(str(box.get("seed", "0")), 16),
+        Limits(float(limits.get("memory_mb", 128)), int(limits.get("sockets", 1024))),
+        box.get("known"),
+        limits,
+    )
+
+
+async def serve(configuration: Configuration) -> None:
+    complain = Complaints()
+    deployment, limits = configuration.deployment, configuration.limits
+    proxy = Proxy(deployment, configuration.seed, limits, complain)
+    discovery = Discovery(proxy, deployment, configuration.discovery, complain)
+    proxy.discovery = discovery
+    server = Server(proxy, deployment, limits, complain)
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+    discovery.start(configuration.known)
+    host, port = server.listen(configuration.listen)
+    sys.stderr.write(f"spokemast: listening on {host}:{port}, limits {configuration.told}\n")
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_OBJECTS)
+    await stopping.wait()
+    await server.drain()
+
+
+def _stop(reason: str) -> NoReturn:
+    sys.stderr.write(f"spokemast: {reason}\n")
+    raise SystemExit(2)
+
+
+def main() -> None:
+    path = os.environ.get("GW_CONFIG")
+    if not path:
+        _stop("GW_CONFIG names no configuration")
+    try:
+        configuration = read_configuration(path)
+    except (OSError, ValueError, TypeError, KeyError, AttributeError) as problem:
+        _stop(f"configuration {path}: {problem}")
+    try:
+        uvloop.run(serve(configuration))
+    except OSError as problem:
+        _stop(f"can't listen: {problem}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/spokemast/choice.py
@@ -0,0 +1,540 @@
+"""All decisions of spokemast: where a request goes, when it goes again, when it is refused.
+
+The types (settings, events, actions) are in interface.py. The design is in docs/design.md: for
+each request two servers are drawn at random from those that pass the filters, and the better by
+own in-flight count, reported utilization and error share gets it. What goes beyond that is marked
+"Exception" where it stands. The four rules are in the section "Rules"; nothing is sent or
+refused except through `_send` and `_refuse`, which ask them.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from bisect import bisect
+from itertools import accumulate
+from typing import Callable, Mapping, Sequence
+
+from spokemast.interface import (
+    NEVER_RAN, Action, Cancel, CloseIdle, Effect, Event, Fail, FirstByte, Log, Outcome, PeerMessage,
+    ProbeResult, Refuse, Request, RequestClass, Result, Scope, Send, ServerEntry, ServerList, ServerState,
+    SetTimer, Settings, TimerFired, Watch, Withdrawn,
+)  # fmt: skip
+
+# The draw and the score.
+DRAW_TRIES = 3  # for each candidate; with more, all crowd the few that pass where most do not
+UTIL_LIMIT = 0.95  # conservative: only servers with no room left are passed over
+UTIL_OVER = 0.25  # and only where they stand out from the fleet by this
+ERROR_LIMIT = 0.5  # more failures than answers lately
+ERROR_OVER = 0.3  # and only where they stand out from the fleet by this
+UTIL_WEIGHT = 0.8  # a fully busy server counts a little less than one own request more
+ERROR_WEIGHT = 2.0  # a failing server must not win by being quick
+ERROR_STEP = 0.3  # two failures in a row pass the limit, one does not
+SLOW_FROM, SLOW_FULL = 2.5, 8.0  # an answer that took this multiple of the usual starts to count, counts full
+SILENT = 6.0  # silence of this multiple of the usual keeps a server out of the draw
+USUAL_STEP = 0.05  # the usual time of a class follows the median of its answers by such steps
+SPEED_STEP = 0.02  # some dozens of reports move the speed of a kind
+SPEED_MOST = 4.0  # machines of one fleet differ by less, either way
+SPARSE = 0.5  # requests a second to each server, below which no idle connection is kept
+DECAY_S = 30.0  # the design's: error share and utilization fade to zero over this
+RAMP_S = 90.0  # the design's: traffic to a new server grows over this
+RAMP_FROM = 0.1  # so that a server just listed is tried at all
+YOUNG_MOST = 0.1  # share of the fleet that the ramp may hold back; the rest could not carry more
+
+# Cold servers.
+COLD_MARGIN = 0.6  # of the share that the settings call safe; chance and other proxies need the rest
+RATE_S = 5.0  # memory of the own sending rate
+
+# Going again.
+RETRY_RATIO = 0.1  # second attempts for each first one, in the long run
+RETRY_BURST = 10.0  # and what may be saved up
+SECOND_LOOK = 0.5  # share of the useful time after which silence earns a second attempt
+
+# Refusing.
+LATE_FROM = 0.7  # an attempt that takes more of the aim than this speaks for too much work on the fleet
+LATE_SHARE = 0.25  # share of those that is put up with: more than sick servers alone can cause
+SHED_S = 1.0  # seconds in which a proxy whose attempts all take too long comes to refuse a class
+SHED_MOST = 0.95  # a class is never refused whole: without its traffic nothing would tell of room
+
+# Following the list.
+ASK_SPREAD_S = 0.5  # a first call comes at a random moment within this
+ASK_AGAIN_S = (0.5, 8.0)  # wait after a failed call, doubling from the first to the last
+LIST_TOKEN = 0  # timers: 0 asks for the list, a request's id + 1 looks at that request
+
+
+class Server:
+    """What this proxy knows of one server."""
+
+    __slots__ = ("id", "zone", "cell", "weight", "size", "kind", "state", "started", "out", "giving",
+                 "util", "util_at", "errors", "errors_at", "answered", "cold_next")  # fmt: skip
+
+    def __init__(self, entry: ServerEntry) -> None:
+        self.id = entry.server
+        self.out: dict[tuple[int, int], float] = {}  # attempts in flight, oldest first: time sent
+        self.giving: set[tuple[int, int]] = set()  # attempts whose answers have begun
+        self.size = 1.0  # weight relative to the mean
+        self.started = -math.inf
+        self.listed(entry)
+
+    def listed(self, entry: ServerEntry) -> None:
+        if entry.started != self.started:  # another process: what is known is of the old one
+            self.util = self.util_at = self.errors = self.errors_at = 0.0
+            self.answered = False
+            self.cold_next = -math.inf
+        self.zone, self.cell, self.started, self.state = entry.zone, entry.cell, entry.started, entry.state
+        self.kind = entry.kind
+        self.weight = entry.weight if 0 < entry.weight < math.inf else 1.0
+
+
+class Pool:
+    """Servers to draw from, by kind, each with the chance that its listed size and its kind's speed give.
+
+    Exception to the even draw: where a proxy has next to nothing in flight at a server, only the draw
+    decides, and an even one loads a slow server like a fast one. With one kind and size it is even."""
+
+    __slots__ = ("servers", "kinds")
+
+    def __init__(self, servers: list[Server]) -> None:
+        self.servers = servers
+        by_kind: dict[int, list[Server]] = {}
+        for server in servers:
+            by_kind.setdefault(server.kind, []).append(server)
+        self.kinds = [(kind, those, list(accumulate(s.size for s in those)))
+                      for kind, those in by_kind.items()]  # fmt: skip
+
+    def draw(self, chance: float, speed: dict[int, float]) -> Server:
+        left = chance * sum(sums[-1] * speed[kind] for kind, _, sums in self.kinds)
+        for kind, those, sums in self.kinds:  # noqa: B007
+            part = sums[-1] * speed[kind]
+            if left < part:
+                break
+            left -= part
+        return those[min(bisect(sums, max(0.0, left) / speed[kind]), len(those) - 1)]
+
+
+class Attempt:
+    __slots__ = ("server", "sent", "open", "may_have_run")
+
+    def __init__(self, server: Server, sent: float) -> None:
+        self.server, self.sent, self.open, self.may_have_run = server, sent, True, True
+
+
+class Pending:
+    """A request that is owed its final answer."""
+
+    __slots__ = ("id", "cls", "number", "deadline", "useful", "began", "aim", "attempts", "streaming")
+
+    def __init__(self, event: Request, cls: RequestClass, now: float, slack: float, loaded: bool) -> None:
+        self.id, self.cls, self.number, self.began = event.request, cls, event.cls, now
+        self.deadline = now + max(0.0, event.left)
+        self.aim = min(now + cls.aim + cls.aim_stretch * (event.hint or 0.0), self.deadline)
+        # An answer that earns nothing past its aim is not waited for; ended before it, it is no late failure.
+        # Nor is one that earns little while work waits: queues of late answers would make all others late.
+        late_pays = cls.late_share > 0 and not loaded
+        self.useful = self.deadline if late_pays else max(now, self.aim - slack)
+        self.attempts: list[Attempt] = []
+        self.streaming = False
+
+
+class Balancer:
+    """The decisions of one proxy. `handle` takes what happened and returns what to do, in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
+        self.random = random.Random(seed)
+        self.now = self.born = -math.inf
+        self.actions: list[Action] = []
+        self.servers: dict[str, Server] = {}
+        self.ready: list[Server] = []
+        self.pool = Pool([])
+        self.groups: dict[tuple[Scope, int], Pool] = {}
+        self.speed: dict[int, float] = {}  # of a kind, relative to the others, as its utilization tells
+        self.util_usual = self.errors_usual = 0.0
+        self.total_size = 0.0
+        self.ramp = RAMP_S
+        self.requests: dict[int, Pending] = {}
+        self.retry_tokens = RETRY_BURST
+        self.flow, self.flow_at = 0.0, 0.0  # fading count of sends
+        self.shed_level = 0.0
+        self.shed_logged = -math.inf
+        self.usual = [0.0] * len(settings.classes)  # time an answer takes, the median of late
+        self.silence = math.inf
+        self.tenant_room = [0.0] * len(settings.tenants)
+        self.tenant_at = [0.0] * len(settings.tenants)
+        self.failed_calls = 0
+        self.react: dict[type, Callable[..., None]] = {
+            Outcome: self._on_outcome, Request: self._on_request, TimerFired: self._on_timer,
+            Withdrawn: self._on_withdrawn, ServerList: self._on_list, FirstByte: self._on_first_byte,
+            ProbeResult: self._on_probe, PeerMessage: lambda event: None,
+        }  # fmt: skip
+
+    def handle(self, now: float, events: Sequence[Event]) -> list[Action]:
+        if self.born < 0:
+            self.born = self.flow_at = now
+        self.now = now
+        self.actions = []
+        for event in events:
+            self.react[type(event)](event)
+        return self.actions
+
+    # Requests.
+
+    def _on_request(self, event: Request) -> None:
+        cls = self.settings.classes[event.cls]
+        pending = Pending(event, cls, self.now, self.rules.answer_slack, self.shed_level > 0)
+        self.requests[event.request] = pending
+        self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_RATIO)
+        if self._sheds(event, cls) or not self._try(pending):
+            self._give_up(pending)
+        elif cls.effect != Effect.UNSAFE and self.limits.max_attempts > 1:
+            self.actions.append(SetTimer(event.request + 1, SECOND_LOOK * (pending.useful - self.now)))
+
+    def _on_timer(self, event: TimerFired) -> None:
+        if event.token == LIST_TOKEN:
+            self.actions.append(Watch(True))
+            return
+        pending = self.requests.get(event.token - 1)
+        if pending is None or pending.streaming or len(pending.attempts) != 1:
+            return
+        # A second copy is for a lone silent server; where the typical attempt is slow it adds to the cause.
+        if self.retry_tokens < 1 or self.shed_level > 0:
+            return
+        if self.limits.second_copies:
+            self._retry(pending)
+        elif self.limits.cancelling and self._repeat_pool(pending, freed=True):
+            self.actions.append(Cancel(pending.id, 0))  # its outcome starts the second attempt
+
+    def _on_withdrawn(self, event: Withdrawn) -> None:
+        pending = self.requests.get(event.request)
+        if pending is not None:
+            self._end(pending)
+
+    def _on_first_byte(self, event: FirstByte) -> None:
+        server = self.servers[event.server]
+        server.answered = True
+        # Exception: once its answer has begun the work is done, and how long the client takes over the rest
+        # says nothing of the server; counted on, slow readers would decide where requests go.
+        server.giving.add((event.request, event.attempt))
+        server.out.pop((event.request, event.attempt), None)
+        pending = self.requests.get(event.request)
+        if pending is not None:
+            pending.streaming = True
+            self._cancel_open(pending, but=event.attempt)
+
+    def _on_outcome(self, event: Outcome) -> None:
+        server = self.servers[event.server]
+        key = (event.request, event.attempt)
+        if server.out.pop(key, None) is None and key not in server.giving:
+            raise LookupError(f"outcome of attempt {event.attempt} of request {event.request}, never sent")
+        server.giving.discard(key)
+        if not server.out and self.settings.n_instances > 1 and self._rate() < SPARSE * len(self.ready):
+            # Exception: where each of many proxies sends a server little, their idle connections
+            # together fill its table, which costs it capacity and turns other proxies away.
+            self.actions.append(CloseIdle(server.id))
+        pending = self.requests.get(event.request)
+        self._learn(server, event.result, event.report, self._slowness(pending, event))
+        if pending is None:
+            return
+        self._note_load(pending, event)
+        attempt = pending.attempts[event.attempt]
+        attempt.open = False
+        attempt.may_have_run = event.result not in NEVER_RAN
+        if event.ended:
+            self._end(pending)
+        elif not any(a.open for a in pending.attempts) and not self._retry(pending):
+            self._give_up(pending)
+
+    def _retry(self, pending: Pending) -> bool:
+        """One more attempt, where the class, the limits, the time and the budget allow it."""
+        if self.retry_tokens < 1 or pending.useful - self.now <= 0:
+            return False
+        if not self._try(pending):
+            return False
+        self.retry_tokens -= 1
+        return True
+
+    def _try(self, pending: Pending) -> bool:
+        pool = self._repeat_pool(pending)
+        server = self._choose(pool, pending) if pool and pool.servers else None
+        if server is None:
+            return False
+        self._send(pending, server)
+        return True
+
+    def _give_up(self, pending: Pending) -> None:
+        """The final answer where there is none to be had: a refusal if it is known to be harmless."""
+        if self._may_refuse(pending):
+            self.actions.append(Refuse(pending.id))
+        else:
+            self.actions.append(Fail(pending.id))
+        self._end(pending)
+
+    def _end(self, pending: Pending) -> None:
+        del self.requests[pending.id]
+        self._cancel_open(pending)
+
+    def _cancel_open(self, pending: Pending, but: int = -1) -> None:
+        if self.limits.cancelling:
+            for number, attempt in enumerate(pending.attempts):
+                if attempt.open and number != but:
+                    self.actions.append(Cancel(pending.id, number))
+
+    # Rules. Each is kept by this proxy alone.
+
+    def _repeat_pool(self, pending: Pending, freed: bool = False) -> Pool | None:
+        """No effect twice: the servers to which the request may go (again); None if to none.
+
+        `freed`: as it will be when the attempts in flight have ended."""
+        if pending.streaming or len(pending.attempts) >= self.limits.max_attempts:
+            return None
+        if not self.limits.second_copies and not freed and any(a.open for a in pending.attempts):
+            return None
+        first = next((a for a in pending.attempts if a.may_have_run), None)
+        cls = pending.cls
+        if first is None or cls.effect == Effect.SAFE:
+            return self.pool
+        if cls.effect == Effect.UNSAFE or self.now >= first.sent + cls.dedup_window:
+            return None
+        if cls.dedup_scope == Scope.ALL:
+            return self.pool
+        place = first.server.zone if cls.dedup_scope == Scope.ZONE else first.server.cell
+        return self.groups.get((cls.dedup_scope, place))
+
+    def _may_refuse(self, pending: Pending) -> bool:
+        """No effect twice: a refusal says that trying again is harmless."""
+        cls = pending.cls
+        if cls.effect == Effect.SAFE or cls.effect == Effect.KEYED and cls.dedup_scope == Scope.ALL:
+            return True
+        return not any(a.may_have_run for a in pending.attempts)
+
+    def _may_take(self, server: Server) -> bool:
+        """Drains kept, and no cold server pushed over."""
+        return server.state == ServerState.READY and (
+            self.now >= server.cold_next or self.now >= server.started + self.rules.cold_time
+        )
+
+    def _pace_cold(self, server: Server) -> None:
+        """A cold server gets from each proxy less than its share of what the settings say it can do.
+
+        All proxies pace alike, so together they stay under it, without talking; random gaps keep them
+        from coming together. Work goes by time, not by chance: a draw may find it twice in a row."""
+        rules = self.rules
+        age = max(0.0, self.now - server.started)
+        if age < rules.cold_time:
+            share = rules.cold_from + (1 - rules.cold_from) * age / rules.cold_time
+            usual = max(self._rate(), 1 / RATE_S) * server.size / max(self.total_size, server.size)
+            server.cold_next = self.now + (0.5 + self.random.random()) / (usual * share * COLD_MARGIN)
+
+    def _send(self, pending: Pending, server: Server) -> None:
+        """The one place that sends; an attempt never outlives the use of its answer."""
+        server.out[(pending.id, len(pending.attempts))] = self.now
+        pending.attempts.append(Attempt(server, self.now))
+        self.flow = self._flow() + 1
+        self.flow_at = self.now
+        self._pace_cold(server)
+        self.actions.append(Send(pending.id, server.id, max(0.001, pending.useful - self.now)))
+
+    # The draw.
+
+    def _choose(self, pool: Pool, pending: Pending) -> Server | None:
+        tried = [a.server for a in pending.attempts]
+        first = self._candidate(pool, tried)
+        if first is None:
+            return self._unfiltered(pool, tried)
+        second = self._candidate(pool, tried)
+        if second is None or second is first or self._score(first) <= self._score(second):
+            return first
+        return second
+
+    def _candidate(self, pool: Pool, tried: list[Server]) -> Server | None:
+        """A random server that passes the filters, within a few tries."""
+        for _ in range(DRAW_TRIES):
+            server = pool.draw(self.random.random(), self.speed)
+            if self._may_take(server) and server not in tried and self._healthy(server):
+                return server
+        return None
+
+    def _unfiltered(self, pool: Pool, tried: list[Server]) -> Server | None:
+        """The fallback: health and load do not matter, the rules do."""
+        best = None
+        for _ in range(DRAW_TRIES):
+            server = pool.draw(self.random.random(), self.speed)
+            if self._may_take(server) and server not in tried:
+                if best is not None:
+                    return best if self._score(best) <= self._score(server) else server
+                best = server
+        return best
+
+    def _healthy(self, server: Server) -> bool:
+        if not server.answered and server.out:  # probation: one request until the first answer
+            return False
+        age = self.now - server.started
+        if server.started and age < self.ramp and self.random.random() > max(RAMP_FROM, age / self.ramp):
+            return False
+        # Protects against hung servers: they answer nothing, so no figure of theirs gets worse.
+        if server.out and self.now - next(iter(server.out.values())) > self.silence:
+            return False
+        # Where all are busy the cause is shared, and passing most over would crowd the few that are left.
+        util_limit = max(UTIL_LIMIT, self.util_usual + UTIL_OVER)
+        error_limit = max(ERROR_LIMIT, self.errors_usual + ERROR_OVER)
+        return (self._faded(server.util, server.util_at) <= util_limit
+                and self._faded(server.errors, server.errors_at) <= error_limit)  # fmt: skip
+
+    def _score(self, server: Server) -> float:
+        """Less is better: own in-flight for its size, then reported utilization, then error share."""
+        return (len(server.out) / (server.size * self.speed[server.kind])
+                + UTIL_WEIGHT * self._faded(server.util, server.util_at)
+                + ERROR_WEIGHT * self._faded(server.errors, server.errors_at))  # fmt: skip
+
+    def _faded(self, value: float, at: float) -> float:
+        return value * max(0.0, 1 - (self.now - at) / DECAY_S) if value else 0.0
+
+    def _flow(self) -> float:
+        return self.flow * math.exp((self.flow_at - self.now) / RATE_S)
+
+    def _rate(self) -> float:
+        """Own sends a second of late; of a young proxy, over its life."""
+        return self._flow() / (RATE_S * (1 - math.exp(-max(1.0, self.now - self.born) / RATE_S)))
+
+    # What is learnt.
+
+    def _learn(self, server: Server, result: Result, report: Mapping[str, float] | None,
+               slowness: float = 0.0) -> None:  # fmt: skip
+        """A cancelled or unsent attempt says nothing of its server; all other ends do."""
+        if report:
+            util = report.get("utilization")
+            if isinstance(util, (int, float)) and 0 <= util < math.inf:  # nan, too, fails this
+                server.util, server.util_at = min(1.0, util), self.now
+                self._note_speed(server)
+        if result in (Result.CANCELLED, Result.NOT_SENT):
+            return
+        if result in (Result.SERVED, Result.ERROR, Result.FULL):
+            server.answered = True
+        share = self._faded(server.errors, server.errors_at)
+        failure = slowness if result == Result.SERVED else 1.0
+        self.errors_usual += SPEED_STEP * (failure - self.errors_usual)
+        server.errors = share + ERROR_STEP * (failure - share)
+        server.errors_at = self.now
+
+    def _note_speed(self, server: Server) -> None:
+        """Kinds that report more than the usual utilization are drawn less, until all report alike."""
+        self.util_usual += SPEED_STEP * (server.util - self.util_usual)
+        speed = self.speed[server.kind] * math.exp(SPEED_STEP * (self.util_usual - server.util))
+        self.speed[server.kind] = min(SPEED_MOST, max(1 / SPEED_MOST, speed))
+
+    def _on_probe(self, event: ProbeResult) -> None:
+        self._learn(self.servers[event.server], event.result, event.report)
+
+    def _slowness(self, pending: Pending | None, event: Outcome) -> float:
+        """From 0, as usual, to 1, failure-like.
+
+        Protects against slow servers: near full load all report high utilization, and only their
+        answers tell them apart. The usual is that of the whole fleet, so a shared cause blackens none."""
+        if pending is None or event.result != Result.SERVED:
+            return 0.0
+        number, took = pending.number, event.took
+        usual = self.usual[number] or took
+        self.usual[number] = usual * (1 + USUAL_STEP if took > usual else 1 - USUAL_STEP)
+        self.silence = SILENT * max(self.usual)
+        return min(1.0, max(0.0, (took / usual - SLOW_FROM) / (SLOW_FULL - SLOW_FROM))) if usual else 0.0
+
+    # Refusing.
+
+    def _sheds(self, event: Request, cls: RequestClass) -> bool:
+        """Refuse what earns least for its work first, and more the more attempts take too long."""
+        over = bool(self.settings.tenants) and self._over_share(event.tenant)
+        if self.shed_level > 0:
+            values = self._values()
+            mine = values[event.cls] * (self.settings.over_share_worth if over else 1.0)
+            rank = sum(value < mine for value in values)
+            if self.random.random() < min(SHED_MOST, self.shed_level - (rank - over)):
+                return True
+        if self.settings.tenants:
+            self.tenant_room[event.tenant] = max(0.0, self.tenant_room[event.tenant] - 1.0)
+        return False
+
+    def _values(self) -> list[float]:
+        """Worth of a class for the work it takes; where worth goes by work, it is that already."""
+        if self.settings.worth_by_work:
+            return [c.worth for c in self.settings.classes]
+        pairs = zip(self.settings.classes, self.usual, strict=True)
+        return [c.worth / (work or 1.0) for c, work in pairs]
+
+    def _over_share(self, tenant: int) -> bool:
+        """This proxy's part of the tenant's quota, as a bucket that holds a second of it.
+
+        Only admitted requests are taken from it: the tries that clients repeat after a refusal must not
+        push a tenant over its share."""
+        rate = self.settings.tenants[tenant].quota_per_s / self.settings.n_instances
+        room = self.tenant_room[tenant] + rate * (self.now - self.tenant_at[tenant])
+        self.tenant_at[tenant] = self.now
+        self.tenant_room[tenant] = min(room, rate + 1.0)
+        return self.tenant_room[tenant] < 1.0
+
+    def _note_load(self, pending: Pending, event: Outcome) -> None:
+        """What speaks for overload is that even the typical attempt takes long, not that some fail.
+
+        Protects against refusing, and so calling up clients' retries, where only some servers are sick.
+        Additive steps, balanced where LATE_SHARE of the attempts take long."""
+        if event.result in (Result.CANCELLED, Result.NOT_SENT, Result.NO_CONNECTION):
+            return
+        late = event.result == Result.FULL or event.took > LATE_FROM * pending.cls.aim
+        rate = max(1.0, self._rate())
+        step = (1 - LATE_SHARE if late else -LATE_SHARE) / (rate * SHED_S)
+        top = float(len(self.settings.classes))
+        self.shed_level = min(top, max(0.0, self.shed_level + step))
+        if self.shed_level > 0.5 and self.now > self.shed_logged + 10:
+            self.shed_logged = self.now
+            self.actions.append(Log(f"shedding: attempts take too long, level {self.shed_level:.1f}"))
+
+    # Following the list.
+
+    def _on_list(self, event: ServerList) -> None:
+        if event.failed:  # back off, each proxy at its own moment
+            wait = min(ASK_AGAIN_S[1], ASK_AGAIN_S[0] * 2.0**self.failed_calls)
+            self.failed_calls += 1
+            self.actions.append(SetTimer(LIST_TOKEN, wait * (0.5 + self.random.random())))
+            return
+        if event.whole:
+            named = {entry.server for entry in event.entries}
+            for server in self.servers.values():
+                if server.id not in named:
+                    server.state = ServerState.GONE
+        for entry in event.entries:
+            self._list_entry(entry)
+        self._lay_out()
+        if event.stale and self.settings.list_on_request:
+            self.actions.append(SetTimer(LIST_TOKEN, ASK_SPREAD_S * self.random.random()))
+        elif not event.stale:
+            self.failed_calls = 0
+
+    def _list_entry(self, entry: ServerEntry) -> None:
+        server = self.servers.get(entry.server)
+        if server is None:
+            server = self.servers[entry.server] = Server(entry)
+        else:
+            server.listed(entry)
+
+    def _lay_out(self) -> None:
+        """The pools that draws are made from; only list events change them."""
+        for name in [
+            s.id for s in self.servers.values() if s.state == ServerState.GONE and not (s.out or s.giving)
+        ]:
+            del self.servers[name]
+        self.ready = [s for s in self.servers.values() if s.state == ServerState.READY]
+        mean = sum(s.weight for s in self.ready) / max(1, len(self.ready))
+        self.total_size = float(len(self.ready))
+        # Exception: after a deploy or the return of a lost zone most of the fleet is young. Held back for
+        # the whole ramp, it would leave all load to the few old servers; so then the ramp ends when the
+        # rules say that a server is warm.
+        young = sum(s.started > 0 and self.now - s.started < RAMP_S for s in self.ready)
+        many = young > YOUNG_MOST * len(self.ready)
+        self.ramp = min(RAMP_S, max(self.rules.cold_time, 1e-3)) if many else RAMP_S
+        groups: dict[tuple[Scope, int], list[Server]] = {}
+        for server in self.ready:
+            server.size = server.weight / mean
+            self.speed.setdefault(server.kind, 1.0)
+            groups.setdefault((Scope.ZONE, server.zone), []).append(server)
+            groups.setdefault((Scope.CELL, server.cell), []).append(server)
+        self.pool = Pool(self.ready)
+        self.groups = {place: Pool(servers) for place, servers in groups.items()}
--- /dev/null
+++ b/spokemast/interface.py
@@ -0,0 +1,290 @@
+"""The types between a proxy and its decisions: settings, events and actions.
+
+A proxy builds `Settings` once, then calls `Balancer.handle(now, events)` and carries out the
+actions that come back, in order. Times are seconds on any clock that only advances.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Mapping, NamedTuple, Union
+
+
+class Effect(IntEnum):
+    """What running a request twice would do."""
+
+    SAFE = 0  # may be repeated freely
+    KEYED = 1  # servers of one group drop repeats for a while
+    UNSAFE = 2  # must never run twice
+
+
+class Scope(IntEnum):
+    """Which servers share the memory of a keyed request."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Result(IntEnum):
+    """How an attempt or a probe ended."""
+
+    SERVED = 0
+    ERROR = 1
+    FULL = 2
+    TIMEOUT = 3
+    NO_CONNECTION = 4
+    RESET = 5
+    CANCELLED = 6
+    NOT_SENT = 7
+
+
+#: Results that prove that the attempt never ran on its server.
+NEVER_RAN = frozenset((Result.FULL, Result.NO_CONNECTION, Result.NOT_SENT))
+
+
+class ServerState(IntEnum):
+    READY = 0
+    DRAINING = 1
+    GONE = 2
+
+
+def _check(key: str, value: object, low: float, high: float = math.inf) -> None:
+    good = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not good or not low <= float(value) <= high or math.isinf(float(value)):  # type: ignore[arg-type]
+        raise ValueError(f"{key}: {value!r} is not a number from {low:g} to {high:g}")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim: float  # seconds; an answer within this earns the full worth
+    give_up: float  # seconds a client waits in all
+    worth: float = 1.0
+    late_share: float = 0.0  # share of the worth that a late answer earns
+    aim_stretch: float = 0.0  # the aim grows by this multiple of the request's work
+    effect: Effect = Effect.SAFE
+    dedup_scope: Scope = Scope.ALL
+    dedup_window: float = 0.0
+    stream: bool = False
+
+    def __post_init__(self) -> None:
+        _check("classes.aim", self.aim, 1e-6)
+        _check("classes.give_up", self.give_up, 1e-6)
+        _check("classes.worth", self.worth, 0)
+        _check("classes.late_share", self.late_share, 0, 1)
+        _check("classes.aim_stretch", self.aim_stretch, 0)
+        _check("classes.dedup_window", self.dedup_window, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    fraction: float
+    quota_per_s: float  # across all proxies
+
+    def __post_init__(self) -> None:
+        _check("tenants.fraction", self.fraction, 0, 1)
+        _check("tenants.quota_per_s", self.quota_per_s, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the deployment permits."""
+
+    max_attempts: int = 3
+    cancelling: bool = True
+    probes: bool = False
+    peers: bool = False
+    second_copies: bool = True
+    retry_after: bool = False
+    max_retry_after: float = 0.0
+    connect_timeout: float = 0.25
+
+    def __post_init__(self) -> None:
+        _check("limits.max_attempts", self.max_attempts, 1)
+        _check("limits.max_retry_after", self.max_retry_after, 0)
+        _check("limits.connect_timeout", self.connect_timeout, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """The figures of the four rules."""
+
+    answer_slack: float = 0.02
+    ask_within: float = 10.0
+    drain_grace: float = 1.0
+    cold_from: float = 0.3  # a cold server starts at this share of its capacity or above
+    cold_time: float = 10.0  # and is warm after this many seconds
+    overload_factor: float = 2.5  # sent this multiple of its present capacity
+    fall_time: float = 2.0  # for this long, it falls over
+
+    def __post_init__(self) -> None:
+        _check("rules.answer_slack", self.answer_slack, 0)
+        _check("rules.ask_within", self.ask_within, 0)
+        _check("rules.drain_grace", self.drain_grace, 0)
+        _check("rules.cold_from", self.cold_from, 0, 1)
+        _check("rules.cold_time", self.cold_time, 0)
+        _check("rules.overload_factor", self.overload_factor, 0)
+        _check("rules.fall_time", self.fall_time, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    classes: tuple[RequestClass, ...]
+    me: int = 0
+    n_instances: int = 1
+    zone: int = 0
+    n_zones: int = 1
+    tenants: tuple[Tenant, ...] = ()
+    over_share_worth: float = 1.0
+    list_on_request: bool = False  # the server list must be watched or fetched
+    report_fields: tuple[str, ...] = ()
+    worth_by_work: bool = False
+    warm_keys: bool = False
+    passes_deadline: bool = True
+    prices: Mapping[str, float] = field(default_factory=dict)
+    limits: Limits = Limits()
+    rules: Rules = Rules()
+
+    def __post_init__(self) -> None:
+        if not self.classes:
+            raise ValueError("classes: () names no class of requests")
+        _check("n_instances", self.n_instances, 1)
+        _check("me", self.me, 0, self.n_instances - 1)
+        _check("n_zones", self.n_zones, 1)
+        _check("zone", self.zone, 0, self.n_zones - 1)
+        _check("over_share_worth", self.over_share_worth, 0, 1)
+
+
+# Events.
+
+
+class ServerEntry(NamedTuple):
+    server: str
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    state: ServerState = ServerState.READY
+    weight: float = 1.0
+    started: float = 0.0  # 0: long ago
+
+
+class ServerList(NamedTuple):
+    """A list, or a change to it. `failed`: the call failed, the list before stands."""
+
+    entries: tuple[ServerEntry, ...] = ()
+    whole: bool = True
+    failed: bool = False
+    stale: bool = False  # what was held before a restart
+
+
+class Request(NamedTuple):
+    request: int
+    cls: int
+    left: float  # seconds until the client abandons this try
+    tenant: int = 0
+    key: str | None = None
+    hint: float | None = None  # expected work in seconds of a standard core
+    retry: bool = False
+    write: bool = False
+
+
+class Outcome(NamedTuple):
+    request: int
+    attempt: int
+    server: str
+    result: Result
+    took: float
+    ended: bool = False  # the request has its final answer
+    report: Mapping[str, float] | None = None
+
+
+class FirstByte(NamedTuple):
+    request: int
+    attempt: int
+    server: str
+    took: float
+
+
+class Withdrawn(NamedTuple):
+    request: int
+
+
+class TimerFired(NamedTuple):
+    token: int
+
+
+class ProbeResult(NamedTuple):
+    server: str
+    result: Result
+    took: float
+    report: Mapping[str, float] | None = None
+
+
+class PeerMessage(NamedTuple):
+    sender: int
+    payload: bytes
+
+
+Event = Union[ServerList, Request, Outcome, FirstByte, Withdrawn, TimerFired, ProbeResult, PeerMessage]
+
+
+# Actions.
+
+
+class Send(NamedTuple):
+    """Start an attempt; attempts of a request are numbered from 0 in this order."""
+
+    request: int
+    server: str
+    timeout: float
+
+
+class Fail(NamedTuple):
+    request: int
+
+
+class Refuse(NamedTuple):
+    request: int
+    retry_after: float = 0.0
+
+
+class Cancel(NamedTuple):
+    request: int
+    attempt: int
+
+
+class SetTimer(NamedTuple):
+    token: int
+    after: float
+
+
+class Watch(NamedTuple):
+    on: bool = True
+
+
+class Fetch(NamedTuple):
+    pass
+
+
+class Probe(NamedTuple):
+    server: str
+
+
+class CloseIdle(NamedTuple):
+    server: str
+
+
+class Message(NamedTuple):
+    to: int
+    payload: bytes
+
+
+class Log(NamedTuple):
+    text: str
+
+
+Action = Union[Send, Fail, Refuse, Cancel, SetTimer, Watch, Fetch, Probe, CloseIdle, Message, Log]
--- /dev/null
+++ b/spokemast/net/backend.py
@@ -0,0 +1,468 @@
+"""Connections to backends: what their sockets do, told as Results."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import socket
+import time
+from typing import TYPE_CHECKING, Mapping, Sequence, cast
+
+import httptools
+import orjson
+
+from spokemast.interface import Result
+from spokemast.net.limits import Budget, Complaints
+from spokemast.settings import Deployment
+
+if TYPE_CHECKING:
+    from spokemast.net.proxy import OpenRequest, Proxy
+
+#: An answer up to this is held until it is whole, so that a break can be retried; the protocol's line
+#: between small and large answers.
+HOLD_MOST = 64 << 10
+#: Largest head of an answer; guards against endless headers.
+HEAD_MOST = 32 << 10
+#: Idle connections kept to one backend: it holds some twenty for all proxies, and a full table costs it.
+IDLE_MOST = 6
+#: An idle connection is retired at this share of the time after which the backend closes it. Backends
+#: close early, and a request that crosses such a close ends as a reset.
+IDLE_SHARE = 0.3
+#: A large answer that stalls for this long at the backend is cut: it pauses for 0.1 s at most, and one
+#: that vanished says nothing.
+STALL_S = 3.0
+
+#: Headers of an answer that are not passed on: of this connection alone, or for the proxy alone.
+NOT_PASSED = frozenset((
+    b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-connection", b"te", b"trailer",
+    b"transfer-encoding", b"upgrade", b"content-length", b"x-pressure", b"x-turned-away",
+))  # fmt: skip
+
+#: Fields of a load report by their names on sockets, in the settings' words.
+REPORT_WORDS = {
+    "util": "utilization",
+    "latency_ms": "recent_ms",
+    "qps": "throughput",
+    "inflight": "outstanding",
+    "queue": "backlog",
+    "eps": "errors_per_s",
+}
+
+
+def read_report(value: bytes, fields: Sequence[str]) -> dict[str, float] | None:
+    """The load report in the module's words; ValueError where it is none."""
+    box = orjson.loads(value)
+    if not isinstance(box, dict):
+        raise ValueError("not an object")
+    report: dict[str, float] = {}
+    for name, figure in box.items():
+        word = REPORT_WORDS.get(str(name), str(name))
+        if word in fields and type(figure) in (int, float) and math.isfinite(figure):
+            report[word] = float(figure)
+    return report or None
+
+
+#: Where a backend listens and when it last started: connections are of one life of it.
+Life = tuple[tuple[str, int], float]
+
+
+class Attempt:
+    """One Send, from when the module asked for it to its one Outcome."""
+
+    __slots__ = ("request", "number", "server", "began", "timeout", "timer", "connection", "opening",
+                 "streaming", "first_at", "ended")  # fmt: skip
+
+    def __init__(self, request: OpenRequest, number: int, server: str, began: float, timeout: float) -> None:
+        self.request, self.number, self.server = request, number, server
+        self.began, self.timeout = began, timeout
+        self.timer: asyncio.TimerHandle | None = None
+        self.connection: Connection | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.streaming = False
+        self.first_at = 0.0  # when its answer began to be passed on
+        self.ended = False
+
+    def drop(self) -> None:
+        """Stop waiting: the connection is closed, which also tells the backend."""
+        if self.opening is not None:
+            self.opening.cancel()
+            self.opening = None
+        if self.connection is not None:
+            self.connection.drop()
+
+
+class Answer:
+    """A backend's 200, as far as it has come."""
+
+    __slots__ = ("lines", "length", "body")
+
+    def __init__(self, lines: list[bytes], length: int | None, body: bytes) -> None:
+        self.lines, self.length, self.body = lines, length, body
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a backend; it carries one attempt at a time."""
+
+    def __init__(self, backend: Backend, pool: Backends, sock: socket.socket) -> None:
+        self.backend, self.pool, self.sock = backend, pool, sock
+        self.life = backend.life
+        self.transport: asyncio.Transport | None = None
+        self.attempt: Attempt | None = None
+        self.unsent = False  # part of the request is still in our buffers
+        self.closed = False
+        self.idle_since = self.heard = 0.0
+        self.parser = httptools.HttpResponseParser(self)
+        self._expect()
+
+    def _expect(self) -> None:
+        """Forget the answer before; the next one may come."""
+        self.status = 0
+        self.lines: list[bytes] = []
+        self.length: int | None = None
+        self.framed = False  # its end can be told from that of the connection
+        self.held = 0
+        self.body: list[bytes] = []
+        self.complete = self.surplus = self.keep = self.turned_away = self.committed = False
+        self.pressure = b""
+        self.head_size = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)
+        self.transport = transport
+        # pause_writing then says that something is left in our buffers, resume_writing that nothing is.
+        transport.set_write_buffer_limits(high=0)
+
+    # Sending.
+
+    def is_alive(self) -> bool:
+        """Guards against a kept connection whose end has come but has not been read yet."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return not self.closed
+        except OSError:
+            return False
+        return False  # end of input, or bytes that nobody asked for
+
+    def start(self, attempt: Attempt) -> None:
+        assert self.transport is not None
+        self.attempt = attempt
+        attempt.connection = self
+        request = attempt.request
+        data = b"%bX-Remaining: %dm\r\n\r\n" % (request.head, max(1, round(attempt.timeout * 1000)))
+        body = request.body
+        if body and len(body) <= HOLD_MOST:
+            data += body
+        # Straight to the kernel: so it is certain what has left, and a break before the last byte is
+        # told from one after it.
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._fail(Result.NO_CONNECTION)
+            return
+        if sent < len(data):
+            self.unsent = True
+            self.transport.write(data[sent:])
+        if body and len(body) > HOLD_MOST:
+            self.unsent = True
+            self.transport.write(memoryview(body))
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def hold(self, paused: bool) -> None:
+        """Flow control: read no faster than the client does."""
+        if self.transport is not None and not self.closed:
+            self.heard = time.monotonic()
+            (self.transport.pause_reading if paused else self.transport.resume_reading)()
+
+    # What the parser finds; it is acted on once the parser is done, outside its callbacks.
+
+    def on_message_begin(self) -> None:
+        if self.complete:
+            self.surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.head_size += len(name) + len(value)
+        if self.head_size > HEAD_MOST:
+            raise ValueError("head too large")
+        if self.surplus or self.held:  # trailers, or what nobody asked for
+            return
+        key = name.lower()
+        if key not in NOT_PASSED:
+            self.lines.append(b"%b: %b\r\n" % (name, value))
+        elif key == b"x-pressure":
+            self.pressure = value
+        elif key == b"x-turned-away":
+            self.turned_away = value.strip() == b"1"
+        elif key == b"content-length":
+            self.length = int(value)
+            self.framed = True
+        elif key == b"transfer-encoding":
+            self.framed = value.lower().rpartition(b",")[2].strip() == b"chunked"
+
+    def on_headers_complete(self) -> None:
+        if not self.surplus:
+            self.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        if not self.surplus and self.status == 200:
+            self.body.append(body)
+            self.held += len(body)
+
+    def on_message_complete(self) -> None:
+        if self.surplus:
+            return
+        if self.status < 200:  # an interim answer: the real one follows
+            self.status, self.lines, self.framed, self.length, self.head_size = 0, [], False, None, 0
+            return
+        self.complete = True
+        self.keep = self.parser.should_keep_alive()
+
+    # Receiving.
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None:
+            self.drop()
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
+            if not self.complete:
+                self.pool.complain("malformed answer", repr(problem.__context__ or problem))
+                self._fail(Result.RESET)
+                return
+            self.surplus = True
+        if self.status and not self.framed and self.status not in (204, 304):
+            # Close-delimited: whole and cut short look the same.
+            self.pool.complain("answer without an end of its own", self.status)
+            self._fail(Result.RESET)
+        elif self.complete:
+            self._finish()
+        elif self.status == 200:
+            self._hold()
+
+    def _hold(self) -> None:
+        """Keep a small answer until it is whole; commit to a large one, and pass on what has come."""
+        assert self.attempt is not None
+        if not self.held:
+            return
+        owner = self.pool.owner
+        if not self.committed:
+            large = self.held > HOLD_MOST or (self.length or 0) > HOLD_MOST
+            if not large and self.pool.budget.held + self.held <= self.pool.budget.most:
+                return
+            self.committed = True
+            self.pool.streams.add(self)
+            owner.begin_answer(self.attempt, Answer(self.lines, self.length, b""))
+        self.heard = time.monotonic()
+        if self.attempt is not None and self.body:
+            parts, self.body = self.body, []
+            owner.pass_on(self.attempt, b"".join(parts))
+
+    def _finish(self) -> None:
+        """The answer is whole."""
+        attempt = self.attempt
+        assert attempt is not None
+        if self.committed and self.body:
+            owner = self.pool.owner
+            owner.pass_on(attempt, b"".join(self.body))
+            self.body = []
+            if self.attempt is None:  # cancelled by what passing on led to
+                return
+        result = self._result()
+        report = self._report()
+        answer = Answer(self.lines, None, b"".join(self.body)) if result == Result.SERVED else None
+        self.attempt = None
+        attempt.connection = None
+        self.pool.streams.discard(self)
+        if self.keep and not self.surplus and not self.unsent and not self.closed:
+            self._expect()
+            self.pool.park(self)
+        else:
+            self.drop()
+        self.pool.owner.finish_attempt(attempt, result, report, answer)
+
+    def _result(self) -> Result:
+        if self.status == 200:
+            return Result.SERVED
+        if self.turned_away and self.status in (503, 504):
+            return Result.FULL
+        return Result.ERROR
+
+    def _report(self) -> Mapping[str, float] | None:
+        if not self.pressure:
+            return None
+        try:
+            return read_report(self.pressure, self.pool.report_fields)
+        except ValueError as problem:
+            self.pool.complain("malformed load report", problem)
+            return None
+
+    # Ending.
+
+    def _fail(self, result: Result) -> None:
+        attempt = self.attempt
+        if self.status and not self.complete and result == Result.RESET and self._result() != Result.SERVED:
+            result = self._result()  # the head has told how it went; the rest is of no use
+        self.drop()
+        if attempt is not None:
+            self.pool.owner.finish_attempt(attempt, result)
+
+    def eof_received(self) -> None:
+        self._fail(Result.NO_CONNECTION if self.unsent else Result.RESET)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.attempt is not None:
+            self._fail(Result.NO_CONNECTION if self.unsent else Result.RESET)
+        self.drop()
+
+    def drop(self) -> None:
+        """Close at once; nothing further is heard of it."""
+        if self.attempt is not None:
+            self.attempt.connection = None
+            self.attempt = None
+        if not self.closed:
+            self.closed = True
+            self.pool.streams.discard(self)
+            self.pool.forget(self)
+            if self.transport is not None:
+                self.transport.abort()
+
+
+class Backend:
+    """One backend's address and connections."""
+
+    __slots__ = ("life", "idle", "wanted", "gone", "open")
+
+    def __init__(self, life: Life) -> None:
+        self.life = life
+        self.idle: list[Connection] = []  # the newest last
+        self.wanted = True  # listed as serving
+        self.gone = False
+        self.open = 0
+
+
+class Backends:
+    """All connections to backends."""
+
+    def __init__(
+        self, owner: Proxy, budget: Budget, complain: Complaints, sockets: int, deployment: Deployment
+    ) -> None:
+        self.owner, self.budget, self.complain = owner, budget, complain
+        self.sockets = sockets
+        self.connect_timeout = deployment.settings.limits.connect_timeout
+        self.idle_s = deployment.idle_close * IDLE_SHARE
+        self.report_fields = deployment.settings.report_fields
+        self.table: dict[str, Backend] = {}
+        self.streams: set[Connection] = set()  # those that pass a large answer on
+        self.open = 0
+
+    def listed(self, server: str, life: Life, serving: bool) -> None:
+        """Another address or start means that the old connections are of no use."""
+        backend = self.table.get(server)
+        if backend is None:
+            backend = self.table[server] = Backend(life)
+        if backend.life != life or not serving:
+            backend.life = life
+            self.close_idle(server)
+        backend.wanted = serving
+        backend.gone = False
+
+    def gone(self, server: str) -> None:
+        backend = self.table.get(server)
+        if backend is not None:
+            backend.wanted, backend.gone = False, True
+            self.close_idle(server)
+
+    def send(self, attempt: Attempt) -> None:
+        backend = self.table.get(attempt.server)
+        if backend is None:  # it went between the decision and now
+            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
+            return
+        while backend.idle:
+            connection = backend.idle.pop()
+            if connection.is_alive():
+                connection.start(attempt)
+                return
+            connection.drop()
+        if self.open >= self.sockets and not self._close_one_idle():
+            self.complain("no descriptor left for a backend", attempt.server)
+            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
+            return
+        self.open += 1
+        backend.open += 1
+        attempt.opening = asyncio.get_running_loop().create_task(self._connect(backend, attempt))
+
+    async def _connect(self, backend: Backend, attempt: Attempt) -> None:
+        loop = asyncio.get_running_loop()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        connection = Connection(backend, self, sock)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with asyncio.timeout(self.connect_timeout):
+                await loop.sock_connect(sock, connection.life[0])
+            await loop.create_connection(lambda: connection, sock=sock)
+        except (OSError, TimeoutError):
+            self._unopened(connection)
+            attempt.opening = None
+            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
+        except asyncio.CancelledError:  # the attempt has ended already
+            self._unopened(connection)
+            raise
+        else:
+            attempt.opening = None
+            if connection.closed:
+                self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
+            else:
+                connection.start(attempt)
+
+    def _unopened(self, connection: Connection) -> None:
+        connection.drop()
+        connection.sock.close()
+
+    def park(self, connection: Connection) -> None:
+        backend = connection.backend
+        if not backend.wanted or connection.life != backend.life:
+            connection.drop()
+            return
+        if len(backend.idle) >= IDLE_MOST:
+            backend.idle[0].drop()
+        connection.idle_since = time.monotonic()
+        backend.idle.append(connection)
+
+    def forget(self, connection: Connection) -> None:
+        backend = connection.backend
+        self.open -= 1
+        backend.open -= 1
+        if connection in backend.idle:
+            backend.idle.remove(connection)
+
+    def close_idle(self, server: str) -> None:
+        backend = self.table.get(server)
+        while backend is not None and backend.idle:
+            backend.idle[-1].drop()
+
+    def _close_one_idle(self) -> bool:
+        idle = [b.idle[0] for b in self.table.values() if b.idle]
+        if idle:
+            min(idle, key=lambda c: c.idle_since).drop()
+        return bool(idle)
+
+    def sweep(self, now: float) -> None:
+        """Retire what has stood idle, cut what has stalled, forget what is gone."""
+        for server, backend in list(self.table.items()):
+            while backend.idle and now - backend.idle[0].idle_since > self.idle_s:
+                backend.idle[0].drop()
+            if backend.gone and not backend.open:
+                del self.table[server]
+        for connection in list(self.streams):
+            attempt = connection.attempt
+            if attempt is not None and now - connection.heard > STALL_S and not attempt.request.paused:
+                self.complain("large answer stalled", attempt.server)
+                connection._fail(Result.RESET)
--- /dev/null
+++ b/spokemast/net/discovery.py
@@ -0,0 +1,248 @@
+"""Discovery: the watch on the list of backends, and its entries in the module's form."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import math
+import random
+from typing import TYPE_CHECKING, Any, Mapping, cast
+
+import httptools
+import orjson
+
+from spokemast.interface import ServerEntry, ServerState
+from spokemast.net.limits import Complaints
+from spokemast.settings import Deployment
+
+if TYPE_CHECKING:
+    from spokemast.net.proxy import Proxy
+
+#: An entry for the module, and where the backend listens.
+Entry = tuple[ServerEntry, tuple[str, int]]
+
+STATES = {"SERVING": ServerState.READY, "DRAINING": ServerState.DRAINING, "DELETED": ServerState.GONE}
+#: A watch sends at least an empty line every 2 s; one silent for longer is dead, though its connection
+#: may stay open. No longer than needed: drains are told behind it.
+SILENT_S = 3.0
+#: A connect to discovery that takes longer fails: nothing answers there.
+CONNECT_S = 1.0
+#: Longest line of a watch, some twenty thousand entries; guards the memory.
+LINE_MOST = 4 << 20
+#: Where lists are pushed the proxy itself watches anew, after a random moment up to this.
+AGAIN_S = 0.5
+
+
+class EntryError(ValueError):
+    """An entry that does not say what it must."""
+
+
+def read_entry(box: Any, deployment: Deployment) -> Entry:
+    """One entry of a list; unknown fields are skipped, unknown zones and kinds share one number."""
+    if not isinstance(box, dict):
+        raise EntryError("not an object")
+    server, state = box.get("id"), box.get("state", "SERVING")
+    if not isinstance(server, str) or not server:
+        raise EntryError("id: missing")
+    if state not in STATES:
+        raise EntryError(f"state: {state!r}")
+    host, _, port = str(box.get("addr", "")).rpartition(":")
+    if STATES[state] == ServerState.GONE:
+        address = ("", 0)
+    else:
+        try:
+            address = (str(ipaddress.IPv4Address(host)), int(port))
+        except ValueError:
+            raise EntryError(f"addr: {box.get('addr')!r}") from None
+    return (
+        ServerEntry(
+            server=server,
+            zone=deployment.zones.get(box.get("zone", ""), -1),
+            cell=_number(box, "cell", 0, int),
+            kind=deployment.kinds.get(box.get("kind", ""), -1),
+            state=STATES[state],
+            weight=_number(box, "weight", 1.0),
+            started=_number(box, "started_ms", 0.0) / 1000,
+        ),
+        address,
+    )
+
+
+def _number(box: Mapping[str, Any], key: str, default: float, kind: type = float) -> Any:
+    value = box.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+        raise EntryError(f"{key}: {value!r}")
+    return kind(value)
+
+
+def read_list(box: Any, deployment: Deployment, complain: Complaints) -> tuple[int, bool, list[Entry]]:
+    """Version, whether it is whole, and the entries that can be read; ValueError if it is no list."""
+    if not isinstance(box, dict) or not isinstance(box.get("servers"), list):
+        raise ValueError("not a list of servers")
+    version = box.get("version", 0)
+    if isinstance(version, bool) or not isinstance(version, int):
+        raise ValueError(f"version: {version!r}")
+    entries = []
+    for item in box["servers"]:
+        try:
+            entries.append(read_entry(item, deployment))
+        except (EntryError, TypeError) as problem:
+            complain("unreadable entry in a list", problem)
+    return version, box.get("full") is True, entries
+
+
+class Discovery:
+    """Keeps one watch, where it is wanted."""
+
+    def __init__(self, proxy: Proxy, deployment: Deployment, address: tuple[str, int],
+                 complain: Complaints) -> None:  # fmt: skip
+        self.proxy, self.deployment, self.address, self.complain = proxy, deployment, address, complain
+        self.pushed = not deployment.settings.list_on_request
+        self.version: int | None = None  # of the list that is held
+        self.current: Watch | None = None
+        self.wanted = False
+        self._loop = asyncio.get_running_loop()
+        self._opening: asyncio.Task[None] | None = None
+
+    def start(self, known: Any) -> None:
+        """Begin with the list from before; where lists are pushed nobody else asks for the watch."""
+        try:
+            self.version, _, entries = read_list(known, self.deployment, self.complain)
+        except ValueError as problem:
+            self.complain("no list from before", problem)
+            entries = []
+        self.proxy.take_list(entries, whole=True, stale=True)
+        if self.pushed:
+            self.watch(True)
+
+    def watch(self, on: bool) -> None:
+        self.wanted = on
+        self.close()
+        if on:
+            self._opening = self._loop.create_task(self._open())
+
+    def close(self) -> None:
+        if self._opening is not None:
+            self._opening.cancel()
+            self._opening = None
+        if self.current is not None:
+            watch, self.current = self.current, None
+            watch.close()
+
+    async def _open(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, watch = await self._loop.create_connection(lambda: Watch(self), *self.address)
+        except (OSError, TimeoutError) as problem:
+            self._opening = None
+            self.failed(None, f"no connection: {problem}")
+        else:
+            self._opening = None
+            self.current = watch
+
+    def failed(self, watch: Watch | None, why: object) -> None:
+        """The watch has ended, whatever the reason; what was listed before stands."""
+        if watch is not self.current or not self.wanted:
+            return
+        self.complain("watch failed", why)
+        self.close()
+        if self.pushed:
+            self._loop.call_later(AGAIN_S * random.random(), self._again)
+        else:
+            self.proxy.list_failed()
+
+    def _again(self) -> None:
+        if self.wanted and self.current is None and self._opening is None:
+            self.watch(True)
+
+    def line(self, watch: Watch, line: bytes) -> None:
+        if watch is not self.current and self.current is not None:
+            return
+        try:
+            version, full, entries = read_list(orjson.loads(line), self.deployment, self.complain)
+        except ValueError as problem:
+            self.version = None  # what it said is missed, so the whole list is needed
+            self.failed(watch, f"unreadable line: {problem}")
+            return
+        if not full and self.version is not None and version < self.version:
+            self.version = None
+            self.failed(watch, f"version {version} after a newer one")
+            return
+        self.version = version
+        self.proxy.take_list(entries, full)
+
+
+class Watch(asyncio.Protocol):
+    """One watch: an answer that stays open, a JSON object a line."""
+
+    def __init__(self, discovery: Discovery) -> None:
+        self.discovery = discovery
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.buffer = bytearray()
+        self.status = 0
+        self.ended = False
+        self.lines: list[bytes] = []
+        self.silence: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)
+        self.transport = transport
+        owner = self.discovery
+        owner.current = self
+        start = b"" if owner.version is None else b"&from=%d" % owner.version
+        host = "{}:{}".format(*owner.address).encode()
+        transport.write(b"GET /v1/endpoints?watch=1%b HTTP/1.1\r\nHost: %b\r\n\r\n" % (start, host))
+        self._listen()
+
+    def _listen(self) -> None:
+        if self.silence is not None:
+            self.silence.cancel()
+        loop = asyncio.get_running_loop()
+        self.silence = loop.call_later(SILENT_S, self._fail, "silent")
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        if self.status == 200:
+            self.buffer += body
+
+    def on_message_complete(self) -> None:
+        if self.status >= 200:
+            self.ended = True
+
+    def data_received(self, data: bytes) -> None:
+        self._listen()
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
+            self._fail(f"malformed: {problem}")
+            return
+        if self.status >= 300:
+            self._fail(f"status {self.status}")
+            return
+        if b"\n" in self.buffer:
+            *lines, rest = bytes(self.buffer).split(b"\n")
+            self.buffer = bytearray(rest)
+            for line in lines:
+                if line.strip() and self.discovery.current is self:
+                    self.discovery.line(self, line)
+        if len(self.buffer) > LINE_MOST:
+            self._fail("line too long")
+        elif self.ended:
+            self._fail("ended")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._fail("connection ended" if exc is None else exc)
+
+    def _fail(self, why: object) -> None:
+        self.close()
+        self.discovery.failed(self, why)
+
+    def close(self) -> None:
+        if self.silence is not None:
+            self.silence.cancel()
+            self.silence = None
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/spokemast/net/proxy.py
@@ -0,0 +1,257 @@
+"""The proxy between its sockets and the module: events go in, actions are carried out, in order.
+
+Only this file calls `Balancer.handle`. Whatever a socket does is told here; here each request gets its
+one answer, and each Send its one Outcome.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from typing import Any, Callable, Mapping, Protocol
+
+from spokemast import interface as api
+from spokemast.choice import Balancer
+from spokemast.interface import Result
+from spokemast.net.backend import Answer, Attempt, Backends
+from spokemast.net.discovery import Discovery, Entry
+from spokemast.net.limits import Budget, Complaints, Limits
+from spokemast.settings import Deployment
+
+
+class Client(Protocol):
+    """What a request needs of the connection that it came on."""
+
+    def answer(self, status: int, lines: list[bytes], body: bytes) -> None: ...
+    def begin(self, answer: Answer) -> None: ...
+    def pass_on(self, data: bytes) -> None: ...
+    def end(self) -> None: ...
+    def cut(self) -> None: ...
+
+
+class OpenRequest:
+    """A request that has been taken, until it is answered and all its attempts have ended."""
+
+    __slots__ = ("id", "client", "head", "body", "attempts", "live", "done", "stream", "paused")
+
+    def __init__(self, client: Client, head: bytes, body: bytearray | None) -> None:
+        self.id = 0
+        self.client = client
+        self.head, self.body = head, body  # as a backend gets them, all but X-Remaining
+        self.attempts: list[Attempt] = []
+        self.live = 0  # attempts that have not ended
+        self.done = False
+        self.stream: Attempt | None = None  # whose answer is being passed on
+        self.paused = False  # the client does not take the answer as fast as it comes
+
+
+class Proxy:
+    """Open requests, their attempts and timers; the only caller of the module."""
+
+    def __init__(self, deployment: Deployment, seed: int, limits: Limits, complain: Complaints) -> None:
+        self.balancer = Balancer(deployment.settings, seed)
+        self.complain = complain
+        self.budget = Budget(limits.buffered)
+        self.backends = Backends(self, self.budget, complain, limits.backend_sockets, deployment)
+        self.discovery: Discovery | None = None
+        self.open: dict[int, OpenRequest] = {}
+        self.listed: set[str] = set()
+        self._last_id = 0
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+        self._finished: list[OpenRequest] = []
+        self._epoch = time.time() - time.monotonic()
+        self._loop = asyncio.get_running_loop()
+        self._carry: dict[type, Callable[[Any], None]] = {
+            api.Send: self._send, api.SetTimer: self._set_timer, api.Refuse: self._refuse,
+            api.Fail: self._fail, api.Cancel: self._cancel, api.Watch: self._watch,
+            api.CloseIdle: lambda action: self.backends.close_idle(action.server),
+            api.Log: lambda action: self.complain("module", action.text),
+        }  # fmt: skip
+
+    def now(self) -> float:
+        """Unix time at the start and monotonic time since: it only advances, and compares with starts."""
+        return self._epoch + time.monotonic()
+
+    def post(self, event: api.Event) -> None:
+        """The one way to the module. What its actions lead to at once waits for its turn."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                for action in self.balancer.handle(self.now(), (self._events.popleft(),)):
+                    self._carry[type(action)](action)
+            for request in self._finished:  # the module has been told all there was to tell
+                self.open.pop(request.id, None)
+            self._finished.clear()
+        finally:
+            self._busy = False
+
+    # Requests.
+
+    def take(self, request: OpenRequest, cls: int, left: float, tenant: int, key: str | None,
+             hint: float | None, retry: bool) -> None:  # fmt: skip
+        self._last_id += 1
+        request.id = self._last_id
+        self.open[request.id] = request
+        self.post(api.Request(request.id, cls, left, tenant, key, hint, retry))
+
+    def drop(self, request: OpenRequest) -> None:
+        """A request that ends before it was taken."""
+        if request.body is not None:
+            self.budget.give(len(request.body))
+            request.body = None
+
+    def withdraw(self, request: OpenRequest) -> None:
+        """The client has gone away."""
+        if not request.done:
+            self._finish_request(request)
+            self.post(api.Withdrawn(request.id))
+
+    def end_all(self) -> None:
+        """The process ends: what is still held has failed."""
+        for request in list(self.open.values()):
+            if not request.done:
+                self._finish_request(request)
+                if request.stream is None:
+                    request.client.answer(502, [], b"")
+                else:
+                    request.client.cut()
+                self.post(api.Withdrawn(request.id))
+
+    def _finish_request(self, request: OpenRequest) -> None:
+        """The one place where a request ends. The caller gives the answer, where one is due."""
+        request.done = True
+        if request.live == 0:
+            self._release(request)
+
+    def _release(self, request: OpenRequest) -> None:
+        self.drop(request)
+        self._finished.append(request)
+
+    # Attempts.
+
+    def finish_attempt(self, attempt: Attempt, result: Result, report: Mapping[str, float] | None = None,
+                       answer: Answer | None = None) -> None:  # fmt: skip
+        """The one place where an attempt ends, and its Outcome is told."""
+        if attempt.ended:
+            return
+        attempt.ended = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
+        request = attempt.request
+        request.live -= 1
+        if request.done:
+            if request.live == 0:
+                self._release(request)
+        elif attempt.streaming:  # begun, so it can only end served or cut
+            self._finish_request(request)
+            if result == Result.SERVED:
+                request.client.end()
+            else:
+                request.client.cut()
+        elif result == Result.SERVED:
+            assert answer is not None
+            self._finish_request(request)
+            request.client.answer(200, answer.lines, answer.body)
+        # The time of a large answer is that of its first bytes: how fast a client takes the rest says
+        # nothing of the backend, and slow readers must not look like an overloaded fleet.
+        took = (attempt.first_at or self.now()) - attempt.began
+        self.post(api.Outcome(request.id, attempt.number, attempt.server, result, took, request.done, report))
+
+    def begin_answer(self, attempt: Attempt, answer: Answer) -> None:
+        """A large answer begins: the attempt is the client's now, and its time-out ends."""
+        request = attempt.request
+        if request.done:
+            attempt.drop()
+            self.finish_attempt(attempt, Result.CANCELLED)
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
+        attempt.streaming = True
+        attempt.first_at = self.now()
+        request.stream = attempt
+        request.client.begin(answer)
+        took = attempt.first_at - attempt.began
+        self.post(api.FirstByte(request.id, attempt.number, attempt.server, took))
+
+    def pass_on(self, attempt: Attempt, data: bytes) -> None:
+        if not attempt.request.done:
+            attempt.request.client.pass_on(data)
+
+    # Actions.
+
+    def _send(self, action: api.Send) -> None:
+        request = self.open[action.request]
+        attempt = Attempt(request, len(request.attempts), action.server, self.now(), action.timeout)
+        request.attempts.append(attempt)
+        request.live += 1
+        if request.done or request.stream is not None:
+            self.finish_attempt(attempt, Result.NOT_SENT)
+            return
+        attempt.timer = self._loop.call_later(action.timeout, self._timed_out, attempt)
+        self.backends.send(attempt)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        attempt.timer = None
+        attempt.drop()
+        self.finish_attempt(attempt, Result.TIMEOUT)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        request = self.open.get(action.request)
+        if request is None:  # all its attempts have ended
+            return
+        attempt = request.attempts[action.attempt]
+        if not attempt.ended and not (attempt.streaming and not request.done):
+            attempt.drop()
+            self.finish_attempt(attempt, Result.CANCELLED)
+
+    def _refuse(self, action: api.Refuse) -> None:
+        request = self.open[action.request]
+        if not request.done:
+            self._finish_request(request)
+            lines = [b"Retry-After: %.3f\r\n" % action.retry_after] if action.retry_after else []
+            request.client.answer(503, lines, b"")
+
+    def _fail(self, action: api.Fail) -> None:
+        request = self.open[action.request]
+        if not request.done:
+            self._finish_request(request)
+            request.client.answer(502, [], b"")
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self._loop.call_later(action.after, self.post, api.TimerFired(action.token))
+
+    def _watch(self, action: api.Watch) -> None:
+        if self.discovery is not None:
+            self.discovery.watch(action.on)
+
+    # The list.
+
+    def take_list(self, entries: list[Entry], whole: bool, stale: bool = False) -> None:
+        """A list, or a change: addresses are for the connections, the rest for the module."""
+        named = set()
+        for entry, address in entries:
+            if entry.state == api.ServerState.GONE:
+                self.backends.gone(entry.server)
+                self.listed.discard(entry.server)
+            else:
+                self.backends.listed(
+                    entry.server, (address, entry.started), entry.state == api.ServerState.READY
+                )
+                named.add(entry.server)
+        if whole:
+            for server in self.listed - named:
+                self.backends.gone(server)
+            self.listed = named
+        else:
+            self.listed |= named
+        self.post(api.ServerList(tuple(entry for entry, _ in entries), whole, False, stale))
+
+    def list_failed(self) -> None:
+        self.post(api.ServerList(failed=True))
--- /dev/null
+++ b/spokemast/settings.py
@@ -0,0 +1,122 @@
+"""The settings object that an instance starts with, as the module's own.
+
+The simulator sends it in its first message and a deployment puts it into the configuration, with the
+same names and units, so the adapter and the proxy both read it here.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Iterable, Mapping
+
+from spokemast import interface as api
+
+EFFECTS = {
+    "read_like": api.Effect.SAFE,
+    "idempotency_key": api.Effect.KEYED,
+    "non_idempotent": api.Effect.UNSAFE,
+}
+SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
+#: Where the settings do not say it: short, since a request that crosses a close ends as a reset.
+IDLE_CLOSE_S = 15.0
+
+
+def _get(box: Mapping[str, Any], key: str, where: str = "") -> Any:
+    """A setting that must be there."""
+    if key not in box:
+        raise ValueError(f"{where}{key}: missing")
+    return box[key]
+
+
+def _word(table: Mapping[str, Any], value: Any, key: str) -> Any:
+    if not isinstance(value, str) or value not in table:
+        raise ValueError(f"{key}: {value!r} is not one of {', '.join(table)}")
+    return table[value]
+
+
+def _class(box: Mapping[str, Any]) -> api.RequestClass:
+    at = "classes."
+    effect = _word(EFFECTS, _get(box, "effect", at), "classes.effect")
+    return api.RequestClass(
+        name=str(box.get("name", "")),
+        aim=_get(box, "aim-s", at),
+        give_up=_get(box, "give-up-s", at),
+        worth=_get(box, "worth", at),
+        late_share=box.get("late-share", 0.0),
+        aim_stretch=box.get("aim-stretch", 0.0),
+        effect=effect,
+        dedup_scope=_word(SCOPES, box.get("dedup-scope", "all"), "classes.dedup-scope"),
+        dedup_window=box.get("dedup-window-s", 0.0),
+        stream=bool(box.get("stream", False)),
+    )
+
+
+def read_settings(box: Mapping[str, Any]) -> api.Settings:
+    """The start-up settings of the wire as the module's own."""
+    limits, rules = _get(box, "policy-limits"), _get(box, "rules")
+    domain = box.get("domain", {})
+    return api.Settings(
+        classes=tuple(_class(c) for c in _get(box, "classes")),
+        me=_get(box, "me"),
+        n_instances=_get(box, "n-instances"),
+        zone=box.get("locality", 0),
+        n_zones=len(box.get("zones") or [""]),
+        tenants=tuple(
+            api.Tenant(str(t.get("name", "")), t.get("fraction", 0.0), t.get("quota-per-s", 0.0))
+            for t in box.get("tenants", ())
+        ),
+        over_share_worth=box.get("over-share-worth", 1.0),
+        list_on_request=_get(box, "registry-mode") == "subscribe",
+        report_fields=tuple(box.get("report", {}).get("fields", ())),
+        worth_by_work=box.get("counted-by") == "work",
+        warm_keys=bool(domain.get("warm-keys", False)),
+        passes_deadline=bool(domain.get("passes-deadline", True)),
+        prices=dict(box.get("prices", {})),
+        limits=api.Limits(
+            max_attempts=_get(limits, "max-attempts", "policy-limits."),
+            cancelling=bool(limits.get("cancelling", False)),
+            probes=bool(limits.get("probes", False)),
+            peers=bool(limits.get("peers", False)),
+            second_copies=bool(limits.get("second-copies", False)),
+            retry_after=bool(limits.get("retry-after", False)),
+            max_retry_after=limits.get("max-retry-after-s", 0.0),
+            connect_timeout=limits.get("connect-timeout-s", 0.25),
+        ),
+        rules=api.Rules(
+            answer_slack=_get(rules, "answer-slack-s", "rules."),
+            ask_within=rules.get("ask-within-s", 10.0),
+            drain_grace=_get(rules, "drain-grace-s", "rules."),
+            cold_from=_get(rules, "cold-from", "rules."),
+            cold_time=_get(rules, "cold-s", "rules."),
+            overload_factor=_get(rules, "overload-factor", "rules."),
+            fall_time=_get(rules, "fall-s", "rules."),
+        ),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """The settings, and what sockets need beside them: names by their numbers, and connections' times."""
+
+    settings: api.Settings
+    zones: Mapping[str, int]
+    kinds: Mapping[str, int]
+    classes: Mapping[str, int]
+    tenants: Mapping[str, int]
+    idle_close: float  # seconds after which a backend closes an idle connection
+
+
+def read_deployment(box: Mapping[str, Any]) -> Deployment:
+    settings = read_settings(box)
+
+    def numbers(names: Iterable[Any]) -> dict[str, int]:
+        return {str(name): number for number, name in enumerate(names)}
+
+    return Deployment(
+        settings,
+        zones=numbers(box.get("zones", ())),
+        kinds=numbers(box.get("kinds", ())),
+        classes=numbers(c.name for c in settings.classes),
+        tenants=numbers(t.name for t in settings.tenants),
+        idle_close=float(box["policy-limits"].get("idle-close-s", IDLE_CLOSE_S)),
+    )
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,309 @@
+"""Scripted peers on loopback sockets, and a proxy between them.
+
+Each peer is a plain stream server or client whose script says, byte by byte, what the other side sees.
+Ports come from the kernel and tests wait for events, never for a while.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from contextlib import asynccontextmanager
+from typing import Any, AsyncIterator, Awaitable, Callable
+
+import uvloop
+
+from spokemast.interface import Event, Outcome
+from spokemast.net.discovery import Discovery
+from spokemast.net.limits import Complaints, Limits
+from spokemast.net.proxy import Proxy
+from spokemast.net.server import Server
+from spokemast.settings import read_deployment
+
+#: Time for anything that should happen; only a failing test waits for so long.
+PATIENCE = 10.0
+
+SETTINGS: dict[str, Any] = {
+    "me": 0, "n-instances": 2, "zones": ["a", "b"], "kinds": ["std"], "locality": 0,
+    "registry-mode": "automatic",
+    "classes": [
+        {"name": "safe", "aim-s": 2.0, "give-up-s": 4.0, "worth": 1.0, "effect": "read_like"},
+        {"name": "keyed", "aim-s": 2.0, "give-up-s": 4.0, "worth": 1.0, "effect": "idempotency_key",
+         "dedup-scope": "all", "dedup-window-s": 3.0},
+        {"name": "unsafe", "aim-s": 2.0, "give-up-s": 4.0, "worth": 1.0, "effect": "non_idempotent"},
+    ],
+    "policy-limits": {"max-attempts": 3, "second-copies": True, "cancelling": True,
+                      "connect-timeout-s": 0.25, "idle-close-s": 30.0},
+    "report": {"source": "answers", "fields": ["recent_ms", "throughput", "utilization"]},
+    "rules": {"answer-slack-s": 0.02, "drain-grace-s": 1.0, "cold-from": 0.3, "cold-s": 5.0,
+              "overload-factor": 2.5, "fall-s": 2.0},
+}  # fmt: skip
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+Script = Callable[["Call"], Awaitable[None]]
+
+
+class Call:
+    """One request that a scripted backend has read whole, and the connection to answer on."""
+
+    def __init__(self, head: bytes, body: bytes, reader: asyncio.StreamReader,
+                 writer: asyncio.StreamWriter, connection: int) -> None:  # fmt: skip
+        self.head, self.body, self.reader, self.writer, self.connection = (
+            head,
+            body,
+            reader,
+            writer,
+            connection,
+        )
+
+    async def say(self, data: bytes) -> None:
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def reset(self) -> None:
+        self.writer.transport.abort()
+
+    async def left(self) -> None:
+        """Until the proxy has closed the connection."""
+        try:
+            await asyncio.wait_for(self.reader.read(), PATIENCE)
+        except ConnectionError:
+            pass
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """Head and body of a request or an answer with a Content-Length or in chunks."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
+    if length:
+        return head, await reader.readexactly(int(length[1]))
+    body = b""
+    if re.search(rb"(?i)\r\ntransfer-encoding: *chunked", head):
+        while size := int(await reader.readline(), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readline()
+    return head, body
+
+
+class ScriptedBackend:
+    """Follows its scripts, one a request; the last one goes on."""
+
+    def __init__(self, name: str, *scripts: Script, state: str = "SERVING") -> None:
+        self.name, self.scripts, self.state = name, list(scripts), state
+        self.calls: list[Call] = []
+        self.connections = 0
+        self.called = asyncio.Condition()
+        self.server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=64 << 20)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
+        try:
+            while True:
+                head, body = await read_message(reader)
+                call = Call(head, body, reader, writer, number)
+                script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+                async with self.called:
+                    self.calls.append(call)
+                    self.called.notify_all()
+                await script(call)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def until_called(self, times: int = 1) -> Call:
+        async with self.called:
+            await asyncio.wait_for(self.called.wait_for(lambda: len(self.calls) >= times), PATIENCE)
+        return self.calls[times - 1]
+
+    def entry(self, **other: Any) -> dict[str, Any]:
+        return {"id": self.name, "addr": self.address, "zone": "a", "kind": "std", "cell": 0,
+                "state": self.state, "weight": 1.0, "started_ms": 0, **other}  # fmt: skip
+
+    async def stop(self) -> None:
+        assert self.server is not None
+        self.server.close()
+
+
+def answering(data: bytes) -> Script:
+    async def script(call: Call) -> None:
+        await call.say(data)
+
+    return script
+
+
+async def resetting(call: Call) -> None:
+    call.reset()
+
+
+async def silent(call: Call) -> None:
+    await call.left()
+
+
+class ScriptedDiscovery:
+    """A watch whose lines the test writes."""
+
+    def __init__(self) -> None:
+        self.asked: list[bytes] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.watched = asyncio.Condition()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> tuple[str, int]:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        return host, port
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head, _ = await read_message(reader)
+        except asyncio.IncompleteReadError:
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        async with self.watched:
+            self.asked.append(head)
+            self.writers.append(writer)
+            self.watched.notify_all()
+
+    async def until_watched(self, times: int = 1) -> None:
+        async with self.watched:
+            await asyncio.wait_for(self.watched.wait_for(lambda: len(self.writers) >= times), PATIENCE)
+
+    async def raw(self, data: bytes) -> None:
+        self.writers[-1].write(b"%x\r\n%b\r\n" % (len(data), data))
+        await self.writers[-1].drain()
+
+    async def line(self, version: int, *entries: dict[str, Any], full: bool = False) -> None:
+        await self.raw(json.dumps({"version": version, "full": full, "servers": entries}).encode() + b"\n")
+
+
+class RecordingProxy(Proxy):
+    """Keeps what the module is told."""
+
+    def __init__(self, *args: Any) -> None:
+        self.told: list[Event] = []
+        self.news = asyncio.Condition()
+        super().__init__(*args)
+
+    def post(self, event: Event) -> None:
+        self.told.append(event)
+        super().post(event)
+        asyncio.get_running_loop().create_task(self._notify())
+
+    async def _notify(self) -> None:
+        async with self.news:
+            self.news.notify_all()
+
+    async def until(self, true: Callable[[], object]) -> None:
+        async with self.news:
+            await asyncio.wait_for(self.news.wait_for(true), PATIENCE)
+
+    def outcomes(self) -> list[Outcome]:
+        return [event for event in self.told if isinstance(event, Outcome)]
+
+    async def until_outcomes(self, count: int) -> list[Outcome]:
+        await self.until(lambda: len(self.outcomes()) >= count)
+        return self.outcomes()
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def send(self, data: bytes) -> None:
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def read(self) -> tuple[int, bytes, bytes]:
+        """Status, head and body of one answer."""
+        head, body = await asyncio.wait_for(read_message(self.reader), PATIENCE)
+        return int(head.split(b" ", 2)[1]), head, body
+
+    async def ask(self, data: bytes) -> tuple[int, bytes]:
+        await self.send(data)
+        status, _, body = await self.read()
+        return status, body
+
+    async def ended(self) -> bytes:
+        """What is left until the proxy closes the connection."""
+        return await asyncio.wait_for(self.reader.read(), PATIENCE)
+
+
+_number = 0
+
+
+def request(cls: str = "safe", body: bytes | None = None, remaining: str = "4000m", *extra: str) -> bytes:
+    """A well-formed request of a class."""
+    global _number
+    _number += 1
+    lines = ["Host: app.svc", f"X-Txn: t{_number}", f"X-Lane: {cls}", f"X-Remaining: {remaining}", *extra]
+    if cls == "keyed":
+        lines.append(f"Idempotency-Key: k{_number}")
+    method = "GET" if cls == "safe" else "POST"
+    if cls != "safe" or body is not None:
+        lines.append(f"Content-Length: {len(body or b'')}")
+    return (
+        f"{method} /api?x=1 HTTP/1.1\r\n".encode() + "\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b"")
+    )
+
+
+class World:
+    """A proxy with its scripted peers."""
+
+    def __init__(self, proxy: RecordingProxy, server: Server, address: tuple[str, int],
+                 discovery: ScriptedDiscovery) -> None:  # fmt: skip
+        self.proxy, self.server, self.address, self.discovery = proxy, server, address, discovery
+        self.clients: list[Client] = []
+
+    async def connect(self) -> Client:
+        client = Client(*await asyncio.open_connection(*self.address, limit=64 << 20))
+        self.clients.append(client)
+        return client
+
+
+@asynccontextmanager
+async def world(
+    *backends: ScriptedBackend,
+    settings: dict[str, Any] | None = None,
+    memory_mb: float = 128,
+    sockets: int = 1024,
+) -> AsyncIterator[World]:
+    for backend in backends:
+        await backend.start()
+    discovery = ScriptedDiscovery()
+    where = await discovery.start()
+    deployment = read_deployment(settings or SETTINGS)
+    limits, complain = Limits(memory_mb, sockets), Complaints()
+    proxy = RecordingProxy(deployment, 1, limits, complain)
+    proxy.discovery = Discovery(proxy, deployment, where, complain)
+    server = Server(proxy, deployment, limits, complain)
+    proxy.discovery.start({"version": 1, "full": True, "servers": [b.entry() for b in backends]})
+    here = World(proxy, server, server.listen(("127.0.0.1", 0)), discovery)
+    try:
+        yield here
+    finally:
+        proxy.discovery.watch(False)
+        for client in here.clients:
+            client.writer.close()
+        for backend in backends:
+            await backend.stop()
+        server.stop()
+
+
+def play(scene: Callable[[], Awaitable[None]]) -> None:
+    """Run a scene on the loop that the proxy runs on."""
+
+    async def run() -> None:
+        await asyncio.wait_for(scene(), 6 * PATIENCE)
+
+    uvloop.run(run())
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,109 @@
+"""The adapter on small batches of the project's own making."""
+
+from __future__ import annotations
+
+import io
+import json
+import os
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from spokemast.adapter import Link, run
+from spokemast.settings import read_settings
+
+SETTINGS: dict[str, Any] = {
+    "me": 0, "n-instances": 2, "zones": ["a"], "locality": 0, "registry-mode": "automatic",
+    "classes": [{"name": "c", "aim-s": 1.0, "give-up-s": 2.0, "worth": 1.0, "effect": "read_like"}],
+    "policy-limits": {"max-attempts": 3, "second-copies": True, "cancelling": True},
+    "rules": {"answer-slack-s": 0.02, "drain-grace-s": 1.0, "cold-from": 0.3, "cold-s": 5.0,
+              "overload-factor": 2.5, "fall-s": 2.0},
+}  # fmt: skip
+
+
+def hosts(*names: str) -> list[dict[str, Any]]:
+    return [{"backend": n, "mode": "ready", "weight": 1, "new": 1} for n in names]
+
+
+def start(proxy: int, *names: str) -> list[dict[str, Any]]:
+    return [
+        {"verb": "born", "proxy": proxy, "nonce64": 7, "boot-info": SETTINGS},
+        {"verb": "register", "table": 0, "hosts": hosts(*names)},
+        {"verb": "fleet", "proxy": proxy, "index": 1, "table": 0, "form": "stale_copy"},
+    ]
+
+
+def ask(proxy: int, job: int) -> dict[str, Any]:
+    return {"verb": "ingress", "proxy": proxy, "job": job, "left-s": 2.0, "type": 0}
+
+
+def reply(link: Link, *events: dict[str, Any], now: float = 1.0) -> list[dict[str, Any]]:
+    output: list[dict[str, Any]] = link.reply({"ts-s": now, "seq": 1, "inbox": list(events)})["output"]
+    return output
+
+
+def routes(actions: list[dict[str, Any]]) -> dict[int, str]:
+    return {a["proxy"]: a["backend"] for a in actions if a["verb"] == "route"}
+
+
+def test_a_table_number_used_again_in_a_batch_is_read_in_order() -> None:
+    out = reply(Link(), *start(0, "x"), *start(1, "y"), ask(0, 1), ask(1, 2))
+    assert routes(out) == {0: "x", 1: "y"}
+
+
+def test_killed_and_born_in_one_batch_starts_afresh() -> None:
+    link = Link()
+    reply(link, *start(0, "x"))
+    out = reply(link, ask(0, 1), {"verb": "killed", "proxy": 0}, *start(0, "z"), ask(0, 2))
+    assert [a["job"] for a in out if a["verb"] == "route"] == [2]
+    assert routes(out) == {0: "z"}
+
+
+def test_unknown_events_fields_and_report_values_are_skipped() -> None:
+    link = Link()
+    reply(link, *start(0, "x"), {"verb": "unheard_of", "proxy": 0}, {**ask(0, 1), "odd": []})
+    done = {"verb": "response", "proxy": 0, "job": 1, "shot": 0, "backend": "x", "reason": "served",
+            "closed": True, "duration-s": 0.1, "metrics": {"x9": 3, "utilization": "much"}}  # fmt: skip
+    assert all(a["verb"] != "fault" for a in reply(link, done))
+    assert reply(link, {"verb": "withdrawn", "proxy": 0, "job": 1}) == []
+
+
+def test_an_exception_in_the_decisions_is_a_fault_with_its_text() -> None:
+    link = Link()
+    reply(link, *start(0, "x"))
+    bad = {"verb": "response", "proxy": 0, "job": 9, "shot": 0, "backend": "x", "reason": "served"}
+    (fault,) = reply(link, bad)
+    assert fault["verb"] == "fault" and "never sent" in fault["text"]
+
+
+def test_bad_settings_are_named() -> None:
+    with pytest.raises(ValueError, match="policy-limits.max-attempts: missing"):
+        read_settings({**SETTINGS, "policy-limits": {}})
+    with pytest.raises(ValueError, match="classes.effect: 'odd'"):
+        read_settings({**SETTINGS, "classes": [{**SETTINGS["classes"][0], "effect": "odd"}]})
+
+
+@pytest.mark.parametrize("line", [b"{", b"[1]", b'{"seq":1,"ts-s":1}', b'{"seq":1,"ts-s":1,"inbox":[3]}'])
+def test_a_broken_line_ends_it_with_one_plain_line(line: bytes) -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "spokemast.adapter"], input=line + b"\n", capture_output=True, check=False
+    )
+    assert done.returncode != 0 and done.stdout == b""
+    assert done.stderr.count(b"\n") == 1 and b"Traceback" not in done.stderr
+
+
+def test_the_same_in_processes_with_different_hash_seeds() -> None:
+    events = [*start(0, *[f"s{i}" for i in range(30)]), *[ask(0, n) for n in range(50)]]
+    line = json.dumps({"ts-s": 1.0, "seq": 1, "inbox": events}).encode() + b"\n"
+    outputs = []
+    for seed in ("1", "2"):
+        done = subprocess.run(
+            [sys.executable, "-m", "spokemast.adapter"], input=line, capture_output=True, check=True,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+        )  # fmt: skip
+        outputs.append(done.stdout)
+    here = io.BytesIO()
+    run(io.BytesIO(line), here)
+    assert outputs[0] == outputs[1] == here.getvalue() != b""
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,389 @@
+"""Each part of the mechanism by what it decides."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import pytest
+
+from spokemast import choice
+from spokemast.choice import Balancer, Server
+from spokemast.interface import (
+    CloseIdle, Effect, Fail, FirstByte, Limits, Outcome, Refuse, Request, RequestClass, Result, Rules, Scope,
+    Send, ServerEntry, ServerList, ServerState, SetTimer, Settings, Tenant, TimerFired, Watch,
+)  # fmt: skip
+
+SAFE = RequestClass("safe", aim=1.0, give_up=4.0)
+KEYED = RequestClass("keyed", 1.0, 4.0, effect=Effect.KEYED, dedup_scope=Scope.ZONE, dedup_window=0.5)
+UNSAFE = RequestClass("unsafe", 1.0, 4.0, effect=Effect.UNSAFE)
+
+
+def balancer(*entries: ServerEntry, seed: int = 1, **settings: Any) -> Balancer:
+    made = Balancer(Settings(**{"classes": (SAFE, KEYED, UNSAFE), **settings}), seed)
+    made.handle(100.0, [ServerList(entries)])
+    return made
+
+
+def fleet(count: int, **more: Any) -> list[ServerEntry]:
+    return [ServerEntry(f"s{i}", **more) for i in range(count)]
+
+
+def ask(b: Balancer, now: float, number: int, cls: int = 0, left: float = 4.0) -> list[Any]:
+    return b.handle(now, [Request(number, cls, left)])
+
+
+def sent_to(b: Balancer, now: float, number: int, cls: int = 0) -> str | None:
+    return next((a.server for a in ask(b, now, number, cls) if isinstance(a, Send)), None)
+
+
+def answer(b: Balancer, now: float, number: int, server: str, result: Result = Result.SERVED,
+           attempt: int = 0, util: float | None = None) -> list[Any]:  # fmt: skip
+    report = None if util is None else {"utilization": util}
+    ended = result == Result.SERVED
+    return b.handle(now, [Outcome(number, attempt, server, result, 0.1, ended, report)])
+
+
+def test_own_in_flight_decides_first() -> None:
+    b = balancer(ServerEntry("idle"), ServerEntry("busy"))
+    for server in b.ready:
+        server.answered = True
+    b.servers["busy"].out.update({(1, 0): 100.0, (2, 0): 100.0})
+    b.servers["idle"].util, b.servers["idle"].util_at = 0.9, 100.0
+    assert b._score(b.servers["idle"]) < b._score(b.servers["busy"])
+    assert sent_to(b, 100.0, 10) == "idle"
+
+
+def test_in_flight_is_relative_to_size() -> None:
+    b = balancer(ServerEntry("large", weight=3.0), ServerEntry("small", weight=1.0))
+    for server in b.ready:
+        server.out.update({(1, 0): 100.0, (2, 0): 100.0})
+    assert b._score(b.servers["large"]) < b._score(b.servers["small"])
+
+
+def test_the_draw_follows_the_listed_size() -> None:
+    b = balancer(ServerEntry("large", weight=3.0), ServerEntry("small", weight=1.0))
+    drawn = [b.pool.draw(b.random.random(), b.speed).id for _ in range(4000)]
+    assert 2900 < drawn.count("large") < 3100
+
+
+def test_kinds_that_report_more_utilization_are_drawn_less() -> None:
+    b = balancer(*[ServerEntry(f"s{i}", kind=i % 2) for i in range(8)])
+    for n in range(600):
+        server = sent_to(b, 100.0 + n / 50, n)
+        assert server is not None
+        answer(b, 100.01 + n / 50, n, server, util=0.9 if b.servers[server].kind else 0.5)
+    drawn = [b.pool.draw(b.random.random(), b.speed).kind for _ in range(2000)]
+    assert 20 < drawn.count(1) < 600
+
+
+def test_utilization_filter_and_fallback() -> None:
+    b = balancer(*fleet(4))
+    for server in b.ready:
+        server.answered = True
+    b.servers["s0"].util, b.servers["s0"].util_at = 1.0, 100.0
+    assert {sent_to(b, 100.0, n) for n in range(9)} == {"s1", "s2", "s3"}
+    for server in b.ready:
+        server.util, server.util_at = 1.0, 100.0
+    assert {sent_to(b, 100.0, n) for n in range(9, 30)} == {"s0", "s1", "s2", "s3"}  # all over: unfiltered
+
+
+def test_probation_one_request_until_the_first_answer() -> None:
+    b = balancer(*fleet(10))
+    for server in b.ready:
+        server.answered = server.id != "s1"
+    seen = [sent_to(b, 100.0, n) for n in range(60)]
+    assert seen.count("s1") == 1
+
+
+@pytest.mark.parametrize(("age", "share"), [(0.0, 0.8), (15.0, 0.4), (30.0, 0.0), (45.0, 0.0)])
+def test_linear_decay_of_both_figures(age: float, share: float) -> None:
+    b = balancer(*fleet(1))
+    b.now = 100.0 + age
+    assert b._faded(0.8, 100.0) == pytest.approx(share)
+
+
+def test_ramp_grows_with_age() -> None:
+    b = balancer(*fleet(19), ServerEntry("new", started=90.0))
+    new = b.servers["new"]
+    passed = []
+    for b.now in (110.0, 150.0, 185.0):
+        passed.append(sum(b._healthy(new) for _ in range(1000)))
+    assert passed[0] < passed[1] < passed[2] == 1000
+    assert 150 < passed[0] < 300  # 20 of 90 s
+
+
+def test_the_ramp_is_short_where_most_of_the_fleet_is_young() -> None:
+    b = balancer(*fleet(3), *[ServerEntry(f"n{i}", started=95.0) for i in range(5)])
+    b.now = 95.0 + b.rules.cold_time
+    assert all(b._healthy(s) for s in b.ready)
+
+
+def test_a_server_far_slower_than_the_usual_looks_unhealthy_and_a_slow_fleet_does_not() -> None:
+    b = balancer(*fleet(8))
+    worst = 0.0
+    for n in range(400):
+        server = sent_to(b, 100.0 + n / 10, n)
+        assert server is not None
+        took = 0.6 if server == "s0" else 0.1
+        b.handle(100.05 + n / 10, [Outcome(n, 0, server, Result.SERVED, took, True)])
+        worst = max(worst, b.servers["s0"].errors if n > 20 else 0.0)
+    assert worst > 0.15
+    assert all(s.errors < 0.01 for s in b.ready if s.id != "s0")
+    for n in range(400, 800):  # all slow
+        server = sent_to(b, 200.0 + n / 10, n)
+        assert server is not None
+        b.handle(200.05 + n / 10, [Outcome(n, 0, server, Result.SERVED, 0.6, True)])
+    assert all(b._faded(s.errors, s.errors_at) < 0.01 for s in b.ready)
+
+
+def test_a_silent_server_is_out_of_the_draw() -> None:
+    b = balancer(*fleet(4))
+    for server in b.ready:
+        server.answered = True
+    b.silence = 1.0
+    b.servers["s0"].out[(1, 0)] = 98.0
+    assert not b._healthy(b.servers["s0"])
+    b.servers["s0"].out[(1, 0)] = 99.5
+    assert b._healthy(b.servers["s0"])
+
+
+def test_failing_servers_alone_cause_no_refusal_and_slow_attempts_do() -> None:
+    for result, took, sheds in ((Result.ERROR, 0.01, False), (Result.TIMEOUT, 1.0, True)):
+        b = balancer(*fleet(8))
+        for n in range(300):
+            server = sent_to(b, 100.0 + n / 50, n, cls=2)
+            if server is not None:
+                b.handle(100.01 + n / 50, [Outcome(n, 0, server, result, took)])
+        assert (b.shed_level > 0.5) == sheds
+
+
+def test_failures_count_and_own_cancels_do_not() -> None:
+    for result in (Result.ERROR, Result.FULL, Result.TIMEOUT, Result.NO_CONNECTION, Result.RESET):
+        b = balancer(*fleet(1))
+        b._learn(b.servers["s0"], result, None)
+        assert b.servers["s0"].errors == pytest.approx(choice.ERROR_STEP)
+    for result in (Result.CANCELLED, Result.NOT_SENT, Result.SERVED):
+        b = balancer(*fleet(1))
+        b._learn(b.servers["s0"], result, None)
+        assert b.servers["s0"].errors == 0.0
+
+
+@pytest.mark.parametrize("value", [None, -1.0, math.nan, math.inf, "busy", 7.0])
+def test_odd_reports_do_not_poison_a_score(value: Any) -> None:
+    b = balancer(*fleet(1))
+    b._learn(b.servers["s0"], Result.SERVED, {"utilization": value, "unheard_of": 3.0})
+    assert 0.0 <= b._score(b.servers["s0"]) <= choice.UTIL_WEIGHT
+
+
+def test_a_restart_forgets_the_old_process() -> None:
+    b = balancer(ServerEntry("a", started=1.0))
+    a = b.servers["a"]
+    a.answered, a.errors, a.errors_at = True, 1.0, 100.0
+    b.handle(101.0, [ServerList((ServerEntry("a", started=100.5),), whole=False)])
+    assert b.servers["a"] is a and not a.answered and a.errors == 0.0
+
+
+def test_drained_and_gone_get_nothing() -> None:
+    b = balancer(*fleet(3))
+    b.handle(100.0, [ServerList((ServerEntry("s0", state=ServerState.DRAINING),), whole=False)])
+    b.handle(100.0, [ServerList((ServerEntry("s1", state=ServerState.GONE),), whole=False)])
+    assert {sent_to(b, 100.0, n) for n in range(30)} == {"s2"}
+
+
+def test_every_request_is_answered_where_no_server_can_take_it() -> None:
+    for entries in ([], fleet(2, state=ServerState.DRAINING)):
+        b = balancer(*entries)
+        assert ask(b, 100.0, 1) == [Refuse(1)]
+        assert ask(b, 100.0, 2, cls=2) == [Refuse(2)]
+
+
+def test_an_unsafe_request_that_may_have_run_fails() -> None:
+    b = balancer(*fleet(3))
+    server = sent_to(b, 100.0, 1, cls=2)
+    assert server is not None
+    assert answer(b, 100.2, 1, server, Result.RESET) == [Fail(1)]
+
+
+def test_an_unsafe_request_that_never_ran_goes_again() -> None:
+    b = balancer(*fleet(3))
+    server = sent_to(b, 100.0, 1, cls=2)
+    assert server is not None
+    again = answer(b, 100.2, 1, server, Result.NO_CONNECTION)
+    assert isinstance(again[0], Send) and again[0].server != server
+
+
+def test_a_keyed_request_goes_again_in_its_zone_and_window_only() -> None:
+    entries = [ServerEntry(f"z{i % 2}-{i}", zone=i % 2) for i in range(8)]
+    for late, goes in ((0.2, True), (0.5, False)):
+        b = balancer(*entries)
+        server = sent_to(b, 100.0, 1, cls=1)
+        assert server is not None
+        again = answer(b, 100.0 + late, 1, server, Result.RESET)[0]
+        assert isinstance(again, Send) == goes
+        if goes:
+            assert again.server[:2] == server[:2] and again.server != server
+        else:
+            assert again == Fail(1)
+
+
+def test_late_answers_are_not_waited_for_while_work_waits() -> None:
+    late = RequestClass("late", aim=1.0, give_up=4.0, late_share=0.3)
+    for level, longest in ((0.0, 4.0), (0.1, 1.0)):
+        b = balancer(*fleet(3), classes=(late,))
+        b.shed_level = level
+        sends = [a for n in range(9) for a in ask(b, 100.0, n) if isinstance(a, Send)]
+        assert max(s.timeout for s in sends) == pytest.approx(longest, abs=0.03)
+
+
+def test_where_all_are_busy_utilization_filters_none() -> None:
+    b = balancer(*fleet(8))
+    for n in range(400):
+        server = sent_to(b, 100.0 + n / 50, n)
+        assert server is not None
+        answer(b, 100.01 + n / 50, n, server, util=1.0)
+    assert b.util_usual > 0.9
+    assert all(b._healthy(s) for s in b.ready)
+
+
+def test_where_all_fail_the_error_share_filters_none() -> None:
+    b = balancer(*fleet(8))
+    for n in range(400):
+        server = sent_to(b, 100.0 + n / 50, n, cls=2)
+        assert server is not None
+        answer(b, 100.01 + n / 50, n, server, Result.ERROR)
+    assert all(b._healthy(s) for s in b.ready)
+    b.errors_usual = 0.0  # the same figures in a healthy fleet
+    b.now = 108.0
+    assert not any(b._healthy(s) for s in b.ready)
+
+
+def test_a_sparse_proxy_keeps_no_idle_connection() -> None:
+    for count, closes in ((100, True), (4, False)):
+        b = balancer(*fleet(count), n_instances=30)
+        closed = 0
+        for n in range(100):  # ten a second
+            server = sent_to(b, 100.0 + n / 10, n)
+            assert server is not None
+            closed += CloseIdle(server) in answer(b, 100.05 + n / 10, n, server)
+        assert (closed > 50) == closes
+
+
+def test_refused_tries_do_not_use_up_a_tenants_share() -> None:
+    b = balancer(*fleet(4), tenants=(Tenant("a", 1.0, 100.0),), over_share_worth=0.1)
+    b.shed_level = 3.0
+    for n in range(200):
+        ask(b, 105.0, n)
+    assert not b._over_share(0)
+    b.shed_level = 0.0
+    for n in range(200, 320):
+        ask(b, 105.0, n)
+    assert b._over_share(0)
+
+
+def test_no_second_copy_while_the_typical_attempt_takes_long() -> None:
+    for level, copies in ((0.0, 1), (0.1, 0)):
+        b = balancer(*fleet(3))
+        timer = next(a for a in ask(b, 100.0, 1) if isinstance(a, SetTimer))
+        b.shed_level = level
+        actions = b.handle(100.0 + timer.after, [TimerFired(timer.token)])
+        assert sum(isinstance(a, Send) for a in actions) == copies
+
+
+def test_no_second_copy_where_none_is_allowed() -> None:
+    b = balancer(*fleet(3), limits=Limits(second_copies=False))
+    timer = next(a for a in ask(b, 100.0, 1) if isinstance(a, SetTimer))
+    actions = b.handle(100.0 + timer.after, [TimerFired(timer.token)])
+    assert not any(isinstance(a, Send) for a in actions)
+
+
+def test_attempts_are_capped_by_the_time_left() -> None:
+    b = balancer(*fleet(3))
+    send = next(a for a in ask(b, 100.0, 1, left=0.3) if isinstance(a, Send))
+    assert send.timeout <= 0.3
+
+
+def test_a_cold_server_is_paced() -> None:
+    rules = Rules(cold_from=0.3, cold_time=10.0, overload_factor=2.5)
+    b = balancer(*fleet(9), rules=rules)
+    for n in range(1000):  # 100 a second for ten seconds
+        server = sent_to(b, 100.0 + n / 100, n)
+        assert server is not None
+        answer(b, 100.005 + n / 100, n, server)
+    b.handle(110.0, [ServerList((ServerEntry("new", started=110.0),), whole=False)])
+    got = 0
+    for n in range(1000, 1300):
+        server = sent_to(b, 110.0 + (n - 1000) / 100, n)
+        assert server is not None
+        got += server == "new"
+        answer(b, 110.005 + (n - 1000) / 100, n, server)
+    assert 1 <= got <= 30 * 0.51  # a tenth of the traffic, at most half of it while cold
+
+
+def test_a_failed_list_call_is_repeated_later_each_time() -> None:
+    b = balancer(*fleet(1), list_on_request=True)
+    waits = []
+    for n in range(8):
+        timer = b.handle(100.0 + n, [ServerList(failed=True)])[0]
+        assert isinstance(timer, SetTimer)
+        waits.append(timer.after)
+        assert b.handle(100.5 + n, [TimerFired(timer.token)]) == [Watch(True)]
+    assert waits[0] < 1.0 and 4.0 <= waits[-1] <= 12.0
+
+
+def test_the_same_seed_gives_the_same_actions() -> None:
+    def run() -> list[Any]:
+        b = balancer(*fleet(20), seed=5)
+        return [ask(b, 100.0 + n / 50, n, cls=n % 3) for n in range(200)]
+
+    assert run() == run()
+
+
+def test_an_outcome_never_asked_for_is_an_error() -> None:
+    b = balancer(*fleet(1))
+    with pytest.raises(LookupError, match="never sent"):
+        answer(b, 100.0, 9, "s0")
+
+
+@pytest.mark.parametrize("field", ["aim", "give_up", "worth"])
+@pytest.mark.parametrize("value", [-1.0, math.nan, math.inf, "x", None])
+def test_bad_settings_are_named(field: str, value: Any) -> None:
+    with pytest.raises(ValueError, match=f"classes.{field}: {value!r}"):
+        RequestClass(**{"name": "c", "aim": 1.0, "give_up": 2.0, "worth": 1.0, field: value})
+
+
+def test_the_policy_file_stays_short() -> None:
+    assert choice.__file__ is not None
+    with open(choice.__file__, encoding="utf-8") as file:
+        lines = file.read().splitlines()
+    assert len([line for line in lines if line.strip()]) <= 650
+    assert max(map(len, lines)) <= 110
+    assert isinstance(Server.__slots__, tuple)
+
+
+def test_a_server_that_gives_a_long_answer_is_not_silent() -> None:
+    b = balancer(*fleet(1))
+    b.silence = 1.0
+    server = sent_to(b, 100.0, 1)
+    assert server is not None
+    b.handle(100.1, [FirstByte(1, 0, server, 0.1)])
+    b.now = 110.0
+    assert b._healthy(b.servers[server])
+    assert sent_to(b, 110.0, 2) == server
+    b.now = 112.0
+    assert not b._healthy(b.servers[server])  # the second request is met with silence
+    answer(b, 112.0, 1, server)
+    answer(b, 112.0, 2, server)
+    assert not b.servers[server].out and not b.servers[server].giving
+
+
+def test_a_long_answer_under_way_does_not_count_as_in_flight() -> None:
+    """Guards against slow readers that decide where requests go (incident r06bae8)."""
+    b = balancer(*fleet(2))
+    for server in b.ready:
+        server.answered = True
+    first = sent_to(b, 100.0, 1)
+    assert first is not None
+    b.handle(100.1, [FirstByte(1, 0, first, 0.1)])
+    other = sent_to(b, 100.2, 2)
+    assert other is not None and b._score(b.servers[first]) == (1.0 if other == first else 0.0)
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,409 @@
+"""What clients do on their connections: each request ends in one answer, or the connection is closed."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+
+import pytest
+
+from peers import OK, Call, Client, ScriptedBackend, answering, play, request, resetting, silent, world
+from spokemast.interface import Result, Withdrawn
+from spokemast.net import backend as backend_module
+from spokemast.net import server as server_module
+
+BAD: dict[str, tuple[bytes, int]] = {
+    "not HTTP": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
+    "no class": (b"GET /api HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\n\r\n", 400),
+    "unknown class": (request().replace(b"safe", b"none"), 400),
+    "no id": (b"GET /api HTTP/1.1\r\nHost: a\r\nX-Lane: safe\r\n\r\n", 404),
+    "no host": (b"GET /api HTTP/1.1\r\nX-Txn: 1\r\nX-Lane: safe\r\n\r\n", 400),
+    "unreadable time left": (request(remaining="soon"), 400),
+    "negative time left": (request(remaining="-5m"), 400),
+    "no key": (request("keyed").replace(b"Idempotency-Key", b"X-Other"), 400),
+    "another method": (request().replace(b"GET", b"PUT"), 400),
+    "no path": (request().replace(b"/api?x=1", b"http://a/b"), 400),
+    "two lengths": (request("unsafe").replace(b"Length: 0", b"Length: 0\r\nContent-Length: 1"), 400),
+    "a length and chunks": (
+        request("unsafe").replace(b"Length: 0", b"Length: 5\r\nTransfer-Encoding: chunked"), 400
+    ),
+    "an unreadable length": (request("unsafe").replace(b"Length: 0", b"Length: ten"), 400),
+    "an id twice": (request().replace(b"X-Lane", b"X-Txn: 9\r\nX-Lane"), 400),
+    "a head too large": (b"GET /api HTTP/1.1\r\nHost: a\r\nX-A: " + b"a" * 20_000 + b"\r\n\r\n", 431),
+    "a head that never ends": (b"GET /api HTTP/1.1\r\nHost: a\r\nX-A: " + b"a" * 40_000, 431),
+    "many small headers": (b"GET /api HTTP/1.1\r\n" + b"A: b\r\n" * 10_000, 431),
+    "a body too large": (request("unsafe").replace(b"Length: 0", b"Length: 33554433"), 413),
+    "chunks too large": (
+        request("unsafe").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"zz\r\n", 400
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", BAD)
+def test_bad_input_is_answered_and_goes_no_further(kind: str) -> None:
+    data, status = BAD[kind]
+
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(OK))
+        async with world(backend) as here:
+            client = await here.connect()
+            got, head, _ = await _ask_all(client, data)
+            assert got == status and b"Connection: close" in head
+            assert await client.ended() == b""
+            assert not backend.calls
+            after = await here.connect()
+            assert await after.ask(request()) == (200, b"hi")
+
+    play(scene)
+
+
+async def _ask_all(client: Client, data: bytes) -> tuple[int, bytes, bytes]:
+    await client.send(data)
+    return await client.read()
+
+
+def test_a_head_byte_by_byte_and_a_body_in_pieces() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(OK))
+        async with world(backend) as here:
+            client = await here.connect()
+            for byte in request("unsafe", b"abc"):
+                await client.send(bytes([byte]))
+                await asyncio.sleep(0)
+            assert (await client.read())[0] == 200
+            assert backend.calls[0].body == b"abc"
+
+    play(scene)
+
+
+def test_a_chunked_request_reaches_the_backend_whole() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(OK))
+        async with world(backend) as here:
+            client = await here.connect()
+            head = request("unsafe").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            status, _ = await client.ask(head + b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\n")
+            assert status == 200 and backend.calls[0].body == b"abcde"
+            assert b"Content-Length: 5" in backend.calls[0].head and b"X-Trailer" not in backend.calls[0].head
+
+    play(scene)
+
+
+def test_expect_continue_is_answered() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(OK))
+        async with world(backend) as here:
+            client = await here.connect()
+            data = request("unsafe", b"abc", "4000m", "Expect: 100-continue")
+            await client.send(data[:-3])
+            assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            await client.send(b"abc")
+            assert (await client.read())[0] == 200
+            assert b"Expect" not in backend.calls[0].head
+
+    play(scene)
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    async def scene() -> None:
+        async def script(call: Call) -> None:
+            body = call.head.split(b"\r\n")[2]
+            await call.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+        backend = ScriptedBackend("s", script)
+        async with world(backend) as here:
+            client = await here.connect()
+            asked = [request() for _ in range(5)]
+            await client.send(b"".join(asked))
+            for data in asked:
+                assert (await client.read())[2] == data.split(b"\r\n")[2]
+
+    play(scene)
+
+
+def test_a_pipelining_flood_is_cut_short() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", silent)) as here:
+            client = await here.connect()
+            await client.send(b"".join(request() for _ in range(100)))
+            await here.proxy.until(lambda: here.proxy.open)
+            (connection,) = here.server.connections
+            assert len(connection.waiting) <= server_module.PIPELINE_MOST + 1
+            assert connection.paused
+
+    play(scene)
+
+
+def test_a_client_that_leaves_is_withdrawn_and_its_attempt_cancelled() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", silent)
+        async with world(backend) as here:
+            client = await here.connect()
+            await client.send(request())
+            call = await backend.until_called()
+            client.writer.close()
+            outcomes = await here.proxy.until_outcomes(1)
+            assert outcomes[0].result == Result.CANCELLED and outcomes[0].ended
+            assert sum(isinstance(e, Withdrawn) for e in here.proxy.told) == 1
+            await call.left()
+            assert not here.proxy.open
+
+    play(scene)
+
+
+def test_an_abandoned_upload_leaves_nothing_behind() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK))) as here:
+            client = await here.connect()
+            await client.send(request("unsafe", bytes(100_000))[:-50_000])
+            while here.proxy.budget.held == 0:
+                await asyncio.sleep(0)
+            client.writer.transport.abort()
+            while here.server.connections:
+                await asyncio.sleep(0)
+            assert here.proxy.budget.held == 0 and not here.proxy.told[1:]
+
+    play(scene)
+
+
+@pytest.mark.parametrize(("name", "cut"), [("HEAD_S", 20), ("BODY_PAUSE_S", -1)])
+def test_a_request_that_never_ends_is_answered_408(
+    name: str, cut: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(server_module, name, 0.0)
+
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK))) as here:
+            client = await here.connect()
+            await client.send(request("unsafe", b"x" * 100)[:cut])
+            assert (await client.read())[0] == 408
+            assert await client.ended() == b"" and here.proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_slow_uploads_within_the_rate_go_on() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK))) as here:
+            client = await here.connect()
+            data = request("unsafe", bytes(640_000))
+            await client.send(data[:-320_000])
+            while here.proxy.budget.held < 320_000:
+                await asyncio.sleep(0)
+            (connection,) = here.server.connections
+            connection.sweep(connection.since + 10.0)  # 32 kB/s so far
+            await client.send(data[-320_000:])
+            assert (await client.read())[0] == 200
+
+    play(scene)
+
+
+def test_a_reader_that_stops_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "READ_STALL_S", 0.0)
+
+    async def scene() -> None:
+        async def script(call: Call) -> None:
+            await call.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 << 20))
+            await call.say(bytes(32 << 20))
+
+        async with world(ScriptedBackend("s", script)) as here:
+            client = await here.connect()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await client.send(request())
+            outcomes = await here.proxy.until_outcomes(1)
+            assert outcomes[0].result == Result.CANCELLED
+            assert here.proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_32_mb_both_ways() -> None:
+    async def scene() -> None:
+        async def echo(call: Call) -> None:
+            await call.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(call.body) + call.body)
+
+        async with world(ScriptedBackend("s", echo)) as here:
+            client = await here.connect()
+            body = bytes(range(256)) * (1 << 17)
+            assert await client.ask(request("unsafe", body)) == (200, body)
+            assert here.proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_uploads_past_the_budget_are_refused_and_others_served() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK)), memory_mb=64) as here:
+            first, second = await here.connect(), await here.connect()
+            size = here.proxy.budget.uploads_most - 1000
+            data = request("unsafe", bytes(size))
+            await first.send(data[:-1])
+            while here.proxy.budget.held < size - 1:
+                await asyncio.sleep(0)
+            assert (await second.ask(request("unsafe", bytes(2000))))[0] == 503
+            third = await here.connect()
+            assert (await third.ask(request()))[0] == 200
+            await first.send(data[-1:])
+            assert (await first.read())[0] == 200
+
+    play(scene)
+
+
+def test_connections_past_the_limit_are_answered() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK)), sockets=128) as here:
+            taken = [await here.connect() for _ in range(here.server.most)]
+            for client in taken:  # half a request each, so that none is idle
+                await client.send(request()[:-2])
+            while here.server.idle or len(here.server.connections) < here.server.most:
+                await asyncio.sleep(0)
+            extra = [await here.connect() for _ in range(60)]
+            for client in extra:
+                await client.send(request())
+            for client in extra:
+                assert (await client.read())[0] == 503
+            for client in taken:
+                await client.send(b"\r\n")
+                assert (await client.read())[0] == 200
+
+    play(scene)
+
+
+def test_idle_connections_make_room_for_new_ones() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK)), sockets=128) as here:
+            idle = [await here.connect() for _ in range(here.server.most)]
+            for client in idle:
+                assert (await client.ask(request()))[0] == 200
+            new = await here.connect()
+            assert (await new.ask(request()))[0] == 200
+            assert await idle[0].ended() == b""
+            assert (await idle[-1].ask(request()))[0] == 200
+
+    play(scene)
+
+
+def test_hundreds_at_once_are_all_served() -> None:
+    async def scene() -> None:
+        backends = [ScriptedBackend(f"s{n}", answering(OK)) for n in range(8)]
+        async with world(*backends) as here:
+            for client in [await here.connect() for _ in range(20)]:
+                await client.ask(request())
+
+            async def one() -> int:
+                client = await here.connect()
+                status, _ = await client.ask(request())
+                return status
+
+            statuses = await asyncio.gather(*[one() for _ in range(300)])
+            assert statuses.count(200) == 300
+            assert here.proxy.backends.open <= here.proxy.backends.sockets
+
+    play(scene)
+
+
+def test_old_clients_are_answered_and_closed() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK))) as here:
+            client = await here.connect()
+            assert (await client.ask(request().replace(b"HTTP/1.1", b"HTTP/1.0")))[0] == 200
+            assert await client.ended() == b""
+
+    play(scene)
+
+
+def test_ready_once_a_list_is_held() -> None:
+    async def scene() -> None:
+        async with world() as here:
+            client = await here.connect()
+            asked = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
+            assert (await client.ask(asked))[0] == 503
+            await here.discovery.until_watched()
+            backend = ScriptedBackend("s", answering(OK))
+            await backend.start()
+            await here.discovery.line(2, backend.entry())
+            await here.proxy.until(lambda: here.proxy.listed)
+            assert (await client.ask(asked))[0] == 200
+            await backend.stop()
+
+    play(scene)
+
+
+def test_sigterm_with_requests_held_and_new_ones_arriving(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        hold = asyncio.Event()
+
+        async def held(call: Call) -> None:
+            await hold.wait()
+            await call.say(OK)
+
+        backend = ScriptedBackend("s", answering(OK), held, answering(OK))
+        async with world(backend) as here:
+            first, idle = await here.connect(), await here.connect()
+            await first.ask(request())
+            await idle.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            await first.send(request())
+            await backend.until_called(2)
+            drain = asyncio.get_running_loop().create_task(here.server.drain())
+            while not here.server.draining:
+                await asyncio.sleep(0)
+            new = await here.connect()
+            await new.send(request())
+            status, head, _ = await new.read()
+            assert status == 200 and b"Connection: close" in head
+            late = await here.connect()
+            assert (await late.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"))[0] == 503
+            assert await idle.ended() == b""
+            assert not drain.done()
+            hold.set()
+            status, head, _ = await first.read()
+            assert status == 200 and b"Connection: close" in head
+            await drain
+            with pytest.raises(OSError):
+                await here.connect()
+
+    play(scene)
+
+
+def test_an_idle_connection_with_an_unread_request_is_not_closed() -> None:
+    """Guards against requests lost where the proxy is short of CPU and reads late."""
+
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK))) as here:
+            client = await here.connect()
+            assert (await client.ask(request()))[0] == 200
+            (connection,) = here.server.connections
+            sock = client.writer.get_extra_info("socket")
+            os.write(sock.fileno(), request())  # it is in the kernel before the loop can read it
+            assert not connection.retire()
+            assert (await client.read())[0] == 200
+            assert connection.retire()
+            assert await client.ended() == b""
+
+    play(scene)
+
+
+def test_nothing_is_left_after_a_busy_time() -> None:
+    async def scene() -> None:
+        scripts = [answering(OK), resetting, answering(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")]
+        backends = [ScriptedBackend(f"s{n}", *scripts * 3, answering(OK)) for n in range(6)]
+        async with world(*backends) as here:
+
+            async def busy(number: int) -> None:
+                for turn in range(50):
+                    client = await here.connect()
+                    await client.send(request(("safe", "keyed", "unsafe")[turn % 3]))
+                    if (number + turn) % 5:
+                        assert (await client.read())[0] in (200, 502, 503)
+                    client.writer.close()
+
+            await asyncio.gather(*[busy(number) for number in range(20)])
+            while here.server.connections or here.proxy.open:
+                await asyncio.sleep(0)
+            pool = here.proxy.backends
+            assert pool.open == sum(len(b.idle) for b in pool.table.values()) <= 6 * backend_module.IDLE_MOST
+            assert here.proxy.budget.held == 0 and not pool.streams and not here.server.idle
+            assert not here.proxy.balancer.requests
+            assert not any(s.out or s.giving for s in here.proxy.balancer.servers.values())
+
+    play(scene)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,221 @@
+"""The watch: what discovery says, how it fails, and what the module and the pools are told."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from peers import OK, SETTINGS, ScriptedBackend, World, answering, play, request, world
+from spokemast.interface import ServerList, ServerState
+from spokemast.net import discovery as discovery_module
+
+ASKED = {**SETTINGS, "registry-mode": "subscribe"}
+
+
+def lists(here: World) -> list[ServerList]:
+    return [e for e in here.proxy.told if isinstance(e, ServerList)]
+
+
+async def until_lists(here: World, count: int) -> ServerList:
+    await here.proxy.until(lambda: len(lists(here)) >= count)
+    return lists(here)[count - 1]
+
+
+def entry(name: str, **other: Any) -> dict[str, Any]:
+    return {"id": name, "addr": "127.0.0.1:9", "zone": "b", "kind": "std", "cell": 2, "state": "SERVING",
+            "weight": 1.5, "started_ms": 12_000, **other}  # fmt: skip
+
+
+def test_an_entry_in_the_modules_form() -> None:
+    async def scene() -> None:
+        async with world() as here:
+            await here.discovery.until_watched()
+            await here.discovery.line(2, entry("s", odd=1), entry("t", zone="?", kind="?"), full=True)
+            event = await until_lists(here, 2)
+            assert event.whole and not event.stale and not event.failed
+            known, unknown = event.entries
+            assert known == ("s", 1, 2, 0, ServerState.READY, 1.5, 12.0)
+            assert (unknown.zone, unknown.kind) == (-1, -1)
+
+    play(scene)
+
+
+def test_the_list_from_before_is_stale_and_the_watch_begins_after_it() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK))) as here:
+            assert lists(here)[0].stale and lists(here)[0].entries[0].server == "s"
+            await here.discovery.until_watched()
+            assert b"GET /v1/endpoints?watch=1&from=1 " in here.discovery.asked[0]
+
+    play(scene)
+
+
+@pytest.mark.parametrize("state", ["DRAINING", "DELETED"])
+def test_a_drain_ends_what_goes_to_a_backend(state: str) -> None:
+    async def scene() -> None:
+        a, b = ScriptedBackend("a", answering(OK)), ScriptedBackend("b", answering(OK))
+        async with world(a, b) as here:
+            client = await here.connect()
+            while not (a.calls and b.calls):
+                await client.ask(request())
+            await here.discovery.until_watched()
+            await here.discovery.line(2, a.entry(state=state))
+            await until_lists(here, 2)
+            backend = here.proxy.backends.table["a"]
+            assert not backend.idle
+            before = len(a.calls)
+            for _ in range(20):
+                assert (await client.ask(request()))[0] == 200
+            assert len(a.calls) == before
+            here.proxy.backends.sweep(0.0)
+            assert ("a" in here.proxy.backends.table) == (state == "DRAINING")
+
+    play(scene)
+
+
+def test_a_whole_list_that_shrinks() -> None:
+    async def scene() -> None:
+        a, b = ScriptedBackend("a", answering(OK)), ScriptedBackend("b", answering(OK))
+        async with world(a, b) as here:
+            await here.discovery.until_watched()
+            await here.discovery.line(2, b.entry(), full=True)
+            await until_lists(here, 2)
+            client = await here.connect()
+            for _ in range(10):
+                assert (await client.ask(request()))[0] == 200
+            assert not a.calls and here.proxy.listed == {"b"}
+
+    play(scene)
+
+
+def test_an_id_with_another_address_or_start_gets_new_connections() -> None:
+    async def scene() -> None:
+        old, new = ScriptedBackend("s", answering(OK)), ScriptedBackend("s", answering(OK))
+        async with world(old) as here:
+            await new.start()
+            client = await here.connect()
+            await client.ask(request())
+            await here.discovery.until_watched()
+            await here.discovery.line(2, new.entry())
+            await until_lists(here, 2)
+            assert (await client.ask(request()))[0] == 200 and len(new.calls) == 1
+            await here.discovery.line(3, new.entry(started_ms=5))
+            await until_lists(here, 3)
+            assert (await client.ask(request()))[0] == 200 and new.connections == 2
+            await new.stop()
+
+    play(scene)
+
+
+async def end(here: World) -> None:
+    here.discovery.writers[-1].close()
+
+
+async def cut_in_mid_line(here: World) -> None:
+    await here.discovery.raw(b'{"version":2,"full":false,"servers":[{"id":')
+    here.discovery.writers[-1].transport.abort()
+
+
+async def garbage(here: World) -> None:
+    await here.discovery.raw(b"{nonsense}\n")
+
+
+async def go_back(here: World) -> None:
+    await here.discovery.line(0)
+
+
+BREAKS = {
+    "end": (end, True),
+    "cut": (cut_in_mid_line, True),
+    "garbage": (garbage, False),
+    "old": (go_back, False),
+}
+
+
+@pytest.mark.parametrize("how", BREAKS)
+@pytest.mark.parametrize("settings", [SETTINGS, ASKED], ids=["pushed", "asked"])
+def test_a_watch_that_breaks_is_begun_again(how: str, settings: dict[str, Any]) -> None:
+    """Where lists are asked for, the module is told and asks; where they are pushed it is not."""
+    break_it, same_version = BREAKS[how]
+
+    async def scene() -> None:
+        async with world(ScriptedBackend("s", answering(OK)), settings=settings) as here:
+            await here.discovery.until_watched()
+            await break_it(here)
+            await here.discovery.until_watched(2)
+            assert (b"from=1" in here.discovery.asked[1]) == same_version
+            assert [e.failed for e in lists(here)[1:]] == ([True] if settings is ASKED else [])
+            client = await here.connect()
+            assert (await client.ask(request()))[0] == 200
+
+    play(scene)
+
+
+def test_a_silent_watch_is_dead_and_heartbeats_keep_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_module, "SILENT_S", 0.05)
+
+    async def scene() -> None:
+        async with world(settings=ASKED) as here:
+            await here.discovery.until_watched()
+            event = await until_lists(here, 2)
+            assert event.failed
+            await here.discovery.until_watched(2)
+
+    play(scene)
+
+
+def test_discovery_down_at_the_start() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(OK))
+        async with world(backend, settings=ASKED) as here:
+            assert here.discovery.server is not None
+            here.discovery.server.close()
+            await here.discovery.server.wait_closed()
+            assert (await until_lists(here, 2)).failed
+            client = await here.connect()
+            assert (await client.ask(request()))[0] == 200
+
+    play(scene)
+
+
+def test_bad_entries_are_skipped_and_good_ones_kept() -> None:
+    async def scene() -> None:
+        async with world() as here:
+            await here.discovery.until_watched()
+            bad = [entry("a", addr="nowhere"), entry("b", state="ODD"), entry("c", weight="x"),
+                   entry("", id=7), entry("d", zone=[1]), entry("e", addr="host:80")]  # fmt: skip
+            await here.discovery.line(7, *bad, entry("good"))
+            event = await until_lists(here, 2)
+            assert [e.server for e in event.entries] == ["good"]
+
+    play(scene)
+
+
+def test_thousands_of_entries() -> None:
+    async def scene() -> None:
+        async with world() as here:
+            await here.discovery.until_watched()
+            await here.discovery.line(2, *[entry(f"s{n}") for n in range(5000)], full=True)
+            event = await until_lists(here, 2)
+            assert len(event.entries) == 5000
+            await here.discovery.line(3, full=True)
+            await until_lists(here, 3)
+            here.proxy.backends.sweep(0.0)
+            assert not here.proxy.backends.table and not here.proxy.listed
+
+    play(scene)
+
+
+def test_an_empty_line_says_nothing() -> None:
+    async def scene() -> None:
+        async with world() as here:
+            await here.discovery.until_watched()
+            await here.discovery.raw(b"\n")
+            await here.discovery.line(2, entry("s"))
+            await until_lists(here, 2)
+            await asyncio.sleep(0)
+            assert len(lists(here)) == 2
+
+    play(scene)
--- /dev/null
+++ b/tests/test_main.py
@@ -0,0 +1,100 @@
+"""The program: configuration, and its end."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any, Iterator
+
+import pytest
+
+from peers import SETTINGS, request
+
+
+def run(path: str | None) -> subprocess.CompletedProcess[bytes]:
+    env = {k: v for k, v in os.environ.items() if k != "GW_CONFIG"} | ({"GW_CONFIG": path} if path else {})
+    return subprocess.run(
+        [sys.executable, "-m", "spokemast"], env=env, capture_output=True, timeout=30, check=False
+    )
+
+
+@pytest.mark.parametrize(
+    "text", [None, "", "{", "[]", "{}", '{"settings":{},"listen":"a:1","discovery":"b:2"}']
+)
+def test_a_start_without_its_configuration_ends_with_one_line(text: str | None, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = run(str(path))
+    assert done.returncode == 2
+    assert done.stderr.count(b"\n") == 1 and b"Traceback" not in done.stderr
+
+
+def test_no_configuration_named() -> None:
+    done = run(None)
+    assert done.returncode == 2 and b"GW_CONFIG" in done.stderr
+
+
+def configuration(**other: Any) -> dict[str, Any]:
+    free = []
+    for _ in range(2):  # ports that the kernel has just given and that are free again
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            free.append("{}:{}".format(*sock.getsockname()))
+    return {"name": "n0", "listen": free[0], "discovery": free[1], "seed": "ff",
+            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024}, "known": None,
+            "settings": SETTINGS, **other}  # fmt: skip
+
+
+@contextmanager
+def running(tmp_path: Path) -> Iterator[tuple[subprocess.Popen[bytes], tuple[str, int]]]:
+    box = configuration()
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(box))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "spokemast"],
+        env={**os.environ, "GW_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+    )
+    try:
+        assert process.stderr is not None
+        while b"listening" not in process.stderr.readline():
+            assert process.poll() is None
+        host, _, port = box["listen"].rpartition(":")
+        yield process, (host, int(port))
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_sigterm_ends_it_with_0(tmp_path: Path) -> None:
+    with running(tmp_path) as (process, address):
+        with socket.create_connection(address, 10) as sock:
+            sock.sendall(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert sock.recv(100).startswith(b"HTTP/1.1 503")  # no list is held
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(30) == 0
+
+
+def test_uploads_stay_under_the_memory_limit(tmp_path: Path) -> None:
+    """Eight bodies of 32 MB at once against 128 MB: some are refused, and the process is not killed."""
+    with running(tmp_path) as (process, address):
+        socks = [socket.create_connection(address, 30) for _ in range(8)]
+        for sock in socks:
+            data = request("unsafe", bytes(32 << 20))
+            with suppress(ConnectionError, TimeoutError):  # a refused one is not read to its end
+                sock.settimeout(0.5)
+                sock.sendall(data[:-1])
+        status = Path(f"/proc/{process.pid}/status").read_text()
+        peak = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
+        assert peak < 128 << 10
+        with socket.create_connection(address, 10) as sock:
+            sock.sendall(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert sock.recv(100).startswith(b"HTTP/1.1 503")
+        for sock in socks:
+            sock.close()
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,224 @@
+"""The four rules over legal orders of events: a checker reads the actions, and models no server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from spokemast.choice import Balancer, Pending
+from spokemast.interface import (
+    NEVER_RAN, Cancel, Effect, Fail, Limits, Outcome, Refuse, Request, RequestClass, Result, Rules, Scope,
+    Send, ServerEntry, ServerList, ServerState, SetTimer, Settings, TimerFired, Withdrawn,
+)  # fmt: skip
+
+CLASSES = (
+    RequestClass("safe", 0.5, 2.0),
+    RequestClass("late", 0.5, 2.0, late_share=0.3),
+    RequestClass("all", 0.5, 2.0, effect=Effect.KEYED, dedup_scope=Scope.ALL, dedup_window=0.7),
+    RequestClass("zone", 0.5, 2.0, effect=Effect.KEYED, dedup_scope=Scope.ZONE, dedup_window=0.7),
+    RequestClass("cell", 0.5, 2.0, late_share=0.2, effect=Effect.KEYED, dedup_scope=Scope.CELL,
+                 dedup_window=0.7),
+    RequestClass("unsafe", 0.5, 2.0, effect=Effect.UNSAFE),
+)  # fmt: skip
+
+
+@dataclass
+class Sent:
+    server: str
+    at: float
+    open: bool = True
+    may_have_run: bool = True
+
+
+@dataclass
+class Record:
+    cls: RequestClass
+    deadline: float
+    sent: list[Sent] = field(default_factory=list)
+    ended: bool = False
+
+
+class Checker:
+    """Plays legal events against a Balancer and reads what it does."""
+
+    def __init__(self, entries: list[ServerEntry], limits: Limits, seed: int) -> None:
+        self.limits = limits
+        self.entries = {e.server: e for e in entries}
+        self.balancer = Balancer(Settings(CLASSES, n_zones=2, limits=limits, rules=Rules()), seed)
+        self.now = 50.0
+        self.records: dict[int, Record] = {}
+        self.timers: list[tuple[float, int]] = []
+        self.play([ServerList(tuple(entries))])
+
+    def play(self, events: list[Any]) -> None:
+        for action in self.balancer.handle(self.now, events):
+            self.read(action)
+
+    def read(self, action: Any) -> None:
+        if isinstance(action, Send):
+            self.read_send(action)
+        elif isinstance(action, Fail):
+            self.close(action.request)
+        elif isinstance(action, Refuse):
+            record = self.records[action.request]
+            cls = record.cls
+            harmless = cls.effect == Effect.SAFE or (
+                cls.effect == Effect.KEYED and cls.dedup_scope == Scope.ALL
+            )
+            assert harmless or not any(s.may_have_run for s in record.sent), "refused what may have run"
+            self.close(action.request)
+        elif isinstance(action, Cancel):
+            assert self.limits.cancelling
+            assert 0 <= action.attempt < len(self.records[action.request].sent)
+        elif isinstance(action, SetTimer):
+            assert action.after >= 0
+            self.timers.append((self.now + action.after, action.token))
+
+    def read_send(self, action: Send) -> None:
+        record = self.records[action.request]
+        assert not record.ended, "sent after the final answer"
+        assert len(record.sent) < self.limits.max_attempts
+        entry = self.entries[action.server]
+        assert entry.state == ServerState.READY, "sent to a draining server"
+        assert action.timeout <= record.deadline - self.now + 0.0011
+        assert self.limits.second_copies or not any(s.open for s in record.sent)
+        ran = [s for s in record.sent if s.may_have_run]
+        if ran:
+            cls = record.cls
+            assert cls.effect != Effect.UNSAFE, "an unsafe request sent again"
+            if cls.effect == Effect.KEYED:
+                first = self.entries[ran[0].server]
+                assert self.now < ran[0].at + cls.dedup_window, "sent again past the window"
+                assert cls.dedup_scope != Scope.ZONE or first.zone == entry.zone
+                assert cls.dedup_scope != Scope.CELL or first.cell == entry.cell
+        record.sent.append(Sent(action.server, self.now))
+
+    def close(self, request: int) -> None:
+        assert not self.records[request].ended, "two final answers"
+        self.records[request].ended = True
+
+    def request(self, number: int, cls: int, left: float) -> None:
+        self.records[number] = Record(CLASSES[cls], self.now + left)
+        self.play([Request(number, cls, left)])
+
+    def outcome(self, number: int, attempt: int, result: Result) -> None:
+        record, sent = self.records[number], self.records[number].sent[attempt]
+        if result == Result.SERVED and not record.ended:
+            record.ended = True
+        sent.open = False
+        if result in NEVER_RAN:
+            sent.may_have_run = False
+        took = self.now - sent.at
+        self.play([Outcome(number, attempt, sent.server, result, took, record.ended, {"utilization": 0.5})])
+
+    def open_attempts(self) -> list[tuple[int, int]]:
+        return [(n, i) for n, r in self.records.items() for i, s in enumerate(r.sent) if s.open]
+
+    def due(self) -> None:
+        """What the world owes by now: timers, and time-outs at the deadline."""
+        ready = sorted(t for t in self.timers if t[0] <= self.now)
+        self.timers = [t for t in self.timers if t[0] > self.now]
+        for _, token in ready:
+            self.play([TimerFired(token)])
+        for number, attempt in self.open_attempts():
+            if self.now >= self.records[number].deadline:
+                self.outcome(number, attempt, Result.TIMEOUT)
+
+    def finish(self) -> None:
+        self.now += 5.0
+        self.due()
+        assert all(r.ended for r in self.records.values()), "a request without its final answer"
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("ask"), st.integers(0, 5), st.floats(0.0, 2.0)),
+        st.tuples(st.just("end"), st.integers(0, 99), st.sampled_from(list(Result))),
+        st.tuples(st.just("wait"), st.floats(0.0, 0.4), st.none()),
+        st.tuples(st.just("list"), st.integers(0, 99), st.sampled_from(list(ServerState))),
+        st.tuples(st.just("withdraw"), st.integers(0, 99), st.none()),
+    ),
+    max_size=60,
+)
+
+
+def play_day(steps: list[tuple[str, Any, Any]], count: int, limits: Limits, seed: int) -> None:
+    entries = [ServerEntry(f"s{i}", zone=i % 2, cell=i % 3) for i in range(count)]
+    day = Checker(entries, limits, seed)
+    for number, (what, a, b) in enumerate(steps):
+        if what == "ask":
+            day.request(number, a, b)
+        elif what == "end" and day.open_attempts():
+            open_now = day.open_attempts()
+            request, attempt = open_now[a % len(open_now)]
+            day.outcome(request, attempt, b)
+        elif what == "wait":
+            day.now += a
+            day.due()
+        elif what == "list" and count:
+            entry = day.entries[f"s{a % count}"]._replace(state=b)
+            day.entries[entry.server] = entry
+            day.play([ServerList((entry,), whole=False)])
+        elif what == "withdraw":
+            waiting = [n for n, r in day.records.items() if not r.ended]
+            if waiting:
+                gone = waiting[a % len(waiting)]
+                day.records[gone].ended = True
+                day.play([Withdrawn(gone)])
+    day.finish()
+
+
+LIMITS = st.builds(
+    Limits, max_attempts=st.integers(1, 5), cancelling=st.booleans(), second_copies=st.booleans()
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None, suppress_health_check=list(HealthCheck))
+@given(STEPS, st.integers(0, 7), LIMITS, st.integers(0, 2**63))
+def test_rules_hold_over_legal_orders_of_events(
+    steps: list[tuple[str, Any, Any]], count: int, limits: Limits, seed: int
+) -> None:
+    play_day(steps, count, limits, seed)
+
+
+find_a_bad_day = settings(
+    derandomize=True, max_examples=500, deadline=None, suppress_health_check=list(HealthCheck),
+    phases=(Phase.generate,), report_multiple_bugs=False, print_blob=False,
+)(given(STEPS, st.integers(0, 7), LIMITS, st.integers(0, 2**63))(play_day))  # fmt: skip
+
+
+def _any_pool(self: Balancer, pending: Pending, freed: bool = False) -> Any:
+    return self.pool
+
+
+BROKEN = {
+    "_repeat_pool": _any_pool,
+    "_may_refuse": lambda self, pending: True,
+    "_may_take": lambda self, server: True,
+    "_give_up": lambda self, pending: None,
+}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_the_checker_sees_a_broken_rule(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, name, BROKEN[name])
+    if name == "_may_take":  # list changes alone would still keep drained servers out of the pools
+        monkeypatch.setattr(Balancer, "_lay_out", _keep_all)
+    with pytest.raises((AssertionError, LookupError, KeyError)):
+        find_a_bad_day()
+
+
+def _keep_all(self: Balancer) -> None:
+    real = {s.id: s.state for s in self.servers.values()}
+    for server in self.servers.values():
+        server.state = ServerState.READY
+    _LAY_OUT(self)
+    for server in self.servers.values():
+        server.state = real[server.id]
+
+
+_LAY_OUT = Balancer._lay_out
