Follow the configuration at SIGHUP

Cause: __main__.serve handled SIGTERM and SIGINT only.

Now SIGHUP reads and checks the file whole, then moves the watch; a bad file is logged and the old one stays. Discovery.watch keeps a watch that runs, so a late timer does not end the new one.

--- a/spokemast/__main__.py
+++ b/spokemast/__main__.py
@@ -60,7 +60,34 @@
     )
 
 
-async def serve(configuration: Configuration) -> None:
+#: What a file that is no configuration raises when it is read.
+UNREADABLE = (OSError, ValueError, TypeError, KeyError, AttributeError)
+
+
+class Reloader:
+    """Takes over, at SIGHUP, what a running proxy can: where discovery is.
+
+    The file is read and checked whole first. Guards against one that is half written, wrong or gone:
+    it is logged, and what runs stays as it is."""
+
+    def __init__(self, path: str, running: Configuration, discovery: Discovery, complain: Complaints) -> None:
+        self.path, self.running, self.discovery, self.complain = path, running, discovery, complain
+
+    def __call__(self) -> None:
+        try:
+            new = read_configuration(self.path)
+        except UNREADABLE as problem:
+            self.complain("new configuration not taken", problem)
+            return
+        old = self.running
+        if (new.deployment, new.listen, new.told) != (old.deployment, old.listen, old.told):
+            self.complain("new configuration", "settings, listen and limits count from the next start")
+        self.discovery.move(new.discovery)
+        host, port = new.discovery
+        self.complain("new configuration taken", f"discovery at {host}:{port}")
+
+
+async def serve(configuration: Configuration, path: str) -> None:
     complain = Complaints()
     deployment, limits = configuration.deployment, configuration.limits
     proxy = Proxy(deployment, configuration.seed, limits, complain)
@@ -68,8 +95,10 @@
     proxy.discovery = discovery
     server = Server(proxy, deployment, limits, complain)
     stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(path, configuration, discovery, complain))
     discovery.start(configuration.known)
     host, port = server.listen(configuration.listen)
     sys.stderr.write(f"spokemast: listening on {host}:{port}, limits {configuration.told}\n")
@@ -91,10 +120,10 @@
         _stop("GW_CONFIG names no configuration")
     try:
         configuration = read_configuration(path)
-    except (OSError, ValueError, TypeError, KeyError, AttributeError) as problem:
+    except UNREADABLE as problem:
         _stop(f"configuration {path}: {problem}")
     try:
-        uvloop.run(serve(configuration))
+        uvloop.run(serve(configuration, path))
     except OSError as problem:
         _stop(f"can't listen: {problem}")
 
--- a/spokemast/net/discovery.py
+++ b/spokemast/net/discovery.py
@@ -116,11 +116,24 @@
             self.watch(True)
 
     def watch(self, on: bool) -> None:
+        """Guards against a late call that would end a good watch: one that runs or opens is kept."""
         self.wanted = on
-        self.close()
-        if on:
+        if not on:
+            self.close()
+        elif self.current is None and self._opening is None:
             self._opening = self._loop.create_task(self._open())
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Another service from now on: its whole list is asked for, since versions are of one service.
+
+        Guards against drains missed across a reload. The old watch ends at once, as the old service
+        soon ends it anyway; what it had listed stands until the new one has told its list."""
+        if address == self.address:
+            return
+        self.address, self.version = address, None
+        self.close()
+        self.watch(True)
+
     def close(self) -> None:
         if self._opening is not None:
             self._opening.cancel()
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -52,8 +52,8 @@
 
 
 @contextmanager
-def running(tmp_path: Path) -> Iterator[tuple[subprocess.Popen[bytes], tuple[str, int]]]:
-    box = configuration()
+def running(tmp_path: Path, **other: Any) -> Iterator[tuple[subprocess.Popen[bytes], tuple[str, int]]]:
+    box = configuration(**other)
     path = tmp_path / "config.json"
     path.write_text(json.dumps(box))
     process = subprocess.Popen(
@@ -81,6 +81,61 @@
         assert process.wait(30) == 0
 
 
+ENTRY = {"id": "s", "addr": "127.0.0.1:9", "zone": "a", "kind": "std", "cell": 0, "state": "SERVING"}
+LIST = {"version": 1, "full": True, "servers": [ENTRY]}
+
+
+class Agent:
+    """Discovery in blocking calls: it takes the proxy's watch and writes a list of one backend."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.settimeout(10)
+        self.address = "{}:{}".format(*self.sock.getsockname())
+
+    def watched(self) -> socket.socket:
+        watch, _ = self.sock.accept()
+        watch.settimeout(10)
+        assert b"watch=1" in watch.recv(1000)
+        line = json.dumps(LIST).encode() + b"\n"
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        watch.sendall(b"%b%x\r\n%b\r\n" % (head, len(line), line))
+        return watch
+
+
+def reload(process: subprocess.Popen[bytes], tmp_path: Path, text: str) -> bytes:
+    """Replace the file as a deployment does, signal, and wait for the line that tells what became of it."""
+    (tmp_path / "new").write_text(text)
+    (tmp_path / "new").replace(tmp_path / "config.json")
+    process.send_signal(signal.SIGHUP)
+    assert process.stderr is not None
+    while b"configuration" not in (line := process.stderr.readline()):
+        assert line, "the process has ended"
+    return line
+
+
+def test_sighup_moves_the_watch_to_the_new_address(tmp_path: Path) -> None:
+    old, new = Agent(), Agent()
+    with running(tmp_path, discovery=old.address) as (process, _):
+        before = old.watched()
+        box = json.loads((tmp_path / "config.json").read_text()) | {"discovery": new.address}
+        assert b"taken" in reload(process, tmp_path, json.dumps(box))
+        with new.watched(), before:
+            assert before.recv(1) == b""  # the old watch has ended
+            assert process.poll() is None
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"settings":{},"listen":"a:1","discovery":"b:2"}'])
+def test_a_bad_new_configuration_is_logged_and_the_old_one_stays(text: str, tmp_path: Path) -> None:
+    agent = Agent()
+    with running(tmp_path, discovery=agent.address, known=LIST) as (process, address):
+        with agent.watched():
+            assert b"not taken" in reload(process, tmp_path, text)
+            with socket.create_connection(address, 10) as sock:
+                sock.sendall(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                assert sock.recv(100).startswith(b"HTTP/1.1 200")
+
+
 def test_uploads_stay_under_the_memory_limit(tmp_path: Path) -> None:
     """Eight bodies of 32 MB at once against 128 MB: some are refused, and the process is not killed."""
     with running(tmp_path) as (process, address):
