Turn bad clients away within their time, and know each request's id

To blame: IDLE_S (120 s), HEAD_S and BODY_PAUSE_S (5 s each, begun anew with each phase) in net/server.py, BODY_MOST (32 MB for 64 KiB), and Connection._result, which told a 4xx as an error of the backend. Ruled out: the parser; it turns away all that can't be read, both lengths too.

Now a request has 2 s from connecting; connections without one make room first; a 4xx of a backend is final and blackens nobody; the id of an open request, or of one that no backend could use, is not taken again; the rest of an upload is not read. A defect in the decisions, or a request that they forget, costs that request alone. Answers given at the end of a drain leave before the process.

--- a/spokemast/__main__.py
+++ b/spokemast/__main__.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from spokemast.net.discovery import Discovery
-from spokemast.net.limits import Complaints, Limits
+from spokemast.net.limits import Complaints, Limits, describe
 from spokemast.net.proxy import Proxy
 from spokemast.net.server import Server
 from spokemast.settings import Deployment, read_deployment
@@ -87,6 +87,12 @@
         self.complain("new configuration taken", f"discovery at {host}:{port}")
 
 
+def _describe(context: dict[str, Any]) -> str:
+    """What escaped a callback or a task, in a line."""
+    problem = context.get("exception")
+    return str(context.get("message")) + (f": {describe(problem)}" if problem else "")
+
+
 async def serve(configuration: Configuration, path: str) -> None:
     complain = Complaints()
     deployment, limits = configuration.deployment, configuration.limits
@@ -96,6 +102,7 @@
     server = Server(proxy, deployment, limits, complain)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: complain("defect", _describe(context)))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, Reloader(path, configuration, discovery, complain))
--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -241,6 +241,10 @@
         attempt.may_have_run = event.result not in NEVER_RAN
         if event.ended:
             self._end(pending)
+        elif event.result == Result.UNUSABLE:
+            # Guards against bad clients: what one server can't use no other can, so sending it on would cost
+            # attempts, and a refusal would ask for it again. Harm: one wrong verdict fails a good request.
+            self._fail(pending)
         elif not any(a.open for a in pending.attempts) and not self._retry(pending):
             self._give_up(pending)
 
@@ -265,8 +269,12 @@
         """The final answer where there is none to be had: a refusal if it is known to be harmless."""
         if self._may_refuse(pending):
             self.actions.append(Refuse(pending.id))
+            self._end(pending)
         else:
-            self.actions.append(Fail(pending.id))
+            self._fail(pending)
+
+    def _fail(self, pending: Pending) -> None:
+        self.actions.append(Fail(pending.id))
         self._end(pending)
 
     def _end(self, pending: Pending) -> None:
@@ -408,8 +416,12 @@
                 self._note_speed(server)
         if result in (Result.CANCELLED, Result.NOT_SENT):
             return
-        if result in (Result.SERVED, Result.ERROR, Result.FULL):
+        if result in (Result.SERVED, Result.ERROR, Result.FULL, Result.UNUSABLE):
             server.answered = True
+        if (
+            result == Result.UNUSABLE
+        ):  # it speaks of the client; counted, bad clients would blacken all servers
+            return
         share = self._faded(server.errors, server.errors_at)
         failure = slowness if result == Result.SERVED else 1.0
         self.errors_usual += SPEED_STEP * (failure - self.errors_usual)
@@ -476,7 +488,7 @@
 
         Protects against refusing, and so calling up clients' retries, where only some servers are sick.
         Additive steps, balanced where LATE_SHARE of the attempts take long."""
-        if event.result in (Result.CANCELLED, Result.NOT_SENT, Result.NO_CONNECTION):
+        if event.result in (Result.CANCELLED, Result.NOT_SENT, Result.NO_CONNECTION, Result.UNUSABLE):
             return
         late = event.result == Result.FULL or event.took > LATE_FROM * pending.cls.aim
         rate = max(1.0, self._rate())
--- a/spokemast/interface.py
+++ b/spokemast/interface.py
@@ -39,6 +39,7 @@
     RESET = 5
     CANCELLED = 6
     NOT_SENT = 7
+    UNUSABLE = 8  # the server is well and finds the request itself wrong; on sockets only
 
 
 #: Results that prove that the attempt never ran on its server.
--- a/spokemast/net/backend.py
+++ b/spokemast/net/backend.py
@@ -38,6 +38,9 @@
     b"transfer-encoding", b"upgrade", b"content-length", b"x-pressure", b"x-turned-away",
 ))  # fmt: skip
 
+#: Statuses from 400 on that speak of the backend: it waited too long, or has too much to do.
+NOT_OF_THE_REQUEST = frozenset((408, 429))
+
 #: Fields of a load report by their names on sockets, in the settings' words.
 REPORT_WORDS = {
     "util": "utilization",
@@ -293,6 +296,8 @@
             return Result.SERVED
         if self.turned_away and self.status in (503, 504):
             return Result.FULL
+        if 400 <= self.status < 500 and self.status not in NOT_OF_THE_REQUEST:
+            return Result.UNUSABLE
         return Result.ERROR
 
     def _report(self) -> Mapping[str, float] | None:
--- a/spokemast/net/limits.py
+++ b/spokemast/net/limits.py
@@ -4,20 +4,26 @@
 
 import sys
 import time
-
-#: Largest body that the protocol knows.
-BODY_MOST = 32 << 20
-#: Share of the memory limit that buffered bytes may take; the interpreter, the objects of connections
-#: and requests, and the slack of growing buffers need the rest.
-BUFFER_SHARE = 0.4
+import traceback
+
+#: Largest body that the protocol knows, either way.
+BODY_MOST = 64 << 10
+#: Memory that the interpreter, its libraries and the objects of connections and requests take, in MB.
+BASE_MB = 27.0
+#: Share of the rest of the memory limit that buffered bytes may take; the slack of growing buffers needs
+#: the other part.
+BUFFER_SHARE = 0.5
+#: Room for buffered bytes in any case, in MB: a proxy that could hold none would serve nothing.
+BUFFER_LEAST_MB = 1.5
 #: Part of the buffered bytes that uploads may not take, so that answers always find room.
 ANSWER_ROOM = 0.2
 #: Descriptors for the listener, discovery, standard streams and the event loop's own.
-OTHER_SOCKETS = 24
-#: Descriptors for connections past the limit, which are accepted only to be answered 503.
-OVERFLOW_SOCKETS = 64
-#: Share of the other descriptors that connections to backends may take.
-BACKEND_SHARE = 0.45
+OTHER_SOCKETS = 20
+#: Share of the other descriptors for connections past the limit, which are accepted only to be answered.
+OVERFLOW_SHARE = 0.08
+#: Share of them that connections to backends may take: clients hold a third of all for requests, and each
+#: of those may have a second attempt out or leave a connection idle.
+BACKEND_SHARE = 0.47
 #: One complaint of each kind in this many seconds.
 COMPLAIN_S = 5.0
 
@@ -26,10 +32,11 @@
     """The deployment's limits on one process, divided among what needs them."""
 
     def __init__(self, memory_mb: float, sockets: int) -> None:
-        self.buffered = int(memory_mb * BUFFER_SHARE * (1 << 20))
-        left = max(16, sockets - OTHER_SOCKETS - OVERFLOW_SOCKETS)
+        self.buffered = int(max(BUFFER_LEAST_MB, (memory_mb - BASE_MB) * BUFFER_SHARE) * (1 << 20))
+        left = max(16, sockets - OTHER_SOCKETS)
+        self.overflow_sockets = int(left * OVERFLOW_SHARE)
         self.backend_sockets = int(left * BACKEND_SHARE)
-        self.client_sockets = left - self.backend_sockets
+        self.client_sockets = left - self.overflow_sockets - self.backend_sockets
 
 
 class Budget:
@@ -56,6 +63,13 @@
         self.held -= count
 
 
+def describe(problem: BaseException) -> str:
+    """A defect in a line: what it is, and where it came from."""
+    frames = traceback.extract_tb(problem.__traceback__)
+    where = f" at {frames[-1].name}:{frames[-1].lineno}" if frames else ""
+    return f"{type(problem).__name__}: {problem}{where}"
+
+
 class Complaints:
     """The log: each kind of complaint once in a while, with how many were left out."""
 
@@ -70,4 +84,7 @@
             return
         self._kinds[kind] = now, 0
         more = f" ({left_out} more)" if left_out else ""
-        sys.stderr.write(f"spokemast: {kind}: {str(text)[:200]}{more}\n")
+        line = (
+            str(text)[:200].encode("unicode_escape").decode()
+        )  # what peers sent may not write lines of its own
+        sys.stderr.write(f"spokemast: {kind}: {line}{more}\n")
--- a/spokemast/net/proxy.py
+++ b/spokemast/net/proxy.py
@@ -16,14 +16,20 @@
 from spokemast.interface import Result
 from spokemast.net.backend import Answer, Attempt, Backends
 from spokemast.net.discovery import Discovery, Entry
-from spokemast.net.limits import Budget, Complaints, Limits
+from spokemast.net.limits import Budget, Complaints, Limits, describe
 from spokemast.settings import Deployment
 
 
+#: A request that the module has not answered this long after its client's time is up is failed here.
+OVERDUE_S = 0.03
+#: Ids of requests that backends could not use are kept, the latest ones.
+UNUSABLE_MOST = 2000
+
+
 class Client(Protocol):
     """What a request needs of the connection that it came on."""
 
-    def answer(self, status: int, lines: list[bytes], body: bytes) -> None: ...
+    def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False) -> None: ...
     def begin(self, answer: Answer) -> None: ...
     def pass_on(self, data: bytes) -> None: ...
     def end(self) -> None: ...
@@ -33,11 +39,15 @@
 class OpenRequest:
     """A request that has been taken, until it is answered and all its attempts have ended."""
 
-    __slots__ = ("id", "client", "head", "body", "attempts", "live", "done", "stream", "paused")
+    __slots__ = ("id", "client", "txn", "head", "body", "attempts", "live", "done", "unusable", "timer",
+                 "stream", "paused")  # fmt: skip
 
-    def __init__(self, client: Client, head: bytes, body: bytearray | None) -> None:
+    def __init__(self, client: Client, txn: int, head: bytes, body: bytearray | None) -> None:
         self.id = 0
         self.client = client
+        self.txn = txn  # a hash of its X-Txn: of one size, whatever clients send
+        self.unusable = False  # so says a backend
+        self.timer: asyncio.TimerHandle | None = None
         self.head, self.body = head, body  # as a backend gets them, all but X-Remaining
         self.attempts: list[Attempt] = []
         self.live = 0  # attempts that have not ended
@@ -56,6 +66,8 @@
         self.backends = Backends(self, self.budget, complain, limits.backend_sockets, deployment)
         self.discovery: Discovery | None = None
         self.open: dict[int, OpenRequest] = {}
+        self.txns: set[int] = set()  # of what is open
+        self.unusable: dict[int, None] = {}  # the oldest first
         self.listed: set[str] = set()
         self._last_id = 0
         self._events: deque[api.Event] = deque()
@@ -82,14 +94,28 @@
         self._busy = True
         try:
             while self._events:
-                for action in self.balancer.handle(self.now(), (self._events.popleft(),)):
-                    self._carry[type(action)](action)
+                event = self._events.popleft()
+                try:
+                    for action in self.balancer.handle(self.now(), (event,)):
+                        self._carry[type(action)](action)
+                except Exception as problem:  # whatever it is, it may not reach the other requests
+                    self._contain(event, problem)
             for request in self._finished:  # the module has been told all there was to tell
                 self.open.pop(request.id, None)
+                request.attempts.clear()  # they hold one another, and would stay until the collector comes by
             self._finished.clear()
         finally:
             self._busy = False
 
+    def _contain(self, event: api.Event, problem: Exception) -> None:
+        """Guards against any defect in the decisions or in carrying them out: the request that it met gets
+        its answer, the rest goes on. Also where a list makes the module fail: the one before stands, in part.
+        Harm: a defect that comes with each request looks like a service that fails, not like a crash."""
+        self.complain("defect", f"{describe(problem)} on {type(event).__name__}")
+        request = self.open.get(getattr(event, "request", -1))
+        if request is not None:
+            self._abandon(request)
+
     # Requests.
 
     def take(self, request: OpenRequest, cls: int, left: float, tenant: int, key: str | None,
@@ -97,8 +123,17 @@
         self._last_id += 1
         request.id = self._last_id
         self.open[request.id] = request
+        self.txns.add(request.txn)
+        request.timer = self._loop.call_later(left + OVERDUE_S, self._overdue, request)
         self.post(api.Request(request.id, cls, left, tenant, key, hint, retry))
 
+    def is_known(self, request: OpenRequest) -> bool:
+        """Whether its id is that of an open request, or of one that backends could not use.
+
+        Guards against answers that go to the wrong client, and against bad clients who ask the same again:
+        ids are new with every request. Harm: none to clients that keep to that."""
+        return request.txn in self.txns or request.txn in self.unusable
+
     def drop(self, request: OpenRequest) -> None:
         """A request that ends before it was taken."""
         if request.body is not None:
@@ -114,22 +149,38 @@
     def end_all(self) -> None:
         """The process ends: what is still held has failed."""
         for request in list(self.open.values()):
-            if not request.done:
-                self._finish_request(request)
-                if request.stream is None:
-                    request.client.answer(502, [], b"")
-                else:
-                    request.client.cut()
-                self.post(api.Withdrawn(request.id))
+            self._abandon(request)
+
+    def _abandon(self, request: OpenRequest) -> None:
+        """Fail a request without the module's word; it is told, and cancels what is still out."""
+        if not request.done:
+            self._finish_request(request)
+            if request.stream is None:
+                request.client.answer(502, [], b"")
+            else:
+                request.client.cut()
+            self.post(api.Withdrawn(request.id))
+
+    def _overdue(self, request: OpenRequest) -> None:
+        """Guards against any way in which a request could stay without its answer. Harm: none while the
+        module keeps its own times, which end earlier."""
+        request.timer = None
+        if not request.done:
+            self.complain("overdue request failed", request.id)
+            self._abandon(request)
 
     def _finish_request(self, request: OpenRequest) -> None:
         """The one place where a request ends. The caller gives the answer, where one is due."""
         request.done = True
+        if request.timer is not None:
+            request.timer.cancel()
+            request.timer = None
         if request.live == 0:
             self._release(request)
 
     def _release(self, request: OpenRequest) -> None:
         self.drop(request)
+        self.txns.discard(request.txn)
         self._finished.append(request)
 
     # Attempts.
@@ -145,6 +196,8 @@
             attempt.timer = None
         request = attempt.request
         request.live -= 1
+        if result == Result.UNUSABLE:
+            self._note_unusable(request)
         if request.done:
             if request.live == 0:
                 self._release(request)
@@ -163,6 +216,12 @@
         took = (attempt.first_at or self.now()) - attempt.began
         self.post(api.Outcome(request.id, attempt.number, attempt.server, result, took, request.done, report))
 
+    def _note_unusable(self, request: OpenRequest) -> None:
+        request.unusable = True
+        self.unusable[request.txn] = None
+        if len(self.unusable) > UNUSABLE_MOST:
+            del self.unusable[next(iter(self.unusable))]
+
     def begin_answer(self, attempt: Attempt, answer: Answer) -> None:
         """A large answer begins: the attempt is the client's now, and its time-out ends."""
         request = attempt.request
@@ -222,7 +281,7 @@
         request = self.open[action.request]
         if not request.done:
             self._finish_request(request)
-            request.client.answer(502, [], b"")
+            request.client.answer(400 if request.unusable else 502, [], b"", close=request.unusable)
 
     def _set_timer(self, action: api.SetTimer) -> None:
         self._loop.call_later(action.after, self.post, api.TimerFired(action.token))
--- a/spokemast/net/server.py
+++ b/spokemast/net/server.py
@@ -15,44 +15,50 @@
 
 from spokemast.interface import Effect
 from spokemast.net.backend import Answer
-from spokemast.net.limits import BODY_MOST, OVERFLOW_SOCKETS, Complaints, Limits
+from spokemast.net.limits import BODY_MOST, Complaints, Limits
 from spokemast.net.proxy import OpenRequest, Proxy
 from spokemast.settings import Deployment
 
 #: Largest head of a request; guards against endless headers.
 HEAD_MOST = 16 << 10
-#: A head may take this long from its first byte (2 s are legal); guards against clients that never finish.
-HEAD_S = 5.0
-#: A body may pause for this long, and must on the whole come at this rate in bytes a second (64,000 are
-#: legal); guards against endless uploads.
-BODY_PAUSE_S = 5.0
-BODY_RATE = 16_000
+#: A request has this long to come whole, and a new connection to send one, counted from connecting. Guards
+#: against silence, heads and bodies without end, and whatever else does not become a request: bad clients are
+#: owed an answer or a close within 3 s. Harm: a good client slower than this must ask again.
+REQUEST_S = 2.0
 #: Requests that may wait on one connection behind the one being served; guards against pipelining floods.
 PIPELINE_MOST = 16
 #: An answer that the client does not take for this long is given up.
-READ_STALL_S = 10.0
+READ_STALL_S = 5.0
 #: After the last answer a connection is ended in one direction and read for this long, so that what is
 #: still coming does not reset it before the client has read the answer.
 LINGER_S = 1.0
-#: An idle connection is closed after this.
-IDLE_S = 120.0
+#: What is read and thrown away on such a connection at most; guards against being kept busy by the rest of an
+#: upload that has been turned away.
+LINGER_MOST = 128 << 10
+#: A connection that has carried a request is closed when it has been idle for this long.
+IDLE_S = 10.0
 #: New connections taken in one go, so that those that are there get their turn.
 ACCEPT_BURST = 64
 #: Idle connections that are looked at for one to close; more would cost too much where all are in use.
 EVICT_TRIES = 8
 #: Connections that the kernel may hold for us; a burst past it would be left hanging.
 BACKLOG = 1024
+#: How long nothing is accepted after the kernel had no descriptor to give; trying on would take all the CPU.
+ACCEPT_REST_S = 0.05
 #: How often limits in time are looked at.
-SWEEP_S = 0.5
+SWEEP_S = 0.25
 #: After SIGTERM new connections go on coming for 0.4 s; they are served for this long.
 DRAIN_OPEN_S = 0.6
 #: While draining, a connection on which nothing has come for this long is idle.
 DRAIN_IDLE_S = 0.2
 #: What is held after SIGTERM gets at most the longest deadline, but SIGKILL may come 3.7 s after it.
 DRAIN_MOST_S = 3.4
+#: The last answers get this long to leave our buffers.
+FLUSH_S = 0.1
 
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 413: b"Content Too Large",
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
+    409: b"Conflict", 413: b"Content Too Large",
     431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable",
 }  # fmt: skip
 
@@ -109,7 +115,7 @@
     def __init__(self, server: Server, sock: socket.socket, overflow: bool) -> None:
         self.server, self.sock, self.overflow = server, sock, overflow
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.request: OpenRequest | None = None  # being served
         self.waiting: deque[Union[Ask, Reply]] = deque()
         self.since = time.monotonic()  # of the phase
@@ -120,6 +126,8 @@
         self.close_after = False  # the request being served is the last
         self.stream_sized = True
         self.paused = False  # reading
+        self.asked = False  # a whole request has come
+        self.discarded = 0  # bytes read after the last answer
         self._begin()
 
     def _begin(self) -> None:
@@ -140,7 +148,8 @@
         self._begin()
         if self.phase == IDLE:
             self.server.idle.pop(self, None)
-            self.since = time.monotonic()
+            if self.asked:
+                self.since = time.monotonic()
         self.phase = HEAD
 
     def on_url(self, url: bytes) -> None:
@@ -169,7 +178,6 @@
         if int(noted.get(b"content-length", b"0")) > BODY_MOST:
             raise RejectError(413, "body too large")
         self.phase = BODY
-        self.since = time.monotonic()
         if noted.get(b"expect", b"").lower() == b"100-continue" and self.request is None and not self.waiting:
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -188,9 +196,12 @@
             raise RejectError(503, "too many requests at once")
         self.waiting.append(self._read())
         self.phase = WHOLE
+        self.asked = True
+        self.server.strangers.pop(self, None)
 
     def _read(self) -> Ask | Reply:
         """The request, as the module and the backends get it."""
+        assert self.parser is not None
         method, url, noted = self.parser.get_method(), self.url, self.noted
         old = self.parser.get_http_version() != "1.1"
         close = old or not self.parser.should_keep_alive()
@@ -208,19 +219,24 @@
         cls = deployment.classes.get(noted.get(b"x-lane", b"").decode("latin-1"))
         if cls is None:
             raise RejectError(400, "no or unknown X-Lane")
-        if deployment.settings.classes[cls].effect == Effect.KEYED and not noted.get(b"idempotency-key"):
+        effect, give_up = deployment.settings.classes[cls].effect, deployment.settings.classes[cls].give_up
+        if effect == Effect.KEYED and not noted.get(b"idempotency-key"):
             raise RejectError(400, "no Idempotency-Key")  # a repeat could not be told from another request
+        if (method == b"GET") != (effect == Effect.SAFE):
+            raise RejectError(400, "the method does not fit the class")
         tenant = deployment.tenants.get(noted.get(b"x-org", b"").decode("latin-1"), 0)
         if b"x-remaining" in noted:
             match = REMAINING.fullmatch(noted[b"x-remaining"].strip())
             if match is None:
                 raise RejectError(400, "unreadable X-Remaining")
-            left = float(match[1]) * UNITS[match[2]]
+            left = min(
+                float(match[1]) * UNITS[match[2]], give_up
+            )  # a wrong one may not hold a request for long
         else:
-            left = deployment.settings.classes[cls].give_up
+            left = give_up
         key = KEY.search(noted[b"cookie"]) if b"cookie" in noted else None
         estimate = noted.get(b"x-estimate", b"")
-        request = OpenRequest(self, self._head(method), self.body)
+        request = OpenRequest(self, hash(noted[b"x-txn"]), self._head(method), self.body)
         self.body = None
         return Ask(
             request, cls, time.monotonic() + left, tenant, key[1].decode("latin-1") if key else None,
@@ -241,7 +257,11 @@
 
     def data_received(self, data: bytes) -> None:
         if self.closing:
+            self.discarded += len(data)
+            if self.discarded > LINGER_MOST:
+                self._read_on(False)
             return
+        assert self.parser is not None
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -262,7 +282,7 @@
     def _reject(self, status: int, why: str) -> None:
         """Answered in its turn; nothing after it can be read."""
         self.closing = True
-        self.server.idle.pop(self, None)
+        self.server.forget(self)
         self._release_body()
         self.waiting.append(Reply(status, why, True))
 
@@ -279,13 +299,19 @@
                 self.close_after = True
                 self._write(503, [], b"too many connections\n")
                 self._after()
+            elif self.server.proxy.is_known(item.request):
+                self.server.proxy.drop(item.request)
+                self.close_after = True
+                self._write(409, [], b"this X-Txn has been used\n")
+                self._after()
             else:
                 self.request = item.request
                 left = max(0.0, item.deadline - time.monotonic())
                 self.server.proxy.take(
                     item.request, item.cls, left, item.tenant, item.key, item.hint, item.retry
                 )
-        self._read_on(not self.waiting)
+        if not self.closing:
+            self._read_on(not self.waiting)
 
     def _read_on(self, on: bool) -> None:
         """Guards against pipelining floods: nothing is read while a whole request waits."""
@@ -299,7 +325,8 @@
 
     # Answering.
 
-    def answer(self, status: int, lines: list[bytes], body: bytes) -> None:
+    def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False) -> None:
+        self.close_after = self.close_after or close
         self._write(status, lines, body)
         self.request = None
         self._after()
@@ -352,6 +379,7 @@
         if self.close_after:
             self.closing = True
             self.phase = LINGER
+            self.server.lingering[self] = None
             while self.waiting:
                 self._drop(self.waiting.popleft())
             self._release_body()
@@ -407,6 +435,7 @@
         self._leave()
         self._uncharge()
         self.server.left(self)
+        self.parser = None  # they hold one another, and would stay until the collector comes by
 
     def _leave(self) -> None:
         self.closing = True
@@ -422,7 +451,7 @@
             self.transport.abort()
 
     def retire(self) -> bool:
-        """Close an idle connection, unless a request waits in the kernel: that one is ours already.
+        """Close a connection with no open request, unless one waits in the kernel: that is ours already.
 
         Guards against requests lost by a proxy that is short of CPU and reads late."""
         try:
@@ -430,7 +459,7 @@
         except OSError:  # nothing there, or the connection has broken
             unread = False
         if not unread:
-            self.server.idle.pop(self, None)
+            self.server.forget(self)
             self.abort()
         return not unread
 
@@ -442,12 +471,10 @@
         elif self.phase == LINGER:
             if waited > LINGER_S and not self.blocked:
                 self.abort()
-        elif self.phase == HEAD and self.request is None and waited > HEAD_S:
-            self._expire()
-        elif self.phase == BODY and self.request is None:
-            if waited > BODY_PAUSE_S + len(self.body or b"") / BODY_RATE:
+        elif self.phase in (HEAD, BODY) and self.request is None:
+            if waited > REQUEST_S:
                 self._expire()
-        elif self.phase == IDLE and waited > (HEAD_S if self.overflow else IDLE_S):
+        elif self.phase == IDLE and waited > (IDLE_S if self.asked and not self.overflow else REQUEST_S):
             self.retire()
 
     def _expire(self) -> None:
@@ -464,10 +491,14 @@
 
     def __init__(self, proxy: Proxy, deployment: Deployment, limits: Limits, complain: Complaints) -> None:
         self.proxy, self.deployment, self.complain = proxy, deployment, complain
-        self.most = limits.client_sockets
+        self.most, self.overflow_most = limits.client_sockets, limits.overflow_sockets
         self.connections: set[ClientConnection] = set()
         self.overflowing = 0
-        self.idle: dict[ClientConnection, None] = {}  # the longest idle first
+        # Those on which no request is open, the oldest first: no whole request has come, idle, answered.
+        self.strangers: dict[ClientConnection, None] = {}
+        self.idle: dict[ClientConnection, None] = {}
+        self.lingering: dict[ClientConnection, None] = {}
+        self._starting: set[asyncio.Task[None]] = set()
         self.draining = False
         self._loop = asyncio.get_running_loop()
         self._sock: socket.socket | None = None
@@ -499,10 +530,21 @@
             except OSError as problem:
                 self.complain("accept", problem)
                 self._evict()
+                self._rest()
                 return True
             self._admit(sock)
         return True
 
+    def _rest(self) -> None:
+        """Guards against a listener that is always readable while there is no descriptor for what waits."""
+        if self._sock is not None and not self.draining:
+            self._loop.remove_reader(self._sock)
+            self._loop.call_later(ACCEPT_REST_S, self._resume)
+
+    def _resume(self) -> None:
+        if self._sock is not None and not self.draining:
+            self._loop.add_reader(self._sock, self._accept)
+
     def _admit(self, sock: socket.socket) -> None:
         """Past the limit idle connections make room; else the request is answered 503.
 
@@ -511,14 +553,16 @@
         if len(self.connections) + self._opening - self.overflowing >= self.most and not self._evict():
             overflow = True
             self.complain("too many connections", len(self.connections))
-            if self.overflowing >= OVERFLOW_SOCKETS:
+            if self.overflowing >= self.overflow_most:
                 self._turn_away(sock)
                 return
             self.overflowing += 1
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._opening += 1
-        self._loop.create_task(self._start(sock, overflow))
+        task = self._loop.create_task(self._start(sock, overflow))
+        self._starting.add(task)  # the loop alone would not keep it
+        task.add_done_callback(self._starting.discard)
 
     async def _start(self, sock: socket.socket, overflow: bool) -> None:
         try:
@@ -538,22 +582,29 @@
                 sock.send(TURNED_AWAY)
 
     def _evict(self) -> bool:
-        """Close the connection that has been idle for longest."""
-        for connection in list(islice(self.idle, EVICT_TRIES)):
-            if connection.retire():
-                self.connections.discard(connection)
-                return True
+        """Close a connection on which no request is open: one that never sent any first, so that those who
+        connect and say nothing cost the others nothing; then the one that has been idle for longest."""
+        for pool in (self.strangers, self.idle, self.lingering):
+            for connection in list(islice(pool, EVICT_TRIES)):
+                if connection.retire():
+                    self.connections.discard(connection)
+                    return True
         return False
 
     def joined(self, connection: ClientConnection) -> None:
         self._opening -= 1
         self.connections.add(connection)
         if not connection.overflow:  # closing those makes no room
-            self.idle[connection] = None
+            self.strangers[connection] = None
+
+    def forget(self, connection: ClientConnection) -> None:
+        """It is not to be closed to make room."""
+        for pool in (self.strangers, self.idle, self.lingering):
+            pool.pop(connection, None)
 
     def left(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
-        self.idle.pop(connection, None)
+        self.forget(connection)
         self.overflowing -= connection.overflow
 
     def _sweep(self) -> None:
@@ -579,7 +630,9 @@
         while (self._opening or self._busy()) and time.monotonic() < end:
             await asyncio.sleep(0.01)
         self.proxy.end_all()
-        while any(c.blocked for c in self.connections) and time.monotonic() < end:
+        # Guards against answers that are still in our buffers when the process ends: their clients close once
+        # they have read them.
+        while any(c.phase == LINGER for c in self.connections) and time.monotonic() < end + FLUSH_S:
             await asyncio.sleep(0.01)
         self.stop()
 
