--- a/spokemast/net/limits.py
+++ b/spokemast/net/limits.py
@@ -53,12 +53,6 @@
         self.held += count
         return True
 
-    def take(self, count: int) -> bool:
-        if self.held + count > self.most:
-            return False
-        self.held += count
-        return True
-
     def give(self, count: int) -> None:
         self.held -= count
 
--- a/spokemast/net/proxy.py
+++ b/spokemast/net/proxy.py
@@ -30,17 +30,12 @@
     """What a request needs of the connection that it came on."""
 
     def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False) -> None: ...
-    def begin(self, answer: Answer) -> None: ...
-    def pass_on(self, data: bytes) -> None: ...
-    def end(self) -> None: ...
-    def cut(self) -> None: ...
 
 
 class OpenRequest:
     """A request that has been taken, until it is answered and all its attempts have ended."""
 
-    __slots__ = ("id", "client", "txn", "head", "body", "attempts", "live", "done", "unusable", "timer",
-                 "stream", "paused")  # fmt: skip
+    __slots__ = ("id", "client", "txn", "head", "body", "attempts", "live", "done", "unusable", "timer")
 
     def __init__(self, client: Client, txn: int, head: bytes, body: bytearray | None) -> None:
         self.id = 0
@@ -52,8 +47,6 @@
         self.attempts: list[Attempt] = []
         self.live = 0  # attempts that have not ended
         self.done = False
-        self.stream: Attempt | None = None  # whose answer is being passed on
-        self.paused = False  # the client does not take the answer as fast as it comes
 
 
 class Proxy:
@@ -155,10 +148,7 @@
         """Fail a request without the module's word; it is told, and cancels what is still out."""
         if not request.done:
             self._finish_request(request)
-            if request.stream is None:
-                request.client.answer(502, [], b"")
-            else:
-                request.client.cut()
+            request.client.answer(502, [], b"")
             self.post(api.Withdrawn(request.id))
 
     def _overdue(self, request: OpenRequest) -> None:
@@ -201,19 +191,11 @@
         if request.done:
             if request.live == 0:
                 self._release(request)
-        elif attempt.streaming:  # begun, so it can only end served or cut
-            self._finish_request(request)
-            if result == Result.SERVED:
-                request.client.end()
-            else:
-                request.client.cut()
         elif result == Result.SERVED:
             assert answer is not None
             self._finish_request(request)
             request.client.answer(200, answer.lines, answer.body)
-        # The time of a large answer is that of its first bytes: how fast a client takes the rest says
-        # nothing of the backend, and slow readers must not look like an overloaded fleet.
-        took = (attempt.first_at or self.now()) - attempt.began
+        took = self.now() - attempt.began
         self.post(api.Outcome(request.id, attempt.number, attempt.server, result, took, request.done, report))
 
     def _note_unusable(self, request: OpenRequest) -> None:
@@ -222,27 +204,6 @@
         if len(self.unusable) > UNUSABLE_MOST:
             del self.unusable[next(iter(self.unusable))]
 
-    def begin_answer(self, attempt: Attempt, answer: Answer) -> None:
-        """A large answer begins: the attempt is the client's now, and its time-out ends."""
-        request = attempt.request
-        if request.done:
-            attempt.drop()
-            self.finish_attempt(attempt, Result.CANCELLED)
-            return
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-            attempt.timer = None
-        attempt.streaming = True
-        attempt.first_at = self.now()
-        request.stream = attempt
-        request.client.begin(answer)
-        took = attempt.first_at - attempt.began
-        self.post(api.FirstByte(request.id, attempt.number, attempt.server, took))
-
-    def pass_on(self, attempt: Attempt, data: bytes) -> None:
-        if not attempt.request.done:
-            attempt.request.client.pass_on(data)
-
     # Actions.
 
     def _send(self, action: api.Send) -> None:
@@ -250,7 +211,7 @@
         attempt = Attempt(request, len(request.attempts), action.server, self.now(), action.timeout)
         request.attempts.append(attempt)
         request.live += 1
-        if request.done or request.stream is not None:
+        if request.done:
             self.finish_attempt(attempt, Result.NOT_SENT)
             return
         attempt.timer = self._loop.call_later(action.timeout, self._timed_out, attempt)
@@ -266,7 +227,7 @@
         if request is None:  # all its attempts have ended
             return
         attempt = request.attempts[action.attempt]
-        if not attempt.ended and not (attempt.streaming and not request.done):
+        if not attempt.ended:
             attempt.drop()
             self.finish_attempt(attempt, Result.CANCELLED)
 
