Refuse first what can only be late, and tell a time-out before sending apart

Cause: clients that were refused ask again after their aim; Pending took such a try for a fresh one, and answers that earn nothing took a quarter of the work.

Now the time left tells a later try from a first one, and it goes before all classes while there is too much work. So first tries are the most common kind, and no more are taken for later ones than were lately left unserved.

Also: an attempt that times out before it is written never ran; idle connections of a backend that nothing is heard of are closed; few proxies ask for the list again sooner; a request has 2.5 s, as slow ones are legal for 2 s.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -51,14 +51,22 @@
 SECOND_LOOK = 0.5  # share of the useful time after which silence earns a second attempt
 
 # Refusing.
-LATE_FROM = 0.7  # an attempt that takes more of the aim than this speaks for too much work on the fleet
-LATE_SHARE = 0.25  # share of those that is put up with: more than sick servers alone can cause
+LATE_FROM = 0.6  # an attempt that takes more of the aim than this speaks for too much work on the fleet
+LATE_SHARE = 0.18  # share of those that is put up with: more than sick servers alone can cause
 SHED_S = 1.0  # seconds in which a proxy whose attempts all take too long comes to refuse a class
+PATIENCE_NEAR = 0.03  # times left that differ by less than this share are of the same kind of try
+PATIENCE_KINDS = 8  # first tries, second ones after a refusal, after a time-out, the last
+PATIENCE_KEEP = 0.995  # some two hundred requests tell which kind is the most common
+LATER_AGAIN = 0.5  # of those who tried in vain before, so many try once more
+PATIENCE_LEAST = 20.0  # requests before anything is said
 SHED_MOST = 0.95  # a class is never refused whole: without its traffic nothing would tell of room
 
 # Following the list.
 ASK_SPREAD_S = 0.5  # a first call comes at a random moment within this
 ASK_AGAIN_S = (0.5, 8.0)  # wait after a failed call, doubling from the first to the last
+ASK_AGAIN_EACH_S = (
+    0.25  # the last is this for each proxy at most: a few may ask often, many would ask in vain
+)
 LIST_TOKEN = 0  # timers: 0 asks for the list, a request's id + 1 looks at that request
 
 
@@ -119,15 +127,54 @@
         self.server, self.sent, self.open, self.may_have_run = server, sent, True, True
 
 
+class Patience:
+    """The times left that requests of a class come with, in kinds; the most common are first tries.
+
+    Every later try follows an earlier one, so none of its kinds is as common. The longest will not do: where
+    clients end their tries early, the last one may come with more time left than the first."""
+
+    __slots__ = ("kinds", "unanswered", "at")
+
+    def __init__(self) -> None:
+        self.kinds: list[list[float]] = []  # time left, and how often of late
+        self.unanswered = self.at = 0.0  # fading count of tries left unserved, which clients may repeat
+
+    def left_unserved(self, late: bool) -> None:
+        self.unanswered += LATER_AGAIN if late else 1.0
+
+    def is_usual(self, left: float, now: float) -> bool:
+        """Take note of a request; whether it looks like a first try, or nothing can be said yet."""
+        self.unanswered *= math.exp((self.at - now) / RATE_S)
+        self.at = now
+        mine = None
+        for kind in self.kinds:
+            kind[1] *= PATIENCE_KEEP
+            if mine is None and abs(kind[0] - left) <= PATIENCE_NEAR * kind[0]:
+                mine = kind
+        if mine is None:
+            mine = [left, 0.0]
+            if len(self.kinds) >= PATIENCE_KINDS:
+                self.kinds.remove(min(self.kinds, key=lambda kind: kind[1]))
+            self.kinds.append(mine)
+        mine[0] += (left - mine[0]) / 16
+        mine[1] += 1.0
+        most = max(self.kinds, key=lambda kind: kind[1])
+        return mine is most or most[1] < PATIENCE_LEAST
+
+
 class Pending:
     """A request that is owed its final answer."""
 
-    __slots__ = ("id", "cls", "number", "deadline", "useful", "began", "aim", "attempts", "streaming")
+    __slots__ = ("id", "cls", "number", "deadline", "useful", "began", "aim", "late", "attempts", "streaming")
 
-    def __init__(self, event: Request, cls: RequestClass, now: float, slack: float, loaded: bool) -> None:
+    def __init__(self, event: Request, cls: RequestClass, now: float, waited: float, usual: float,
+                 slack: float, loaded: bool) -> None:  # fmt: skip
         self.id, self.cls, self.number, self.began = event.request, cls, event.cls, now
         self.deadline = now + max(0.0, event.left)
-        self.aim = min(now + cls.aim + cls.aim_stretch * (event.hint or 0.0), self.deadline)
+        aim = cls.aim + cls.aim_stretch * (event.hint or 0.0)
+        self.aim = min(now + aim, self.deadline)
+        # Its aim passes, or has passed, before an answer comes, and then it earns nothing.
+        self.late = waited > 0 and waited + usual > aim and cls.late_share == 0
         # An answer that earns nothing past its aim is not waited for; ended before it, it is no late failure.
         # Nor is one that earns little while work waits: queues of late answers would make all others late.
         late_pays = cls.late_share > 0 and not loaded
@@ -158,6 +205,7 @@
         self.shed_level = 0.0
         self.shed_logged = -math.inf
         self.usual = [0.0] * len(settings.classes)  # time an answer takes, the median of late
+        self.patience = [Patience() for _ in settings.classes]
         self.silence = math.inf
         self.tenant_room = [0.0] * len(settings.tenants)
         self.tenant_at = [0.0] * len(settings.tenants)
@@ -181,14 +229,31 @@
 
     def _on_request(self, event: Request) -> None:
         cls = self.settings.classes[event.cls]
-        pending = Pending(event, cls, self.now, self.rules.answer_slack, self.shed_level > 0)
+        waited, loaded = self._waited(event, cls), self.shed_level > 0
+        usual = self.usual[event.cls]
+        pending = Pending(event, cls, self.now, waited, usual, self.rules.answer_slack, loaded)
         self.requests[event.request] = pending
         self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_RATIO)
-        if self._sheds(event, cls) or not self._try(pending):
+        if self._sheds(event, cls, pending.late) or not self._try(pending):
             self._give_up(pending)
         elif cls.effect != Effect.UNSAFE and self.limits.max_attempts > 1:
             self.actions.append(SetTimer(event.request + 1, SECOND_LOOK * (pending.useful - self.now)))
 
+    def _waited(self, event: Request, cls: RequestClass) -> float:
+        """How long the client has waited through earlier tries, as far as its time left tells.
+
+        Protects against work for answers that come too late to be of worth: a client that was refused asks
+        again after its aim, and where many do, serving those makes the others late as well. It should also
+        catch clients that queue before they ask. Harm: a client with less patience than the others of its
+        class looks as if it had waited; while there is too much work, it is refused first. Therefore no more
+        are taken for later tries than have lately been left unserved."""
+        left = min(max(0.0, event.left), cls.give_up)
+        patience = self.patience[event.cls]
+        if patience.is_usual(left, self.now) or patience.unanswered < 1:
+            return 0.0
+        patience.unanswered -= 1
+        return cls.give_up - left
+
     def _on_timer(self, event: TimerFired) -> None:
         if event.token == LIST_TOKEN:
             self.actions.append(Watch(True))
@@ -267,6 +332,7 @@
 
     def _give_up(self, pending: Pending) -> None:
         """The final answer where there is none to be had: a refusal if it is known to be harmless."""
+        self.patience[pending.number].left_unserved(pending.late)
         if self._may_refuse(pending):
             self.actions.append(Refuse(pending.id))
             self._end(pending)
@@ -452,13 +518,15 @@
 
     # Refusing.
 
-    def _sheds(self, event: Request, cls: RequestClass) -> bool:
-        """Refuse what earns least for its work first, and more the more attempts take too long."""
+    def _sheds(self, event: Request, cls: RequestClass, late: bool) -> bool:
+        """Refuse what earns least for its work first, and more the more attempts take too long.
+
+        What can only be late earns nothing, so it goes before all classes."""
         over = bool(self.settings.tenants) and self._over_share(event.tenant)
         if self.shed_level > 0:
             values = self._values()
             mine = values[event.cls] * (self.settings.over_share_worth if over else 1.0)
-            rank = sum(value < mine for value in values)
+            rank = -1 if late else sum(value < mine for value in values)
             if self.random.random() < min(SHED_MOST, self.shed_level - (rank - over)):
                 return True
         if self.settings.tenants:
@@ -503,7 +571,9 @@
 
     def _on_list(self, event: ServerList) -> None:
         if event.failed:  # back off, each proxy at its own moment
-            wait = min(ASK_AGAIN_S[1], ASK_AGAIN_S[0] * 2.0**self.failed_calls)
+            first, last = ASK_AGAIN_S
+            last = min(last, max(first, ASK_AGAIN_EACH_S * self.settings.n_instances))
+            wait = min(last, first * 2.0 ** min(self.failed_calls, 8))
             self.failed_calls += 1
             self.actions.append(SetTimer(LIST_TOKEN, wait * (0.5 + self.random.random())))
             return
--- a/spokemast/net/backend.py
+++ b/spokemast/net/backend.py
@@ -83,6 +83,10 @@
         self.opening: asyncio.Task[None] | None = None
         self.ended = False
 
+    def is_written(self) -> bool:
+        """Whether the last byte of the request has left, so that it may have run."""
+        return self.connection is not None and not self.connection.unsent
+
     def drop(self) -> None:
         """Stop waiting: the connection is closed, which also tells the backend."""
         if self.opening is not None:
@@ -230,6 +234,7 @@
             self.drop()
             return
         self.received += len(data)
+        self.backend.heard = time.monotonic()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -331,7 +336,7 @@
 class Backend:
     """One backend's address and connections."""
 
-    __slots__ = ("life", "idle", "wanted", "gone", "open")
+    __slots__ = ("life", "idle", "wanted", "gone", "open", "heard")
 
     def __init__(self, life: Life) -> None:
         self.life = life
@@ -339,6 +344,7 @@
         self.wanted = True  # listed as serving
         self.gone = False
         self.open = 0
+        self.heard = 0.0  # when any of its connections last had something to read
 
 
 class Backends:
@@ -454,6 +460,16 @@
         while backend is not None and backend.idle:
             backend.idle[-1].drop()
 
+    def suspect(self, attempt: Attempt) -> None:
+        """Close a backend's idle connections after a time-out in which nothing at all was heard of it.
+
+        Guards against connections that stay open while nobody is at their other end any more (a machine that
+        vanished, a path that forgot them): each would cost one more request its time. It should also catch a
+        backend that hangs and comes back. Harm: new connections to one that was merely slow for that long."""
+        backend = self.table.get(attempt.server)
+        if backend is not None and backend.heard < time.monotonic() - attempt.timeout:
+            self.close_idle(attempt.server)
+
     def _close_one_idle(self) -> bool:
         idle = [b.idle[0] for b in self.table.values() if b.idle]
         if idle:
--- a/spokemast/net/proxy.py
+++ b/spokemast/net/proxy.py
@@ -219,8 +219,12 @@
 
     def _timed_out(self, attempt: Attempt) -> None:
         attempt.timer = None
+        written = attempt.is_written()
         attempt.drop()
-        self.finish_attempt(attempt, Result.TIMEOUT)
+        if written:
+            self.backends.suspect(attempt)
+        # What has not left whole has not run, and says more of the way to the backend than of its load.
+        self.finish_attempt(attempt, Result.TIMEOUT if written else Result.NO_CONNECTION)
 
     def _cancel(self, action: api.Cancel) -> None:
         request = self.open.get(action.request)
--- a/spokemast/net/server.py
+++ b/spokemast/net/server.py
@@ -23,7 +23,7 @@
 #: A request has this long to come whole, and a new connection to send one, counted from connecting. Guards
 #: against silence, heads and bodies without end, and whatever else does not become a request: bad clients are
 #: owed an answer or a close within 3 s. Harm: a good client slower than this must ask again.
-REQUEST_S = 2.0
+REQUEST_S = 2.5
 #: Requests that may wait on one connection behind the one being served; guards against pipelining floods.
 PIPELINE_MOST = 16
 #: An answer that the client does not take for this long is given up.
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -445,3 +445,47 @@
             assert backends.table["odd"].open == 0
 
     play(scene)
+
+
+def test_a_time_out_while_connecting_never_ran() -> None:
+    """The backend's queue of connections is full, so a new one never comes up."""
+
+    async def scene() -> None:
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        async with world(ScriptedBackend("s", silent)) as here:
+            here.proxy.backends.listed("s", (address, 0.0), True)
+            client = await here.connect()
+            assert (await client.ask(request("unsafe", None, "60m")))[0] == 503
+            assert {o.result for o in await here.proxy.until_outcomes(1)} == {Result.NO_CONNECTION}
+        for sock in [listener, *fillers]:
+            sock.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("heard", [False, True])
+def test_idle_connections_of_a_backend_that_has_gone_silent_are_closed(heard: bool) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(OK))
+        async with world(backend) as here:
+            first, second = await here.connect(), await here.connect()
+            assert (await first.ask(request()))[0] == 200
+            backend.scripts = [silent, answering(OK)]
+            await first.send(request("unsafe", None, "400m"))
+            await backend.until_called(2)
+            assert (await second.ask(request()))[0] == 200
+            state = here.proxy.backends.table["s"]
+            if not heard:
+                state.heard -= 60.0
+            assert len(state.idle) == 1
+            assert (await first.read())[0] == 502
+            assert len(state.idle) == heard
+
+    play(scene)
