--- a/spokemast/net/backend.py
+++ b/spokemast/net/backend.py
@@ -73,7 +73,8 @@
 class Attempt:
     """One Send, from when the module asked for it to its one Outcome."""
 
-    __slots__ = ("request", "number", "server", "began", "timeout", "timer", "connection", "opening", "ended")
+    __slots__ = ("request", "number", "server", "began", "timeout", "timer", "connection", "opening", "ended",
+                 "written_at")  # fmt: skip
 
     def __init__(self, request: OpenRequest, number: int, server: str, began: float, timeout: float) -> None:
         self.request, self.number, self.server = request, number, server
@@ -82,6 +83,7 @@
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None
         self.ended = False
+        self.written_at = 0.0  # monotonic
 
     def is_written(self) -> bool:
         """Whether the last byte of the request has left, so that it may have run."""
@@ -162,6 +164,7 @@
     def start(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.attempt = attempt
+        attempt.written_at = time.monotonic()
         attempt.connection = self
         request = attempt.request
         data = b"%bX-Remaining: %dm\r\n\r\n" % (request.head, max(1, round(attempt.timeout * 1000)))
@@ -467,7 +470,7 @@
         vanished, a path that forgot them): each would cost one more request its time. It should also catch a
         backend that hangs and comes back. Harm: new connections to one that was merely slow for that long."""
         backend = self.table.get(attempt.server)
-        if backend is not None and backend.heard < time.monotonic() - attempt.timeout:
+        if backend is not None and backend.heard < attempt.written_at:
             self.close_idle(attempt.server)
 
     def _close_one_idle(self) -> bool:
