--- a/spokemast/__main__.py
+++ b/spokemast/__main__.py
@@ -12,10 +12,10 @@
 import orjson
 import uvloop
 
-from spokemast.net.discovery import Discovery
-from spokemast.net.limits import Complaints, Limits, describe
-from spokemast.net.proxy import Proxy
-from spokemast.net.server import Server
+from spokemast.members.watch import Discovery
+from spokemast.limits import Complaints, Limits, describe
+from spokemast.core.proxy import Proxy
+from spokemast.fronts.http1 import Server
 from spokemast.settings import Deployment, read_deployment
 
 #: New objects between two collections. What the proxy drops has no cycles, so few are needed, and each
--- /dev/null
+++ b/spokemast/core/__init__.py
@@ -0,0 +1,1 @@
+"""Open requests, attempts and pools: where a request and an attempt end; the only caller of the module."""
--- a/spokemast/net/proxy.py
+++ b/spokemast/core/proxy.py
@@ -14,9 +14,9 @@
 from spokemast import interface as api
 from spokemast.choice import Balancer
 from spokemast.interface import Result
-from spokemast.net.backend import Answer, Attempt, Backends
-from spokemast.net.discovery import Discovery, Entry
-from spokemast.net.limits import Budget, Complaints, Limits, describe
+from spokemast.upstreams.http1 import Answer, Attempt, Backends
+from spokemast.members.watch import Discovery, Entry
+from spokemast.limits import Budget, Complaints, Limits, describe
 from spokemast.settings import Deployment
 
 
--- /dev/null
+++ b/spokemast/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners and admission; one file a protocol that clients speak."""
--- a/spokemast/net/server.py
+++ b/spokemast/fronts/http1.py
@@ -14,8 +14,8 @@
 import httptools
 
 from spokemast.interface import Effect
-from spokemast.net.limits import BODY_MOST, Complaints, Limits
-from spokemast.net.proxy import OpenRequest, Proxy
+from spokemast.limits import BODY_MOST, Complaints, Limits
+from spokemast.core.proxy import OpenRequest, Proxy
 from spokemast.settings import Deployment
 
 #: Largest head of a request; guards against endless headers.
--- /dev/null
+++ b/spokemast/members/__init__.py
@@ -0,0 +1,1 @@
+"""Where lists of members come from."""
--- a/spokemast/net/discovery.py
+++ b/spokemast/members/watch.py
@@ -12,11 +12,11 @@
 import orjson
 
 from spokemast.interface import ServerEntry, ServerState
-from spokemast.net.limits import Complaints
+from spokemast.limits import Complaints
 from spokemast.settings import Deployment
 
 if TYPE_CHECKING:
-    from spokemast.net.proxy import Proxy
+    from spokemast.core.proxy import Proxy
 
 #: An entry for the module, and where the backend listens.
 Entry = tuple[ServerEntry, tuple[str, int]]
--- /dev/null
+++ b/spokemast/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to members; one file a protocol that members speak."""
--- a/spokemast/net/backend.py
+++ b/spokemast/upstreams/http1.py
@@ -13,11 +13,11 @@
 import orjson
 
 from spokemast.interface import Result
-from spokemast.net.limits import BODY_MOST, Budget, Complaints
+from spokemast.limits import BODY_MOST, Budget, Complaints
 from spokemast.settings import Deployment
 
 if TYPE_CHECKING:
-    from spokemast.net.proxy import OpenRequest, Proxy
+    from spokemast.core.proxy import OpenRequest, Proxy
 
 #: What may come for one request, head, interim answers and framing of chunks with it. Guards the memory and
 #: the CPU against anything that keeps coming, whatever it says of itself.
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -15,10 +15,10 @@
 import uvloop
 
 from spokemast.interface import Event, Outcome
-from spokemast.net.discovery import Discovery
-from spokemast.net.limits import Complaints, Limits
-from spokemast.net.proxy import Proxy
-from spokemast.net.server import Server
+from spokemast.members.watch import Discovery
+from spokemast.limits import Complaints, Limits
+from spokemast.core.proxy import Proxy
+from spokemast.fronts.http1 import Server
 from spokemast.settings import read_deployment
 
 #: Time for anything that should happen; only a failing test waits for so long.
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,8 +10,8 @@
 
 from peers import OK, Call, Script, ScriptedBackend, answering, play, request, resetting, silent, world
 from spokemast.interface import Result
-from spokemast.net import backend as backend_module
-from spokemast.net.proxy import OpenRequest
+from spokemast.upstreams import http1 as backend_module
+from spokemast.core.proxy import OpenRequest
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -9,8 +9,8 @@
 
 from peers import OK, Call, Client, ScriptedBackend, answering, play, request, resetting, silent, world
 from spokemast.interface import Result, Withdrawn
-from spokemast.net import backend as backend_module
-from spokemast.net import server as server_module
+from spokemast.upstreams import http1 as backend_module
+from spokemast.fronts import http1 as server_module
 
 BAD: dict[str, tuple[bytes, int]] = {
     "not HTTP": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 
 from peers import OK, SETTINGS, ScriptedBackend, World, answering, play, request, world
 from spokemast.interface import ServerList, ServerState
-from spokemast.net import discovery as discovery_module
+from spokemast.members import watch as discovery_module
 
 ASKED = {**SETTINGS, "registry-mode": "subscribe"}
 
