--- a/spokemast/__main__.py
+++ b/spokemast/__main__.py
@@ -12,10 +12,12 @@
 import orjson
 import uvloop
 
-from spokemast.members.watch import Discovery
-from spokemast.limits import Complaints, Limits, describe
 from spokemast.core.proxy import Proxy
-from spokemast.fronts.http1 import Server
+from spokemast.fronts.http1 import ClientConnection
+from spokemast.fronts.listener import Listener, drain
+from spokemast.fronts.platform import PlatformReader
+from spokemast.limits import Complaints, Limits, describe
+from spokemast.members.watch import Discovery
 from spokemast.settings import Deployment, read_deployment
 
 #: New objects between two collections. What the proxy drops has no cycles, so few are needed, and each
@@ -98,8 +100,9 @@
     deployment, limits = configuration.deployment, configuration.limits
     proxy = Proxy(deployment, configuration.seed, limits, complain)
     discovery = Discovery(proxy, deployment, configuration.discovery, complain)
-    proxy.discovery = discovery
-    server = Server(proxy, deployment, limits, complain)
+    proxy.source = discovery
+    slots = limits.client_sockets, limits.overflow_sockets
+    listener = Listener(PlatformReader(proxy, deployment), slots, complain, ClientConnection)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: complain("defect", _describe(context)))
@@ -107,13 +110,13 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, Reloader(path, configuration, discovery, complain))
     discovery.start(configuration.known)
-    host, port = server.listen(configuration.listen)
+    host, port = listener.listen(configuration.listen)
     sys.stderr.write(f"spokemast: listening on {host}:{port}, limits {configuration.told}\n")
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_OBJECTS)
     await stopping.wait()
-    await server.drain()
+    await drain([listener], max(c.give_up for c in deployment.settings.classes))
 
 
 def _stop(reason: str) -> NoReturn:
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -9,39 +9,52 @@
 import asyncio
 import time
 from collections import deque
-from typing import Any, Callable, Mapping, Protocol
+from functools import partial
+from typing import Any, Callable, Mapping, Protocol, cast
 
 from spokemast import interface as api
 from spokemast.choice import Balancer
 from spokemast.interface import Result
-from spokemast.upstreams.http1 import Answer, Attempt, Backends
-from spokemast.members.watch import Discovery, Entry
-from spokemast.limits import Budget, Complaints, Limits, describe
+from spokemast.members.lists import Entry, Source
+from spokemast.limits import Budget, Complaints, Share, describe
 from spokemast.settings import Deployment
+from spokemast.upstreams.connections import Answer, Attempt, Backends, Connect
+from spokemast.upstreams.http1 import Connection
 
 
 #: A request that the module has not answered this long after its client's time is up is failed here.
 OVERDUE_S = 0.03
 #: Ids of requests that backends could not use are kept, the latest ones.
 UNUSABLE_MOST = 2000
+#: How often limits in time are looked at.
+SWEEP_S = 0.25
+#: Statuses that tell a client that trying again is harmless.
+REFUSALS = frozenset((429, 503))
 
 
 class Client(Protocol):
     """What a request needs of the connection that it came on."""
 
-    def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False) -> None: ...
+    def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False,
+               length: int | None = None, reason: bytes = b"") -> None: ...  # fmt: skip
 
 
 class OpenRequest:
     """A request that has been taken, until it is answered and all its attempts have ended."""
 
-    __slots__ = ("id", "client", "txn", "head", "body", "attempts", "live", "done", "unusable", "timer")
+    __slots__ = ("id", "client", "txn", "head", "body", "attempts", "live", "done", "unusable", "timer",
+                 "owner", "bodiless", "timed_out", "error")  # fmt: skip
 
-    def __init__(self, client: Client, txn: int, head: bytes, body: bytearray | None) -> None:
+    def __init__(self, client: Client, txn: int, head: bytes, body: bytearray | None,
+                 bodiless: bool = False) -> None:  # fmt: skip
         self.id = 0
+        self.owner: Proxy  # who has taken it
+        self.bodiless = bodiless  # asks for a head alone
         self.client = client
         self.txn = txn  # a hash of its X-Txn: of one size, whatever clients send
         self.unusable = False  # so says a backend
+        self.timed_out = False  # its last attempt has
+        self.error: Answer | None = None  # the last that a backend made of its failure
         self.timer: asyncio.TimerHandle | None = None
         self.head, self.body = head, body  # as a backend gets them, all but X-Remaining
         self.attempts: list[Attempt] = []
@@ -49,18 +62,62 @@
         self.done = False
 
 
-class Proxy:
-    """Open requests, their attempts and timers; the only caller of the module."""
+class Ids:
+    """Ids that clients gave to requests: of what is open, and of what backends could not use.
+
+    Guards against answers that go to the wrong client, and against bad clients who ask the same again:
+    ids are new with every request. Harm: none to clients that keep to that. 0 is no id."""
+
+    def __init__(self) -> None:
+        self.open: set[int] = set()
+        self.unusable: dict[int, None] = {}  # the oldest first
+
+    def is_known(self, txn: int) -> bool:
+        return txn in self.open or txn in self.unusable
+
+    def opened(self, txn: int) -> None:
+        if txn:
+            self.open.add(txn)
+
+    def ended(self, txn: int) -> None:
+        self.open.discard(txn)
+
+    def found_unusable(self, txn: int) -> None:
+        if txn:
+            self.unusable[txn] = None
+        if len(self.unusable) > UNUSABLE_MOST:
+            del self.unusable[next(iter(self.unusable))]
+
 
-    def __init__(self, deployment: Deployment, seed: int, limits: Limits, complain: Complaints) -> None:
+class Proxy:
+    """One pool's open requests, their attempts and timers; the only caller of the module."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        limits: Share,
+        complain: Complaints,
+        connect: Connect | None = None,
+        ids: Ids | None = None,
+        timeout_status: int = 502,
+    ) -> None:
+        """`connect` makes connections to members, in the platform's dialect if it is not given. `ids` is
+        shared by all pools whose requests bear ids of clients. `timeout_status` is what a client hears of a
+        request that failed because its last attempt took too long."""
         self.balancer = Balancer(deployment.settings, seed)
         self.complain = complain
         self.budget = Budget(limits.buffered)
-        self.backends = Backends(self, self.budget, complain, limits.backend_sockets, deployment)
-        self.discovery: Discovery | None = None
+        self.timeout_status = timeout_status
+        self.open_most = limits.open_most
+        make = connect or partial(Connection, report_fields=deployment.settings.report_fields)
+        self.backends = Backends(
+            self, self.budget, complain, limits.backend_sockets, make,
+            deployment.settings.limits.connect_timeout, deployment.idle_close,
+        )  # fmt: skip
+        self.source: Source | None = None  # of the list of members
         self.open: dict[int, OpenRequest] = {}
-        self.txns: set[int] = set()  # of what is open
-        self.unusable: dict[int, None] = {}  # the oldest first
+        self.ids = ids or Ids()
         self.listed: set[str] = set()
         self._last_id = 0
         self._events: deque[api.Event] = deque()
@@ -68,6 +125,7 @@
         self._finished: list[OpenRequest] = []
         self._epoch = time.time() - time.monotonic()
         self._loop = asyncio.get_running_loop()
+        self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
         self._carry: dict[type, Callable[[Any], None]] = {
             api.Send: self._send, api.SetTimer: self._set_timer, api.Refuse: self._refuse,
             api.Fail: self._fail, api.Cancel: self._cancel, api.Watch: self._watch,
@@ -112,20 +170,26 @@
     # Requests.
 
     def take(self, request: OpenRequest, cls: int, left: float, tenant: int, key: str | None,
-             hint: float | None, retry: bool) -> None:  # fmt: skip
+             hint: float | None, retry: bool, member: str | None = None) -> None:  # fmt: skip
+        """`left`: seconds until the client gives up. `member`: where a sticky session wants it to go."""
         self._last_id += 1
         request.id = self._last_id
+        request.owner = self
         self.open[request.id] = request
-        self.txns.add(request.txn)
+        self.ids.opened(request.txn)
         request.timer = self._loop.call_later(left + OVERDUE_S, self._overdue, request)
-        self.post(api.Request(request.id, cls, left, tenant, key, hint, retry))
+        self.post(api.Request(request.id, cls, left, tenant, key, hint, retry, False, member))
 
-    def is_known(self, request: OpenRequest) -> bool:
-        """Whether its id is that of an open request, or of one that backends could not use.
+    def has_room(self) -> bool:
+        """Whether one more request may be open.
 
-        Guards against answers that go to the wrong client, and against bad clients who ask the same again:
-        ids are new with every request. Harm: none to clients that keep to that."""
-        return request.txn in self.txns or request.txn in self.unusable
+        Guards against a pool that hangs: without a bound its requests would come to hold every connection
+        that clients may have, and with them the other pools. Harm: a burst is turned away that would have
+        passed."""
+        return len(self.open) < self.open_most
+
+    def is_known(self, request: OpenRequest) -> bool:
+        return self.ids.is_known(request.txn)
 
     def drop(self, request: OpenRequest) -> None:
         """A request that ends before it was taken."""
@@ -170,7 +234,10 @@
 
     def _release(self, request: OpenRequest) -> None:
         self.drop(request)
-        self.txns.discard(request.txn)
+        if request.error is not None:
+            self.budget.give(len(request.error.body))
+            request.error = None
+        self.ids.ended(request.txn)
         self._finished.append(request)
 
     # Attempts.
@@ -184,25 +251,34 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
             attempt.timer = None
-        request = attempt.request
+        request = cast(OpenRequest, attempt.request)
         request.live -= 1
+        request.timed_out = result == Result.TIMEOUT
         if result == Result.UNUSABLE:
-            self._note_unusable(request)
+            request.unusable = True
+            self.ids.found_unusable(request.txn)
+        elif result == Result.ERROR and answer is not None and not request.done:
+            self._keep_error(request, answer)
         if request.done:
             if request.live == 0:
                 self._release(request)
         elif result == Result.SERVED:
             assert answer is not None
             self._finish_request(request)
-            request.client.answer(200, answer.lines, answer.body)
+            request.client.answer(
+                answer.status, answer.lines, answer.body, False, answer.length, answer.reason
+            )
         took = self.now() - attempt.began
         self.post(api.Outcome(request.id, attempt.number, attempt.server, result, took, request.done, report))
 
-    def _note_unusable(self, request: OpenRequest) -> None:
-        request.unusable = True
-        self.unusable[request.txn] = None
-        if len(self.unusable) > UNUSABLE_MOST:
-            del self.unusable[next(iter(self.unusable))]
+    def _keep_error(self, request: OpenRequest, answer: Answer) -> None:
+        """What a backend said of its failure, for the client if nothing better comes. Never one that would
+        tell the client that trying again is harmless: the request may have run."""
+        if answer.status in REFUSALS or not self.budget.take_upload(len(answer.body)):
+            return
+        if request.error is not None:
+            self.budget.give(len(request.error.body))
+        request.error = answer
 
     # Actions.
 
@@ -244,16 +320,24 @@
 
     def _fail(self, action: api.Fail) -> None:
         request = self.open[action.request]
+        error = request.error
         if not request.done:
             self._finish_request(request)
-            request.client.answer(400 if request.unusable else 502, [], b"", close=request.unusable)
+            if request.unusable:
+                request.client.answer(400, [], b"", close=True)
+            elif error is not None and not request.timed_out:
+                request.client.answer(
+                    error.status, error.lines, error.body, False, error.length, error.reason
+                )
+            else:
+                request.client.answer(self.timeout_status if request.timed_out else 502, [], b"")
 
     def _set_timer(self, action: api.SetTimer) -> None:
         self._loop.call_later(action.after, self.post, api.TimerFired(action.token))
 
     def _watch(self, action: api.Watch) -> None:
-        if self.discovery is not None:
-            self.discovery.watch(action.on)
+        if self.source is not None:
+            self.source.watch(action.on)
 
     # The list.
 
@@ -277,5 +361,18 @@
             self.listed |= named
         self.post(api.ServerList(tuple(entry for entry, _ in entries), whole, False, stale))
 
+    def _sweep(self) -> None:
+        self.backends.sweep(time.monotonic())
+        self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
+
+    def close(self) -> None:
+        """Nothing is open any more, and nothing new comes: its connections, timers and source go."""
+        self._sweeping.cancel()
+        if self.source is not None:
+            self.source.close()
+            self.source = None
+        for server in list(self.backends.table):
+            self.backends.gone(server)
+
     def list_failed(self) -> None:
         self.post(api.ServerList(failed=True))
--- /dev/null
+++ b/spokemast/fronts/dialect.py
@@ -0,0 +1,94 @@
+"""What a front asks of a dialect: how a request's head is read, and where the request goes.
+
+Types and Protocols alone. A dialect is a `Reader`; it opens no socket and keeps nothing of a connection.
+"""
+
+from __future__ import annotations
+
+from typing import Iterable, NamedTuple, Protocol, Union
+
+from spokemast.core.proxy import OpenRequest, Proxy
+
+
+class RejectError(Exception):
+    """A request that is answered by the front, and after which its connection is closed."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status, self.why = status, why
+
+
+class Destination(Protocol):
+    """Where a request goes, as far as its head tells: the pool that is charged, and its largest body."""
+
+    @property
+    def proxy(self) -> Proxy: ...
+    @property
+    def body_most(self) -> int: ...  # bytes
+
+
+class Head:
+    """A request's head while it comes, and once it is whole."""
+
+    __slots__ = ("reader", "url", "lines", "noted", "size", "method", "old", "close", "peer", "destination")
+
+    def __init__(self, reader: Reader, peer: str) -> None:
+        self.reader = reader
+        self.url = b""
+        self.lines: list[bytes] = []  # header lines to pass on, each with its end
+        self.noted: dict[bytes, bytes] = {}  # those that the reader asked for, names in lower case
+        self.size = 0  # bytes so far
+        self.method = b""
+        self.old = False  # HTTP/1.0
+        self.close = False  # the client keeps its connection no further
+        self.peer = peer  # address of the other end of the connection
+        self.destination: Destination | None = None
+
+
+class Ask(NamedTuple):
+    """A request that is whole and well formed."""
+
+    proxy: Proxy
+    request: OpenRequest
+    cls: int
+    deadline: float  # monotonic
+    tenant: int
+    key: str | None
+    hint: float | None  # seconds of a standard core
+    retry: bool
+    close: bool
+    member: str | None = None  # where it should go, by a sticky session
+
+
+class Reply(NamedTuple):
+    """What is answered without the module."""
+
+    status: int
+    why: str
+    close: bool
+
+
+class Reader(Protocol):
+    """A dialect. Its methods raise RejectError where the request is no good."""
+
+    noted: frozenset[bytes]  # headers it wants to see, in lower case
+    single: frozenset[bytes]  # of those, the ones that may not come twice
+    not_passed: frozenset[bytes]  # headers that do not go on as they came
+    draining: bool  # set by the listener: new clients are no longer wanted
+    ignores_upgrade: bool  # an upgrade asked for is not taken up, and the request served (RFC 9110, 7.8)
+
+    def place(self, head: Head) -> Destination:
+        """Called when the head is whole, before any of the body is kept."""
+
+    def read(self, head: Head, body: bytearray | None, client: ClientSide) -> Union[Ask, Reply]:
+        """Called when the body is whole."""
+
+    def proxies(self) -> Iterable[Proxy]:
+        """All pools that a request can reach."""
+
+
+class ClientSide(Protocol):
+    """The connection, as an open request knows it (core/proxy.py: Client)."""
+
+    def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False,
+               length: int | None = None, reason: bytes = b"") -> None: ...  # fmt: skip
--- /dev/null
+++ b/spokemast/fronts/listener.py
@@ -0,0 +1,272 @@
+"""A listener and its admission: accepting, making room, turning away, draining.
+
+No byte of a request is read here: what a connection carries is the matter of the protocol's file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from contextlib import suppress
+from enum import IntEnum
+from itertools import islice
+from typing import Protocol, Sequence
+
+from spokemast.fronts.dialect import Reader
+from spokemast.limits import Complaints
+
+#: New connections taken in one go, so that those that are there get their turn.
+ACCEPT_BURST = 64
+#: Idle connections that are looked at for one to close; more would cost too much where all are in use.
+EVICT_TRIES = 8
+#: Connections that the kernel may hold for us; a burst past it would be left hanging.
+BACKLOG = 1024
+#: How long nothing is accepted after the kernel had no descriptor to give; trying on would take all the CPU.
+ACCEPT_REST_S = 0.05
+#: How often limits in time are looked at.
+SWEEP_S = 0.25
+#: After SIGTERM new connections go on coming for 0.4 s; they are served for this long.
+DRAIN_OPEN_S = 0.6
+#: While draining, a connection on which nothing has come for this long is idle.
+DRAIN_IDLE_S = 0.2
+#: What is held after SIGTERM gets at most the longest deadline, but SIGKILL may come 3.7 s after it.
+DRAIN_MOST_S = 3.4
+#: The last answers get this long to leave our buffers.
+FLUSH_S = 0.1
+#: Bytes read of a connection that is turned away on the spot.
+GLANCE_MOST = 16 << 10
+
+TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+
+class Phase(IntEnum):
+    """Of reading a connection."""
+
+    IDLE = 0
+    HEAD = 1
+    BODY = 2
+    WHOLE = 3
+    LINGER = 4  # the last answer is written
+
+
+class FrontConnection(asyncio.Protocol):
+    """What a listener needs of a connection, whatever protocol it speaks."""
+
+    overflow: bool  # past the limit: held to be turned away
+    phase: Phase
+    since: float  # monotonic, of the phase
+
+    def retire(self) -> bool:
+        """Close it if no request is open on it; whether it was."""
+        raise NotImplementedError
+
+    def abort(self) -> None:
+        raise NotImplementedError
+
+    def sweep(self, now: float) -> None:
+        raise NotImplementedError
+
+    def is_busy(self) -> bool:
+        raise NotImplementedError
+
+
+class Serve(Protocol):
+    """Makes the protocol's side of a connection."""
+
+    def __call__(
+        self, listener: Listener, sock: socket.socket, overflow: bool, peer: str
+    ) -> FrontConnection: ...
+
+
+class Listener:
+    """One listening socket, and the connections of clients that came by it."""
+
+    def __init__(self, reader: Reader, slots: tuple[int, int], complain: Complaints, serve: Serve) -> None:
+        """`slots`: connections that it may hold, and more of them that it may hold to turn them away."""
+        self.reader, self.complain, self._serve = reader, complain, serve
+        self.most, self.overflow_most = slots
+        self.connections: set[FrontConnection] = set()
+        self.overflowing = 0
+        # Those on which no request is open, the oldest first: no whole request has come, idle, answered.
+        self.strangers: dict[FrontConnection, None] = {}
+        self.idle: dict[FrontConnection, None] = {}
+        self.lingering: dict[FrontConnection, None] = {}
+        self._starting: set[asyncio.Task[None]] = set()
+        self.draining = False
+        self._loop = asyncio.get_running_loop()
+        self._sock: socket.socket | None = None
+        self._opening = 0
+        self._sweeping: asyncio.TimerHandle | None = None
+
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+        self._sock = sock
+        self._loop.add_reader(sock, self.accept)
+        self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
+        host, port = sock.getsockname()
+        return host, port
+
+    def accept(self) -> bool:
+        """Take what has connected; False once nothing waits any more."""
+        assert self._sock is not None
+        for _ in range(ACCEPT_BURST):
+            try:
+                sock, address = self._sock.accept()
+            except BlockingIOError:
+                return False
+            except OSError as problem:
+                self.complain("accept", problem)
+                self._evict()
+                self._rest()
+                return True
+            self._admit(sock, address[0])
+        return True
+
+    def _rest(self) -> None:
+        """Guards against a listener that is always readable while there is no descriptor for what waits."""
+        if self._sock is not None and not self.draining:
+            self._loop.remove_reader(self._sock)
+            self._loop.call_later(ACCEPT_REST_S, self._resume)
+
+    def _resume(self) -> None:
+        if self._sock is not None and not self.draining:
+            self._loop.add_reader(self._sock, self.accept)
+
+    def _admit(self, sock: socket.socket, peer: str) -> None:
+        """Past the limit idle connections make room; else the request is answered 503.
+
+        Guards against connections left in the kernel's queue: their requests are ours already."""
+        overflow = False
+        if len(self.connections) + self._opening - self.overflowing >= self.most and not self._evict():
+            overflow = True
+            self.complain("too many connections", len(self.connections))
+            if self.overflowing >= self.overflow_most:
+                self._turn_away(sock)
+                return
+            self.overflowing += 1
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._opening += 1
+        task = self._loop.create_task(self._start(sock, overflow, peer))
+        self._starting.add(task)  # the loop alone would not keep it
+        task.add_done_callback(self._starting.discard)
+
+    async def _start(self, sock: socket.socket, overflow: bool, peer: str) -> None:
+        try:
+            await self._loop.connect_accepted_socket(lambda: self._serve(self, sock, overflow, peer), sock)
+        except OSError:
+            sock.close()
+            self._opening -= 1
+            self.overflowing -= overflow
+
+    def _turn_away(self, sock: socket.socket) -> None:
+        """The last resort: answered 503 on the spot, and closed."""
+        with sock:
+            sock.setblocking(False)
+            with suppress(OSError):
+                sock.recv(GLANCE_MOST)  # unread bytes would turn the close into a reset
+            with suppress(OSError):
+                sock.send(TURNED_AWAY)
+
+    def _evict(self) -> bool:
+        """Close a connection on which no request is open: one that never sent any first, so that those who
+        connect and say nothing cost the others nothing; then the one that has been idle for longest."""
+        for pool in (self.strangers, self.idle, self.lingering):
+            for connection in list(islice(pool, EVICT_TRIES)):
+                if connection.retire():
+                    self.connections.discard(connection)
+                    return True
+        return False
+
+    def joined(self, connection: FrontConnection) -> None:
+        self._opening -= 1
+        self.connections.add(connection)
+        if not connection.overflow:  # closing those makes no room
+            self.strangers[connection] = None
+
+    def forget(self, connection: FrontConnection) -> None:
+        """It is not to be closed to make room."""
+        for pool in (self.strangers, self.idle, self.lingering):
+            pool.pop(connection, None)
+
+    def left(self, connection: FrontConnection) -> None:
+        self.connections.discard(connection)
+        self.forget(connection)
+        self.overflowing -= connection.overflow
+
+    def _sweep(self) -> None:
+        now = time.monotonic()
+        for connection in list(self.connections):
+            connection.sweep(now)
+        self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
+
+    # The end.
+
+    def retire(self) -> None:
+        """New clients are no longer wanted: whoever asks hears so, and each answer ends its connection."""
+        self.draining = True
+        self.reader.draining = True
+
+    def hush(self) -> None:
+        """Nothing is accepted by the loop any more; `accept` still takes what the kernel holds."""
+        assert self._sock is not None
+        self._loop.remove_reader(self._sock)
+
+    def close(self) -> None:
+        """The socket goes; the connections stay."""
+        if self._sock is not None:
+            self._loop.remove_reader(self._sock)
+            self._sock.close()
+            self._sock = None
+
+    def is_busy(self) -> bool:
+        """Close what is idle; whether any connection is not, or is still being opened."""
+        now = time.monotonic()
+        for connection in list(self.idle):
+            if now - connection.since > DRAIN_IDLE_S:
+                connection.retire()
+        return bool(self._opening) or any(c.is_busy() for c in self.connections)
+
+    def is_flushing(self) -> bool:
+        return any(c.phase == Phase.LINGER for c in self.connections)
+
+    def stop(self) -> None:
+        self.close()
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+            self._sweeping = None
+        for connection in list(self.connections):
+            connection.abort()
+
+
+async def drain(listeners: Sequence[Listener], longest: float) -> None:
+    """After SIGTERM: serve for a while, then close what is idle and answer what is held.
+
+    `longest`: seconds that a request may take at most."""
+    began = time.monotonic()
+    for listener in listeners:
+        listener.retire()
+    await asyncio.sleep(DRAIN_OPEN_S)
+    for listener in listeners:
+        listener.hush()
+    end = began + min(DRAIN_MOST_S, longest + DRAIN_OPEN_S)
+    for listener in listeners:
+        while listener.accept() and time.monotonic() < end:  # what the kernel holds is ours
+            await asyncio.sleep(0)
+        listener.close()
+    while any([listener.is_busy() for listener in listeners]) and time.monotonic() < end:
+        await asyncio.sleep(0.01)
+    for listener in listeners:
+        for proxy in listener.reader.proxies():
+            proxy.end_all()
+    # Guards against answers that are still in our buffers when the process ends: their clients close once
+    # they have read them.
+    while any(listener.is_flushing() for listener in listeners) and time.monotonic() < end + FLUSH_S:
+        await asyncio.sleep(0.01)
+    for listener in listeners:
+        listener.stop()
--- a/spokemast/interface.py
+++ b/spokemast/interface.py
@@ -191,6 +191,7 @@
     hint: float | None = None  # expected work in seconds of a standard core
     retry: bool = False
     write: bool = False
+    member: str | None = None  # the server that a sticky session wants
 
 
 class Outcome(NamedTuple):
--- a/spokemast/limits.py
+++ b/spokemast/limits.py
@@ -5,6 +5,7 @@
 import sys
 import time
 import traceback
+from typing import Protocol
 
 #: Largest body that the protocol knows, either way.
 BODY_MOST = 64 << 10
@@ -28,6 +29,17 @@
 COMPLAIN_S = 5.0
 
 
+class Share(Protocol):
+    """What one pool may hold."""
+
+    @property
+    def buffered(self) -> int: ...  # bytes of requests and answers
+    @property
+    def backend_sockets(self) -> int: ...
+    @property
+    def open_most(self) -> int: ...  # requests
+
+
 class Limits:
     """The deployment's limits on one process, divided among what needs them."""
 
@@ -37,6 +49,7 @@
         self.overflow_sockets = int(left * OVERFLOW_SHARE)
         self.backend_sockets = int(left * BACKEND_SHARE)
         self.client_sockets = left - self.overflow_sockets - self.backend_sockets
+        self.open_most = sockets  # one for each connection of a client, of which there are fewer
 
 
 class Budget:
--- /dev/null
+++ b/spokemast/members/lists.py
@@ -0,0 +1,30 @@
+"""What a source of members and the one who takes its lists know of each other."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from spokemast.interface import ServerEntry
+
+#: An entry for the module, and where the member listens.
+Entry = tuple[ServerEntry, tuple[str, int]]
+
+
+class ListTaker(Protocol):
+    """Who is told of members."""
+
+    def take_list(self, entries: list[Entry], whole: bool, stale: bool = False) -> None:
+        """A list, or a change to it; `stale`: from before a restart."""
+
+    def list_failed(self) -> None:
+        """The call failed; what was listed before stands."""
+
+
+class Source(Protocol):
+    """Where a pool's members come from."""
+
+    def watch(self, on: bool) -> None:
+        """Whether the pool wants to be told of changes from now on."""
+
+    def close(self) -> None:
+        """Nothing more is told, and nothing stays open."""
--- a/spokemast/members/watch.py
+++ b/spokemast/members/watch.py
@@ -6,21 +6,16 @@
 import ipaddress
 import math
 import random
-from typing import TYPE_CHECKING, Any, Mapping, cast
+from typing import Any, Mapping, cast
 
 import httptools
 import orjson
 
 from spokemast.interface import ServerEntry, ServerState
 from spokemast.limits import Complaints
+from spokemast.members.lists import Entry, ListTaker
 from spokemast.settings import Deployment
 
-if TYPE_CHECKING:
-    from spokemast.core.proxy import Proxy
-
-#: An entry for the module, and where the backend listens.
-Entry = tuple[ServerEntry, tuple[str, int]]
-
 STATES = {"SERVING": ServerState.READY, "DRAINING": ServerState.DRAINING, "DELETED": ServerState.GONE}
 #: A watch sends at least an empty line every 2 s; one silent for longer is dead, though its connection
 #: may stay open. No longer than needed: drains are told behind it.
@@ -94,7 +89,7 @@
 class Discovery:
     """Keeps one watch, where it is wanted."""
 
-    def __init__(self, proxy: Proxy, deployment: Deployment, address: tuple[str, int],
+    def __init__(self, proxy: ListTaker, deployment: Deployment, address: tuple[str, int],
                  complain: Complaints) -> None:  # fmt: skip
         self.proxy, self.deployment, self.address, self.complain = proxy, deployment, address, complain
         self.pushed = not deployment.settings.list_on_request
--- /dev/null
+++ b/spokemast/upstreams/connections.py
@@ -0,0 +1,263 @@
+"""The connections to one pool's members: opened, kept, retired, within the pool's descriptors.
+
+What is said on one is the matter of the protocol's file; here it is opened, handed an attempt and taken back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from functools import partial
+from typing import Mapping, NamedTuple, Protocol
+
+from spokemast.interface import Result
+from spokemast.limits import Budget, Complaints
+
+#: Idle connections kept to one backend: it holds some twenty for all proxies, and a full table costs it.
+IDLE_MOST = 6
+#: An idle connection is retired at this share of the time after which the backend closes it. Backends
+#: close early, and a request that crosses such a close ends as a reset.
+IDLE_SHARE = 0.3
+#: A connection is used again once it has rested for this long. Guards against a second copy, or noise, that
+#: comes right behind an answer: after the next request has been written it would pass for the answer to that.
+#: Harm: a new connection now and then, where a backend is asked again at once.
+REST_S = 0.005
+
+#: Where a backend listens and when it last started: connections are of one life of it.
+Life = tuple[tuple[str, int], float]
+
+
+class Job(Protocol):
+    """A request, as a member gets it."""
+
+    head: bytes
+    body: bytearray | None
+    bodiless: bool  # asks for a head alone
+
+
+class Owner(Protocol):
+    """Who is told how an attempt ended."""
+
+    def finish_attempt(self, attempt: Attempt, result: Result, report: Mapping[str, float] | None = None,
+                       answer: Answer | None = None) -> None: ...  # fmt: skip
+
+
+class Upstream(asyncio.Protocol):
+    """What a pool needs of a connection, whatever protocol it speaks."""
+
+    backend: Backend
+    sock: socket.socket
+    life: Life
+    handed: bool  # the transport owns the socket
+    closed: bool
+    unsent: bool  # part of the request is still in our buffers
+    idle_since: float  # monotonic
+
+    def start(self, attempt: Attempt) -> None:
+        """Write the attempt's request; its end is told to the owner."""
+        raise NotImplementedError
+
+    def is_alive(self) -> bool:
+        """Whether a kept connection can still be used."""
+        raise NotImplementedError
+
+    def drop(self) -> None:
+        """Close at once; nothing further is heard of it."""
+        raise NotImplementedError
+
+
+class Connect(Protocol):
+    """Makes the protocol's side of a connection."""
+
+    def __call__(self, backend: Backend, pool: Backends, sock: socket.socket) -> Upstream: ...
+
+
+class Attempt:
+    """One Send, from when the module asked for it to its one Outcome."""
+
+    __slots__ = ("request", "number", "server", "began", "timeout", "timer", "connection", "opening", "ended",
+                 "written_at")  # fmt: skip
+
+    def __init__(self, request: Job, number: int, server: str, began: float, timeout: float) -> None:
+        self.request, self.number, self.server = request, number, server
+        self.began, self.timeout = began, timeout
+        self.timer: asyncio.TimerHandle | None = None
+        self.connection: Upstream | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.ended = False
+        self.written_at = 0.0  # monotonic
+
+    def is_written(self) -> bool:
+        """Whether the last byte of the request has left, so that it may have run."""
+        return self.connection is not None and not self.connection.unsent
+
+    def drop(self) -> None:
+        """Stop waiting: the connection is closed, which also tells the backend."""
+        if self.opening is not None:
+            self.opening.cancel()
+            self.opening = None
+        if self.connection is not None:
+            self.connection.drop()
+
+
+class Answer(NamedTuple):
+    """An answer that a backend made for a request, whole."""
+
+    lines: list[bytes]  # headers to pass on, each with its end
+    body: bytes
+    status: int = 200
+    reason: bytes = b""
+    length: int | None = None  # stated without a body: to HEAD, or by a 304
+
+
+class Backend:
+    """One backend's address and connections."""
+
+    __slots__ = ("life", "idle", "wanted", "gone", "open", "heard")
+
+    def __init__(self, life: Life) -> None:
+        self.life = life
+        self.idle: list[Upstream] = []  # the newest last
+        self.wanted = True  # listed as serving
+        self.gone = False
+        self.open = 0
+        self.heard = 0.0  # when any of its connections last had something to read
+
+
+class Backends:
+    """All connections to backends."""
+
+    def __init__(self, owner: Owner, budget: Budget, complain: Complaints, sockets: int, make: Connect,
+                 connect_timeout: float, idle_close: float) -> None:  # fmt: skip
+        """`sockets`: descriptors at most. `connect_timeout`, `idle_close`: seconds; after the latter a
+        backend closes a connection that stands idle."""
+        self.owner, self.budget, self.complain = owner, budget, complain
+        self.sockets, self._make = sockets, make
+        self.connect_timeout = connect_timeout
+        self.idle_s = idle_close * IDLE_SHARE
+        self.table: dict[str, Backend] = {}
+        self.open = 0
+
+    def listed(self, server: str, life: Life, serving: bool) -> None:
+        """Another address or start means that the old connections are of no use."""
+        backend = self.table.get(server)
+        if backend is None:
+            backend = self.table[server] = Backend(life)
+        if backend.life != life or not serving:
+            backend.life = life
+            self.close_idle(server)
+        backend.wanted = serving
+        backend.gone = False
+
+    def gone(self, server: str) -> None:
+        backend = self.table.get(server)
+        if backend is not None:
+            backend.wanted, backend.gone = False, True
+            self.close_idle(server)
+
+    def send(self, attempt: Attempt) -> None:
+        backend = self.table.get(attempt.server)
+        if backend is None:  # it went between the decision and now
+            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
+            return
+        if (kept := self._kept(backend)) is not None:
+            kept.start(attempt)
+            return
+        if self.open >= self.sockets and not self._close_one_idle():
+            self.complain("no descriptor left for a backend", attempt.server)
+            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
+            return
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as problem:
+            self.complain("no socket for a backend", problem)
+            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
+            return
+        connection = self._make(backend, self, sock)
+        attempt.opening = asyncio.get_running_loop().create_task(self._connect(connection))
+        attempt.opening.add_done_callback(partial(self._opened, connection, attempt))
+
+    def _kept(self, backend: Backend) -> Upstream | None:
+        """The idle connection used last, of those that have rested."""
+        rested = time.monotonic() - REST_S
+        for connection in reversed(backend.idle.copy()):
+            if connection.idle_since > rested:
+                continue
+            if connection.is_alive():
+                backend.idle.remove(connection)
+                return connection
+            connection.drop()
+        return None
+
+    async def _connect(self, connection: Upstream) -> None:
+        loop, sock = asyncio.get_running_loop(), connection.sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        async with asyncio.timeout(self.connect_timeout):
+            await loop.sock_connect(sock, connection.life[0])
+        connection.handed = True
+        try:
+            await loop.create_connection(lambda: connection, sock=sock)
+        except BaseException:
+            connection.drop()  # now: the number of its descriptor may be another's a moment later
+            raise
+
+    def _opened(self, connection: Upstream, attempt: Attempt, task: asyncio.Task[None]) -> None:
+        """The one place where opening ends: opened, failed, or cancelled, also before it began.
+
+        Guards against half-opened connections that stay counted, and with them against a proxy that comes to
+        believe that it has no descriptor left."""
+        attempt.opening = None
+        if task.cancelled() or task.exception() is not None or connection.closed:
+            connection.drop()
+            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
+        elif attempt.ended:  # while this waited for its turn
+            self.park(connection)
+        else:
+            connection.start(attempt)
+
+    def park(self, connection: Upstream) -> None:
+        backend = connection.backend
+        if not backend.wanted or connection.life != backend.life:
+            connection.drop()
+            return
+        if len(backend.idle) >= IDLE_MOST:
+            backend.idle[0].drop()
+        connection.idle_since = time.monotonic()
+        backend.idle.append(connection)
+
+    def forget(self, connection: Upstream) -> None:
+        backend = connection.backend
+        self.open -= 1
+        backend.open -= 1
+        if connection in backend.idle:
+            backend.idle.remove(connection)
+
+    def close_idle(self, server: str) -> None:
+        backend = self.table.get(server)
+        while backend is not None and backend.idle:
+            backend.idle[-1].drop()
+
+    def suspect(self, attempt: Attempt) -> None:
+        """Close a backend's idle connections after a time-out in which nothing at all was heard of it.
+
+        Guards against connections that stay open while nobody is at their other end any more (a machine that
+        vanished, a path that forgot them): each would cost one more request its time. It should also catch a
+        backend that hangs and comes back. Harm: new connections to one that was merely slow for that long."""
+        backend = self.table.get(attempt.server)
+        if backend is not None and backend.heard < attempt.written_at:
+            self.close_idle(attempt.server)
+
+    def _close_one_idle(self) -> bool:
+        idle = [b.idle[0] for b in self.table.values() if b.idle]
+        if idle:
+            min(idle, key=lambda c: c.idle_since).drop()
+        return bool(idle)
+
+    def sweep(self, now: float) -> None:
+        """Retire what has stood idle, forget what is gone."""
+        for server, backend in list(self.table.items()):
+            while backend.idle and now - backend.idle[0].idle_since > self.idle_s:
+                backend.idle[0].drop()
+            if backend.gone and not backend.open:
+                del self.table[server]
--- a/spokemast/upstreams/http1.py
+++ b/spokemast/upstreams/http1.py
@@ -1,4 +1,4 @@
-"""Connections to backends: what their sockets do, told as Results."""
+"""HTTP/1.1 to a member (RFC 9112): one attempt at a time on a connection, and what comes back as a Result."""
 
 from __future__ import annotations
 
@@ -6,33 +6,20 @@
 import math
 import socket
 import time
-from functools import partial
-from typing import TYPE_CHECKING, Mapping, NamedTuple, Sequence, cast
+from typing import Mapping, Sequence, cast
 
 import httptools
 import orjson
 
 from spokemast.interface import Result
-from spokemast.limits import BODY_MOST, Budget, Complaints
-from spokemast.settings import Deployment
-
-if TYPE_CHECKING:
-    from spokemast.core.proxy import OpenRequest, Proxy
+from spokemast.limits import BODY_MOST
+from spokemast.upstreams.connections import Answer, Attempt, Backend, Backends, Upstream
 
 #: What may come for one request, head, interim answers and framing of chunks with it. Guards the memory and
 #: the CPU against anything that keeps coming, whatever it says of itself.
 ANSWER_MOST = BODY_MOST + (64 << 10)
 #: And before its head has ended.
 HEAD_MOST = 32 << 10
-#: Idle connections kept to one backend: it holds some twenty for all proxies, and a full table costs it.
-IDLE_MOST = 6
-#: An idle connection is retired at this share of the time after which the backend closes it. Backends
-#: close early, and a request that crosses such a close ends as a reset.
-IDLE_SHARE = 0.3
-#: A connection is used again once it has rested for this long. Guards against a second copy, or noise, that
-#: comes right behind an answer: after the next request has been written it would pass for the answer to that.
-#: Harm: a new connection now and then, where a backend is asked again at once.
-REST_S = 0.005
 #: Headers of an answer that are not passed on: of this connection alone, or for the proxy alone.
 NOT_PASSED = frozenset((
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-connection", b"te", b"trailer",
@@ -66,50 +53,12 @@
     return report or None
 
 
-#: Where a backend listens and when it last started: connections are of one life of it.
-Life = tuple[tuple[str, int], float]
-
-
-class Attempt:
-    """One Send, from when the module asked for it to its one Outcome."""
-
-    __slots__ = ("request", "number", "server", "began", "timeout", "timer", "connection", "opening", "ended",
-                 "written_at")  # fmt: skip
-
-    def __init__(self, request: OpenRequest, number: int, server: str, began: float, timeout: float) -> None:
-        self.request, self.number, self.server = request, number, server
-        self.began, self.timeout = began, timeout
-        self.timer: asyncio.TimerHandle | None = None
-        self.connection: Connection | None = None
-        self.opening: asyncio.Task[None] | None = None
-        self.ended = False
-        self.written_at = 0.0  # monotonic
-
-    def is_written(self) -> bool:
-        """Whether the last byte of the request has left, so that it may have run."""
-        return self.connection is not None and not self.connection.unsent
-
-    def drop(self) -> None:
-        """Stop waiting: the connection is closed, which also tells the backend."""
-        if self.opening is not None:
-            self.opening.cancel()
-            self.opening = None
-        if self.connection is not None:
-            self.connection.drop()
-
-
-class Answer(NamedTuple):
-    """A backend's 200, whole."""
-
-    lines: list[bytes]
-    body: bytes
-
-
-class Connection(asyncio.Protocol):
+class Connection(Upstream):
     """One connection to a backend; it carries one attempt at a time."""
 
-    def __init__(self, backend: Backend, pool: Backends, sock: socket.socket) -> None:
-        self.backend, self.pool, self.sock = backend, pool, sock
+    def __init__(self, backend: Backend, pool: Backends, sock: socket.socket,
+                 report_fields: Sequence[str]) -> None:  # fmt: skip
+        self.backend, self.pool, self.sock, self.report_fields = backend, pool, sock, report_fields
         self.life = backend.life
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
@@ -291,7 +240,7 @@
         if not self.pressure:
             return None
         try:
-            return read_report(self.pressure, self.pool.report_fields)
+            return read_report(self.pressure, self.report_fields)
         except ValueError as problem:
             self.pool.complain("malformed load report", problem)
             return None
@@ -334,155 +283,3 @@
             self.sock.detach()
         else:
             self.sock.close()
-
-
-class Backend:
-    """One backend's address and connections."""
-
-    __slots__ = ("life", "idle", "wanted", "gone", "open", "heard")
-
-    def __init__(self, life: Life) -> None:
-        self.life = life
-        self.idle: list[Connection] = []  # the newest last
-        self.wanted = True  # listed as serving
-        self.gone = False
-        self.open = 0
-        self.heard = 0.0  # when any of its connections last had something to read
-
-
-class Backends:
-    """All connections to backends."""
-
-    def __init__(
-        self, owner: Proxy, budget: Budget, complain: Complaints, sockets: int, deployment: Deployment
-    ) -> None:
-        self.owner, self.budget, self.complain = owner, budget, complain
-        self.sockets = sockets
-        self.connect_timeout = deployment.settings.limits.connect_timeout
-        self.idle_s = deployment.idle_close * IDLE_SHARE
-        self.report_fields = deployment.settings.report_fields
-        self.table: dict[str, Backend] = {}
-        self.open = 0
-
-    def listed(self, server: str, life: Life, serving: bool) -> None:
-        """Another address or start means that the old connections are of no use."""
-        backend = self.table.get(server)
-        if backend is None:
-            backend = self.table[server] = Backend(life)
-        if backend.life != life or not serving:
-            backend.life = life
-            self.close_idle(server)
-        backend.wanted = serving
-        backend.gone = False
-
-    def gone(self, server: str) -> None:
-        backend = self.table.get(server)
-        if backend is not None:
-            backend.wanted, backend.gone = False, True
-            self.close_idle(server)
-
-    def send(self, attempt: Attempt) -> None:
-        backend = self.table.get(attempt.server)
-        if backend is None:  # it went between the decision and now
-            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
-            return
-        if (kept := self._kept(backend)) is not None:
-            kept.start(attempt)
-            return
-        if self.open >= self.sockets and not self._close_one_idle():
-            self.complain("no descriptor left for a backend", attempt.server)
-            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
-            return
-        try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        except OSError as problem:
-            self.complain("no socket for a backend", problem)
-            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
-            return
-        connection = Connection(backend, self, sock)
-        attempt.opening = asyncio.get_running_loop().create_task(self._connect(connection))
-        attempt.opening.add_done_callback(partial(self._opened, connection, attempt))
-
-    def _kept(self, backend: Backend) -> Connection | None:
-        """The idle connection used last, of those that have rested."""
-        rested = time.monotonic() - REST_S
-        for connection in reversed(backend.idle.copy()):
-            if connection.idle_since > rested:
-                continue
-            if connection.is_alive():
-                backend.idle.remove(connection)
-                return connection
-            connection.drop()
-        return None
-
-    async def _connect(self, connection: Connection) -> None:
-        loop, sock = asyncio.get_running_loop(), connection.sock
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        async with asyncio.timeout(self.connect_timeout):
-            await loop.sock_connect(sock, connection.life[0])
-        connection.handed = True
-        try:
-            await loop.create_connection(lambda: connection, sock=sock)
-        except BaseException:
-            connection.drop()  # now: the number of its descriptor may be another's a moment later
-            raise
-
-    def _opened(self, connection: Connection, attempt: Attempt, task: asyncio.Task[None]) -> None:
-        """The one place where opening ends: opened, failed, or cancelled, also before it began.
-
-        Guards against half-opened connections that stay counted, and with them against a proxy that comes to
-        believe that it has no descriptor left."""
-        attempt.opening = None
-        if task.cancelled() or task.exception() is not None or connection.closed:
-            connection.drop()
-            self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
-        elif attempt.ended:  # while this waited for its turn
-            self.park(connection)
-        else:
-            connection.start(attempt)
-
-    def park(self, connection: Connection) -> None:
-        backend = connection.backend
-        if not backend.wanted or connection.life != backend.life:
-            connection.drop()
-            return
-        if len(backend.idle) >= IDLE_MOST:
-            backend.idle[0].drop()
-        connection.idle_since = time.monotonic()
-        backend.idle.append(connection)
-
-    def forget(self, connection: Connection) -> None:
-        backend = connection.backend
-        self.open -= 1
-        backend.open -= 1
-        if connection in backend.idle:
-            backend.idle.remove(connection)
-
-    def close_idle(self, server: str) -> None:
-        backend = self.table.get(server)
-        while backend is not None and backend.idle:
-            backend.idle[-1].drop()
-
-    def suspect(self, attempt: Attempt) -> None:
-        """Close a backend's idle connections after a time-out in which nothing at all was heard of it.
-
-        Guards against connections that stay open while nobody is at their other end any more (a machine that
-        vanished, a path that forgot them): each would cost one more request its time. It should also catch a
-        backend that hangs and comes back. Harm: new connections to one that was merely slow for that long."""
-        backend = self.table.get(attempt.server)
-        if backend is not None and backend.heard < attempt.written_at:
-            self.close_idle(attempt.server)
-
-    def _close_one_idle(self) -> bool:
-        idle = [b.idle[0] for b in self.table.values() if b.idle]
-        if idle:
-            min(idle, key=lambda c: c.idle_since).drop()
-        return bool(idle)
-
-    def sweep(self, now: float) -> None:
-        """Retire what has stood idle, forget what is gone."""
-        for server, backend in list(self.table.items()):
-            while backend.idle and now - backend.idle[0].idle_since > self.idle_s:
-                backend.idle[0].drop()
-            if backend.gone and not backend.open:
-                del self.table[server]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from spokemast.upstreams import http1
+from spokemast.upstreams import connections
 
 
 @pytest.fixture(autouse=True)
 def no_rest(monkeypatch: pytest.MonkeyPatch) -> None:
     """Connections to backends are used again at once, so that which one is used does not hang on time."""
-    monkeypatch.setattr(http1, "REST_S", 0.0)
+    monkeypatch.setattr(connections, "REST_S", 0.0)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -10,15 +10,17 @@
 import json
 import re
 from contextlib import asynccontextmanager
-from typing import Any, AsyncIterator, Awaitable, Callable
+from typing import Any, AsyncIterator, Awaitable, Callable, cast
 
 import uvloop
 
 from spokemast.interface import Event, Outcome
-from spokemast.members.watch import Discovery
-from spokemast.limits import Complaints, Limits
 from spokemast.core.proxy import Proxy
-from spokemast.fronts.http1 import Server
+from spokemast.fronts.http1 import ClientConnection
+from spokemast.fronts.listener import Listener
+from spokemast.fronts.platform import PlatformReader
+from spokemast.limits import Complaints, Limits
+from spokemast.members.watch import Discovery
 from spokemast.settings import read_deployment
 
 #: Time for anything that should happen; only a failing test waits for so long.
@@ -260,11 +262,14 @@
 class World:
     """A proxy with its scripted peers."""
 
-    def __init__(self, proxy: RecordingProxy, server: Server, address: tuple[str, int],
+    def __init__(self, proxy: RecordingProxy, server: Listener, address: tuple[str, int],
                  discovery: ScriptedDiscovery) -> None:  # fmt: skip
         self.proxy, self.server, self.address, self.discovery = proxy, server, address, discovery
         self.clients: list[Client] = []
 
+    def connections(self) -> list[ClientConnection]:
+        return [cast(ClientConnection, connection) for connection in self.server.connections]
+
     async def connect(self) -> Client:
         client = Client(*await asyncio.open_connection(*self.address, limit=64 << 20))
         self.clients.append(client)
@@ -285,19 +290,20 @@
     deployment = read_deployment(settings or SETTINGS)
     limits, complain = Limits(memory_mb, sockets), Complaints()
     proxy = RecordingProxy(deployment, 1, limits, complain)
-    proxy.discovery = Discovery(proxy, deployment, where, complain)
-    server = Server(proxy, deployment, limits, complain)
-    proxy.discovery.start({"version": 1, "full": True, "servers": [b.entry() for b in backends]})
+    discovery_of_proxy = proxy.source = Discovery(proxy, deployment, where, complain)
+    slots = limits.client_sockets, limits.overflow_sockets
+    server = Listener(PlatformReader(proxy, deployment), slots, complain, ClientConnection)
+    discovery_of_proxy.start({"version": 1, "full": True, "servers": [b.entry() for b in backends]})
     here = World(proxy, server, server.listen(("127.0.0.1", 0)), discovery)
     try:
         yield here
     finally:
-        proxy.discovery.watch(False)
         for client in here.clients:
             client.writer.close()
         for backend in backends:
             await backend.stop()
         server.stop()
+        proxy.close()
 
 
 def play(scene: Callable[[], Awaitable[None]]) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,6 +10,7 @@
 
 from peers import OK, Call, Script, ScriptedBackend, answering, play, request, resetting, silent, world
 from spokemast.interface import Result
+from spokemast.upstreams import connections as connections_module
 from spokemast.upstreams import http1 as backend_module
 from spokemast.core.proxy import OpenRequest
 
@@ -248,7 +249,7 @@
 
 
 def test_idle_connections_are_retired_and_few_are_kept(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(backend_module, "IDLE_MOST", 1)
+    monkeypatch.setattr(connections_module, "IDLE_MOST", 1)
 
     async def scene() -> None:
         hold = asyncio.Event()
@@ -406,7 +407,7 @@
 
 
 def test_a_connection_is_not_used_before_it_has_rested(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(backend_module, "REST_S", 60.0)
+    monkeypatch.setattr(connections_module, "REST_S", 60.0)
 
     async def scene() -> None:
         backend = ScriptedBackend("a", answering(OK))
@@ -432,7 +433,7 @@
             backends.listed("odd", (("127.0.0.1", 70_000), 0.0), True)
             for server, rounds in [("a", 0), ("a", 1), ("a", 2), ("a", 3), ("odd", 0), ("odd", 3)]:
                 wanted = OpenRequest(cast(Any, None), 0, b"GET / HTTP/1.1\r\n", None)
-                attempt = backend_module.Attempt(wanted, 0, server, 0.0, 1.0)
+                attempt = connections_module.Attempt(wanted, 0, server, 0.0, 1.0)
                 attempt.ended = True
                 backends.send(attempt)
                 for _ in range(rounds):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -9,7 +9,8 @@
 
 from peers import OK, Call, Client, ScriptedBackend, answering, play, request, resetting, silent, world
 from spokemast.interface import Result, Withdrawn
-from spokemast.upstreams import http1 as backend_module
+from spokemast.fronts.listener import drain as drain_all
+from spokemast.upstreams import connections as backend_module
 from spokemast.fronts import http1 as server_module
 
 BAD: dict[str, tuple[bytes, int]] = {
@@ -128,7 +129,7 @@
             client = await here.connect()
             await client.send(b"".join(request() for _ in range(100)))
             await here.proxy.until(lambda: here.proxy.open)
-            (connection,) = here.server.connections
+            (connection,) = here.connections()
             assert len(connection.waiting) <= server_module.PIPELINE_MOST + 1
             assert connection.closing  # and what comes after is thrown away
 
@@ -205,7 +206,7 @@
             client = await here.connect()
             while not here.server.connections:
                 await asyncio.sleep(0)
-            (connection,) = here.server.connections
+            (connection,) = here.connections()
             connection.since -= server_module.REQUEST_S - 0.001
             await client.send(b"GET /api")
             while connection.phase == server_module.IDLE:
@@ -224,7 +225,7 @@
             await client.send(data[:-32_000])
             while here.proxy.budget.held < 32_000:
                 await asyncio.sleep(0)
-            (connection,) = here.server.connections
+            (connection,) = here.connections()
             connection.sweep(connection.since + server_module.REQUEST_S)
             await client.send(data[-32_000:])
             assert (await client.read())[0] == 200
@@ -242,7 +243,7 @@
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             while not here.server.connections:
                 await asyncio.sleep(0)
-            (connection,) = here.server.connections
+            (connection,) = here.connections()
             while here.server.connections:  # ask on, and take nothing
                 if not connection.request and not connection.closing:
                     await client.send(request())
@@ -272,7 +273,7 @@
             client = await here.connect()
             client.writer.write(request("unsafe").replace(b"Length: 0", b"Length: 60000000") + bytes(8 << 20))
             assert (await client.read())[0] == 413
-            (connection,) = here.server.connections
+            (connection,) = here.connections()
             while not connection.paused:
                 await asyncio.sleep(0)
             assert connection.discarded < 1 << 20
@@ -392,7 +393,7 @@
             here.proxy.balancer.handle = broken  # type: ignore[method-assign, assignment]
             assert (await client.ask(request()))[0] == 502
             assert (await client.ask(request()))[0] == 200
-            assert not here.proxy.open and not here.proxy.txns
+            assert not here.proxy.open and not here.proxy.ids.open
 
     play(scene)
 
@@ -483,7 +484,7 @@
             await idle.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
             await first.send(request())
             await backend.until_called(2)
-            drain = asyncio.get_running_loop().create_task(here.server.drain())
+            drain = asyncio.get_running_loop().create_task(drain_all([here.server], 4.0))
             while not here.server.draining:
                 await asyncio.sleep(0)
             new = await here.connect()
@@ -511,7 +512,7 @@
         async with world(ScriptedBackend("s", answering(OK))) as here:
             client = await here.connect()
             assert (await client.ask(request()))[0] == 200
-            (connection,) = here.server.connections
+            (connection,) = here.connections()
             sock = client.writer.get_extra_info("socket")
             os.write(sock.fileno(), request())  # it is in the kernel before the loop can read it
             assert not connection.retire()
