--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -75,14 +75,15 @@
     """What this proxy knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "weight", "size", "kind", "state", "started", "out", "giving",
-                 "util", "util_at", "errors", "errors_at", "by_class", "answered", "cold_next")  # fmt: skip
+                 "util", "util_at", "errors", "errors_at", "by_class", "answered", "cold_next", "rank",
+                 "used", "woken")  # fmt: skip
 
     def __init__(self, entry: ServerEntry) -> None:
         self.id = entry.server
         self.out: dict[tuple[int, int], float] = {}  # attempts in flight, oldest first: time sent
         self.giving: set[tuple[int, int]] = set()  # attempts whose answers have begun
         self.size = 1.0  # weight relative to the mean
-        self.started = -math.inf
+        self.started = self.used = self.woken = -math.inf  # woken: when a set that had not served began to
         self.listed(entry)
 
     def listed(self, entry: ServerEntry) -> None:
@@ -92,7 +93,7 @@
             self.answered = False
             self.cold_next = -math.inf
         self.zone, self.cell, self.started, self.state = entry.zone, entry.cell, entry.started, entry.state
-        self.kind = entry.kind
+        self.kind, self.rank = entry.kind, entry.rank
         self.weight = entry.weight if 0 < entry.weight < math.inf else 1.0
 
 
@@ -102,10 +103,15 @@
     Exception to the even draw: where a proxy has next to nothing in flight at a server, only the draw
     decides, and an even one loads a slow server like a fast one. With one kind and size it is even."""
 
-    __slots__ = ("servers", "kinds")
+    __slots__ = ("servers", "kinds", "sets")
 
     def __init__(self, servers: list[Server]) -> None:
         self.servers = servers
+        ranks = sorted({s.rank for s in servers})
+        # Where there are several sets, a pool of each, the one that serves first in front.
+        self.sets: list[Pool] = []
+        if len(ranks) > 1:
+            self.sets = [Pool([s for s in servers if s.rank == rank]) for rank in ranks]
         by_kind: dict[int, list[Server]] = {}
         for server in servers:
             by_kind.setdefault(server.kind, []).append(server)
@@ -167,7 +173,8 @@
 class Pending:
     """A request that is owed its final answer."""
 
-    __slots__ = ("id", "cls", "number", "deadline", "useful", "began", "aim", "late", "attempts", "streaming")
+    __slots__ = ("id", "cls", "number", "deadline", "useful", "began", "aim", "late", "attempts",
+                 "streaming", "member")  # fmt: skip
 
     def __init__(self, event: Request, cls: RequestClass, now: float, waited: float, usual: float,
                  slack: float, loaded: bool) -> None:  # fmt: skip
@@ -183,6 +190,7 @@
         self.useful = self.deadline if late_pays else max(now, self.aim - slack)
         self.attempts: list[Attempt] = []
         self.streaming = False
+        self.member = event.member
 
 
 class Balancer:
@@ -327,7 +335,9 @@
 
     def _try(self, pending: Pending) -> bool:
         pool = self._repeat_pool(pending)
-        server = self._choose(pool, pending) if pool and pool.servers else None
+        if pool is None:
+            return False
+        server = self._sticky(pending) or (self._choose(pool, pending) if pool.servers else None)
         if server is None:
             return False
         self._send(pending, server)
@@ -387,16 +397,20 @@
     def _may_take(self, server: Server) -> bool:
         """Drains kept, and no cold server pushed over."""
         return server.state == ServerState.READY and (
-            self.now >= server.cold_next or self.now >= server.started + self.rules.cold_time
+            self.now >= server.cold_next or self.now >= self._began(server) + self.rules.cold_time
         )
 
+    def _began(self, server: Server) -> float:
+        """When it started, or was woken: the later counts for how much it can do."""
+        return max(server.started, server.woken)
+
     def _pace_cold(self, server: Server) -> None:
         """A cold server gets from each proxy less than its share of what the settings say it can do.
 
         All proxies pace alike, so together they stay under it, without talking; random gaps keep them
         from coming together. Work goes by time, not by chance: a draw may find it twice in a row."""
         rules = self.rules
-        age = max(0.0, self.now - server.started)
+        age = max(0.0, self.now - self._began(server))
         if age < rules.cold_time:
             share = rules.cold_from + (1 - rules.cold_from) * age / rules.cold_time
             usual = max(self._rate(), 1 / RATE_S) * server.size / max(self.total_size, server.size)
@@ -408,17 +422,53 @@
         pending.attempts.append(Attempt(server, self.now))
         self.flow = self._flow() + 1
         self.flow_at = self.now
+        if server.rank and self.settings.cold_standby and self.now - server.used > self.rules.cold_time:
+            server.woken = self.now
+        server.used = self.now
         self._pace_cold(server)
         self.actions.append(Send(pending.id, server.id, max(0.001, pending.useful - self.now)))
 
     # The draw.
 
+    def _sticky(self, pending: Pending) -> Server | None:
+        """Exception: the first attempt of a sticky session goes where that is kept, while it is usable.
+
+        What a client says of its session is a wish: a server that is unknown, gone, failing or silent is
+        passed over, one that drains too unless the settings let it keep its sessions. Harm: sessions crowd
+        a server that the draw would spare."""
+        server = self.servers.get(pending.member) if pending.member is not None else None
+        if server is None or pending.attempts:
+            return None
+        if server.state == ServerState.DRAINING:
+            return server if self.settings.sticky_drains and self._responds(server) else None
+        return server if self._usable(server) else None
+
     def _choose(self, pool: Pool, pending: Pending) -> Server | None:
-        tried = [a.server for a in pending.attempts]
-        number = pending.number
+        """A server of the first set that has a usable one; where none has, whichever the rules permit."""
+        tried, number = [a.server for a in pending.attempts], pending.number
+        for those in pool.sets:
+            if any(self._usable(s) and s not in tried for s in those.servers):
+                return self._two(those, tried, number) or self._of_few(those, tried, number)
+        return self._two(pool, tried, number) or self._unfiltered(pool, tried, number)
+
+    def _usable(self, server: Server) -> bool:
+        """Whether a set has to be passed over for want of this one; load does not count."""
+        return self._may_take(server) and self._responds(server)
+
+    def _responds(self, server: Server) -> bool:
+        if server.out and self.now - next(iter(server.out.values())) > self.silence:
+            return False
+        return self._faded(server.errors, server.errors_at) <= ERROR_LIMIT
+
+    def _of_few(self, pool: Pool, tried: list[Server], number: int) -> Server:
+        """Where draws find none in a set that has some: two of the usable ones, whatever their load."""
+        usable = [s for s in pool.servers if self._usable(s) and s not in tried]
+        return min(self.random.sample(usable, min(2, len(usable))), key=lambda s: self._score(s, number))
+
+    def _two(self, pool: Pool, tried: list[Server], number: int) -> Server | None:
         first = self._candidate(pool, tried, number)
         if first is None:
-            return self._unfiltered(pool, tried, number)
+            return None
         second = self._candidate(pool, tried, number)
         if second is None or second is first or self._score(first, number) <= self._score(second, number):
             return first
--- /dev/null
+++ b/spokemast/config/check.py
@@ -0,0 +1,192 @@
+"""What must hold between the tables of a file: names that exist, once; one source of members; no overlap.
+
+Works on what could be read, so that one wrong value hides no other mistake.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+from typing import Any, Iterable, Mapping, Sequence
+
+from spokemast.config.reader import (
+    ConfigError, Problems, check_members, read_address, read_members_file,
+)  # fmt: skip
+from spokemast.config.types import ClassTable, ListenerTable, PoolTable, RouteTable
+from spokemast.routes import ConflictError, Routes, Rule, RuleError, check_rule
+
+#: Lists of a file, by the key that they stand under.
+LISTS = {"class": "class_", "tenant": "tenant", "pool": "pool", "route": "route", "listener": "listener"}
+
+
+def rule_of(route: RouteTable) -> Rule:
+    """A route as the table of routes takes it."""
+    headers = {name.lower(): None if value == "*" else value for name, value in route.headers.items()}
+    return Rule(
+        route.name, route.host, route.path, route.prefix, route.pattern, frozenset(route.methods), headers
+    )
+
+
+def _names(box: Mapping[str, Any], key: str) -> set[str]:
+    """Names as they stand, also those of entries that can't be read: they do not dangle."""
+    entries = box.get(key)
+    if not isinstance(entries, list):
+        return set()
+    return {e["name"] for e in entries if isinstance(e, dict) and isinstance(e.get("name"), str)}
+
+
+def check(values: Mapping[str, Any], box: Mapping[str, Any], folder: Path, problems: Problems) -> None:
+    """Note all that does not fit together. `folder`: where relative names of files are looked for."""
+    for key in LISTS:
+        _check_once(box, key, problems)
+    for cls in _read(values, "class_"):
+        _check_class(cls, problems)
+    for pool in _read(values, "pool"):
+        _check_pool(pool, folder, problems)
+    routes = list(_read(values, "route"))
+    known = {key: _names(box, key) for key in LISTS}
+    effects = {cls.name: cls.effect for cls in _read(values, "class_")}
+    for route in routes:
+        _check_route(route, known, effects, problems)
+    _check_conflicts(routes, problems)
+    listeners = list(_read(values, "listener"))
+    for listener in listeners:
+        _check_listener(listener, known["route"], problems)
+    _check_overlap(listeners, problems)
+    for key in ("pool", "route", "listener"):
+        if values.get(key) == [] and box.get(key) == []:
+            problems.add(key, f"at least one [[{key}]] is wanted")
+
+
+def _read(values: Mapping[str, Any], name: str) -> Iterable[Any]:
+    return (entry for entry in values.get(name) or () if entry is not None)
+
+
+def _check_once(box: Mapping[str, Any], key: str, problems: Problems) -> None:
+    seen: dict[str, int] = {}
+    entries = box.get(key)
+    for number, entry in enumerate(entries if isinstance(entries, list) else ()):
+        name = entry.get("name") if isinstance(entry, dict) else None
+        if not isinstance(name, str):
+            continue
+        if name in seen:
+            problems.add(
+                f"{key}[{number}].name", f"{name!r} is the name of {key}[{seen[name]}] too; names are one"
+            )
+        seen.setdefault(name, number)
+
+
+def _check_class(cls: ClassTable, problems: Problems) -> None:
+    at = f"class[{cls.name}]"
+    if not 0 < cls.aim <= cls.deadline:
+        problems.add(f"{at}.aim", f"{cls.aim:g}s is not over 0 and within the deadline of {cls.deadline:g}s")
+    if cls.effect == "keyed" and cls.dedup_window <= 0:
+        problems.add(f"{at}.dedup_window", "a keyed class needs the time for which its members drop repeats")
+    if cls.effect != "keyed" and cls.dedup_window > 0:
+        problems.add(f"{at}.dedup_window", f'goes with effect = "keyed", and this class is {cls.effect}')
+
+
+def _check_pool(pool: PoolTable, folder: Path, problems: Problems) -> None:
+    at = f"pool[{pool.name}]"
+    sources = [k for k in ("member", "members_file", "discovery") if getattr(pool, k)]
+    if len(sources) != 1:
+        given = " and ".join(sources) or "none of them"
+        problems.add(
+            at, f"members come from one of [[pool.member]], members_file and discovery; given: {given}"
+        )
+    check_members(pool.member, f"{at}.", problems)
+    if pool.discovery is not None:
+        try:
+            read_address(pool.discovery)
+        except ValueError as problem:
+            problems.add(f"{at}.discovery", str(problem))
+    if pool.members_file is not None:
+        try:
+            read_members_file(folder / pool.members_file)
+        except ConfigError as error:
+            problems.found.extend(error.problems)
+    if pool.dialect == "platform":
+        for key in ("refusal_header", "load_header", "close_delimited"):
+            if getattr(pool, key):
+                problems.add(
+                    f"{at}.{key}", 'the platform\'s dialect has its own; take it out, or dialect = "http"'
+                )
+
+
+def _check_route(
+    route: RouteTable, known: Mapping[str, set[str]], effects: Mapping[str, str], problems: Problems
+) -> None:
+    at = f"route[{route.name}]"
+    for key, name, kind in (
+        ("pool", route.pool, "pool"), ("class", route.class_, "class"),
+        ("write_class", route.write_class, "class"), ("tenant", route.tenant, "tenant"),
+    ):  # fmt: skip
+        if name is not None and name not in known[kind]:
+            have = ", ".join(sorted(known[kind])) or "none"
+            problems.add(f"{at}.{key}", f"there is no [[{kind}]] named {name!r}; there are: {have}")
+    if route.write_class is not None:
+        if effects.get(route.write_class) == "safe":
+            problems.add(
+                f"{at}.write_class", f"{route.write_class!r} is safe; a keyed or unsafe class is wanted"
+            )
+        if route.class_ is not None and effects.get(route.class_, "safe") != "safe":
+            problems.add(
+                f"{at}.write_class", f"class {route.class_!r} is not safe and serves all methods already"
+            )
+    if route.deadline is not None and route.deadline <= 0:
+        problems.add(f"{at}.deadline", "a time over 0 is wanted")
+    if route.sticky is not None and not (route.sticky.cookie or route.sticky.path_parameter):
+        problems.add(f"{at}.sticky", "a cookie or a path_parameter is wanted")
+    try:
+        check_rule(rule_of(route))
+    except RuleError as problem:
+        problems.add(f"{at}.{problem.key}", str(problem))
+
+
+def _check_conflicts(routes: Sequence[RouteTable], problems: Problems) -> None:
+    """Every route against those before it: all conflicts, not the first alone."""
+    table = Routes([])
+    for route in routes:
+        try:
+            table.add(rule_of(route))
+        except ConflictError as problem:
+            problems.add(f"route[{route.name}]", str(problem))
+        except RuleError:
+            pass  # told already
+
+
+def _check_listener(listener: ListenerTable, routes: set[str], problems: Problems) -> None:
+    at = f"listener[{listener.name}]"
+    try:
+        read_address(listener.address)
+    except ValueError as problem:
+        problems.add(f"{at}.address", str(problem))
+    for name in listener.routes or ():
+        if name not in routes:
+            have = ", ".join(sorted(routes)) or "none"
+            problems.add(f"{at}.routes", f"there is no [[route]] named {name!r}; there are: {have}")
+    if listener.routes == []:
+        problems.add(f"{at}.routes", "names no route; leave the key out for all of them")
+    for network in listener.trusted:
+        try:
+            ipaddress.ip_network(network)
+        except ValueError:
+            problems.add(f"{at}.trusted", f"{network!r} is not a network, such as 10.0.0.0/8")
+    if listener.ready_path is not None and not listener.ready_path.startswith("/"):
+        problems.add(f"{at}.ready_path", f"{listener.ready_path!r} is not a path, such as /ready")
+
+
+def _check_overlap(listeners: Sequence[ListenerTable], problems: Problems) -> None:
+    taken: list[tuple[str, int, str]] = []
+    for listener in listeners:
+        try:
+            host, port = read_address(listener.address)
+        except ValueError:
+            continue
+        for other_host, other_port, name in taken:
+            if port and port == other_port and (host == other_host or "0.0.0.0" in (host, other_host)):
+                problems.add(
+                    f"listener[{listener.name}].address",
+                    f"{listener.address} overlaps with listener {name!r} at {other_host}:{other_port}",
+                )
+        taken.append((host, port, listener.name))
--- /dev/null
+++ b/spokemast/config/plan.py
@@ -0,0 +1,235 @@
+"""What a whole file means: settings for each pool's decisions, compiled routes, classes by method.
+
+No I/O but reading the file; nothing here knows a socket.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Mapping, Sequence, Union
+
+from msgspec import structs
+
+from spokemast import interface as api
+from spokemast.config.check import check, rule_of
+from spokemast.config.reader import read_file
+from spokemast.config.types import (
+    ClassTable,
+    File,
+    ListenerTable,
+    PoolTable,
+    ProcessTable,
+    RouteTable,
+    StickyTable,
+)
+from spokemast.routes import Routes
+from spokemast.settings import Deployment
+
+#: Methods that ask for nothing to be changed (RFC 9110, 9.2.1). TRACE is not served.
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+#: What a request is where its route names no class, in seconds.
+DEFAULT_AIM_S, DEFAULT_DEADLINE_S = 5.0, 30.0
+#: Figures of a load report that the decisions know.
+REPORT_FIELDS = ("outstanding", "backlog", "utilization", "recent_ms", "throughput", "errors_per_s")
+EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
+SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
+
+Network = Union[ipaddress.IPv4Network, ipaddress.IPv6Network]
+
+
+class Classes:
+    """All classes of a file, and by each the ones of other effects that its requests fall into by method or for
+    want of a key: they share its times and its worth."""
+
+    def __init__(self, tables: Sequence[ClassTable]) -> None:
+        self.made: list[api.RequestClass] = []
+        self._numbers: dict[tuple[str | None, api.Effect], int] = {}
+        self.key_headers: dict[int, str] = {}  # of keyed ones, in lower case
+        self._tables = {table.name: table for table in tables}
+        for table in tables:
+            self.number(table.name, EFFECTS[table.effect])
+
+    def effect(self, name: str) -> api.Effect:
+        return EFFECTS[self._tables[name].effect]
+
+    def number(self, name: str | None, effect: api.Effect) -> int:
+        """The class `name`, or with other words in `effect`, the one beside it; None is the default."""
+        if (name, effect) not in self._numbers:
+            self._numbers[name, effect] = len(self.made)
+            self.made.append(self._make(name, effect))
+            if effect == api.Effect.KEYED and name is not None:
+                self.key_headers[self._numbers[name, effect]] = self._tables[name].key_header.lower()
+        return self._numbers[name, effect]
+
+    def _make(self, name: str | None, effect: api.Effect) -> api.RequestClass:
+        if name is None:
+            return api.RequestClass(
+                f"default-{effect.name.lower()}",
+                DEFAULT_AIM_S,
+                DEFAULT_DEADLINE_S,
+                late_share=1.0,
+                effect=effect,
+            )
+        table = self._tables[name]
+        own = EFFECTS[table.effect] == effect
+        return api.RequestClass(
+            name if own else f"{name}-{effect.name.lower()}", float(table.aim), float(table.deadline), table.worth,
+            table.late_share, effect=effect, dedup_scope=SCOPES[table.dedup_scope],
+            dedup_window=float(table.dedup_window) if effect == api.Effect.KEYED else 0.0,
+        )  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class ByMethod:
+    """The class of a request on one route."""
+
+    read: int  # for methods that are safe
+    write: int  # for the others
+    key_header: str | None  # with which `write` is keyed
+    write_unkeyed: int  # and what it is without
+
+    def choose(self, method: str, has_key: bool) -> int:
+        if method in SAFE_METHODS:
+            return self.read
+        return self.write if self.key_header is None or has_key else self.write_unkeyed
+
+
+def by_method(route: RouteTable, classes: Classes) -> ByMethod:
+    """The method says what a request is, unless the route names the methods that its safe class is for; then the
+    operator has said that these change nothing."""
+    name = route.class_
+    if name is not None and classes.effect(name) == api.Effect.SAFE:
+        read = classes.number(name, api.Effect.SAFE)
+        if route.methods and route.write_class is None:
+            return ByMethod(read, read, None, read)
+    else:
+        read = classes.number(name, api.Effect.SAFE)
+    writing = route.write_class or name
+    if writing is None or classes.effect(writing) == api.Effect.SAFE:
+        write = classes.number(writing, api.Effect.UNSAFE)
+        return ByMethod(read, write, None, write)
+    write = classes.number(writing, classes.effect(writing))
+    unkeyed = classes.number(writing, api.Effect.UNSAFE)
+    return ByMethod(read, write, classes.key_headers.get(write), unkeyed)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutePlan:
+    name: str
+    pool: str
+    classes: ByMethod
+    deadline: float | None  # seconds, over that of the class
+    tenant: int
+    sticky: StickyTable | None
+
+
+@dataclass(frozen=True, slots=True)
+class PoolPlan:
+    table: PoolTable
+    deployment: Deployment
+
+    def outlasts(self, new: PoolPlan) -> bool:
+        """Whether a running pool can go on under a new plan: only its members, or its share, differ."""
+        return bool(self._core() == new._core())
+
+    def _core(self) -> Any:
+        table = self.table
+        limits = structs.replace(table.limits, share=1.0)
+        # A pool whose members come from elsewhere now keeps what it has learnt of those that stay.
+        return structs.replace(
+            table, member=[], members_file=None, discovery=None, limits=limits
+        ), self.deployment
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerPlan:
+    table: ListenerTable
+    routes: Routes
+    trusted: tuple[Network, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A file that has been checked whole."""
+
+    path: Path
+    file: File
+    classes: tuple[api.RequestClass, ...]
+    key_headers: frozenset[str]  # in lower case
+    pools: Mapping[str, PoolPlan]
+    routes: Mapping[str, RoutePlan]
+    listeners: Mapping[str, ListenerPlan]
+
+    @property
+    def longest(self) -> float:
+        """Seconds that any request may take."""
+        return max(cls.give_up for cls in self.classes)
+
+
+def load(path: Path) -> Plan:
+    """The file as a plan; ConfigError with all that is wrong in it and in the files that it names."""
+    values, box, problems = read_file(path)
+    check(values, box, path.parent, problems)
+    problems.stop()
+    return compile_plan(path, File(**values))
+
+
+def compile_plan(path: Path, file: File) -> Plan:
+    """A file that has passed check.py, compiled."""
+    classes = Classes(file.class_)
+    tenants = {table.name: number for number, table in enumerate(file.tenant)}
+    routes = {
+        table.name: RoutePlan(
+            table.name, table.pool, by_method(table, classes), table.deadline and float(table.deadline),
+            tenants.get(table.tenant or "", 0), table.sticky,
+        )
+        for table in file.route
+    }  # fmt: skip
+    made = tuple(classes.made)
+    pools = {table.name: PoolPlan(table, _deployment(file, table, made)) for table in file.pool}
+    rules = {table.name: rule_of(table) for table in file.route}
+    listeners = {
+        table.name: ListenerPlan(
+            table,
+            Routes([rules[name] for name in (rules if table.routes is None else table.routes)]),
+            tuple(ipaddress.ip_network(network) for network in table.trusted),
+        )
+        for table in file.listener
+    }
+    return Plan(path, file, made, frozenset(classes.key_headers.values()), pools, routes, listeners)
+
+
+def _deployment(file: File, table: PoolTable, classes: tuple[api.RequestClass, ...]) -> Deployment:
+    zones = _zones(file.process)
+    limits, rules = table.limits, table.rules
+    reports = table.dialect == "platform" or table.load_header is not None
+    settings = api.Settings(
+        classes=classes,
+        n_instances=file.process.instances,
+        zone=zones.get(file.process.zone, 0),
+        n_zones=max(1, len(zones)),
+        tenants=tuple(api.Tenant(t.name, t.share, t.quota_per_s) for t in file.tenant),
+        report_fields=REPORT_FIELDS if reports else (),
+        sticky_drains=table.sticky_while_draining,
+        cold_standby=rules.standby == "cold",
+        limits=api.Limits(
+            max_attempts=limits.attempts, second_copies=limits.second_copies,
+            retry_after=limits.retry_after > 0, max_retry_after=float(limits.retry_after),
+            connect_timeout=float(limits.connect_timeout),
+        ),
+        rules=api.Rules(
+            drain_grace=float(rules.drain_grace), cold_from=rules.cold_from, cold_time=float(rules.cold_time),
+            overload_factor=rules.overload_factor, fall_time=float(rules.fall_time),
+        ),
+    )  # fmt: skip
+    return Deployment(
+        settings, zones, {}, {c.name: n for n, c in enumerate(classes)},
+        {t.name: n for n, t in enumerate(file.tenant)}, float(limits.idle_close),
+    )  # fmt: skip
+
+
+def _zones(process: ProcessTable) -> dict[str, int]:
+    """Numbers of the zones that the process knows, its own first; those of members follow as they are met."""
+    return {name: number for number, name in enumerate(dict.fromkeys([process.zone, *process.zones]))}
--- /dev/null
+++ b/spokemast/config/types.py
@@ -0,0 +1,172 @@
+"""What may stand in micastand.toml, table by table. Types alone: what must fit together is checked in check.py."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct, field
+
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+_SECONDS = {"ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0}
+_SIZE = re.compile(r"(\d+(?:\.\d+)?)(B|KiB|MiB|GiB)")
+_BYTES = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
+
+
+class Duration(float):
+    """Seconds, written with their unit."""
+
+    wanted = 'a duration in quotes with its unit, such as "600ms", "1.5s", "2m"'
+
+    @classmethod
+    def read(cls, value: object) -> Duration:
+        match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+        if match is None:
+            raise ValueError(f"{value!r} is not {cls.wanted}")
+        return cls(float(match[1]) * _SECONDS[match[2]])
+
+
+class Size(int):
+    """Bytes, written with their unit."""
+
+    wanted = 'a size in quotes with its unit, such as "64KiB", "1.5MiB"'
+
+    @classmethod
+    def read(cls, value: object) -> Size:
+        match = _SIZE.fullmatch(value) if isinstance(value, str) else None
+        if match is None or not math.isfinite(float(match[1])):
+            raise ValueError(f"{value!r} is not {cls.wanted}")
+        return cls(float(match[1]) * _BYTES[match[2]])
+
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.\-]*$")]
+#: A header's name (RFC 9110, 5.1).
+Header = Annotated[str, Meta(pattern=r"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$")]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Positive = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(ge=1)]
+Number = Annotated[int, Meta(ge=0)]
+
+
+class ProcessTable(Struct, frozen=True, kw_only=True):
+    memory: Size = Size(128 << 20)  # of the whole process; buffers get half of what the program leaves
+    descriptors: Annotated[int, Meta(ge=64)] = 1024  # of all sockets
+    zone: str = ""  # where this proxy stands
+    zones: list[str] = []  # all of them, for pools whose members come from discovery
+    instances: Count = 1  # proxies that send to the same members
+
+
+class ClassTable(Struct, frozen=True, kw_only=True):
+    name: Name
+    aim: Duration  # an answer within this is in time
+    deadline: Duration  # and after this nobody waits for it any more
+    worth: Annotated[float, Meta(ge=0)] = 1.0
+    late_share: Share = 1.0  # of the worth that an answer after the aim still has
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    key_header: Header = "Idempotency-Key"
+    dedup_scope: Literal["all", "zone", "cell"] = "all"
+    dedup_window: Duration = Duration(0.0)
+
+
+class TenantTable(Struct, frozen=True, kw_only=True):
+    name: Name
+    share: Share = 1.0
+    quota_per_s: Positive
+
+
+class MemberTable(Struct, frozen=True, kw_only=True):
+    id: Name
+    address: str
+    weight: Positive = 1.0
+    zone: str = ""
+    cell: Number = 0
+    state: Literal["serving", "draining", "standby", "stopped"] = "serving"
+    set: Number = 0  # a set serves while no lower one has a usable member
+    route: Name | None = None  # as it stands in sticky sessions; its id if it is not given
+    started: Annotated[float, Meta(ge=0)] | None = None  # Unix time of its last start
+
+
+class LimitsTable(Struct, frozen=True, kw_only=True):
+    attempts: Annotated[int, Meta(ge=1, le=10)] = 3
+    second_copies: bool = False  # of a request that may be repeated, while the first attempt is silent
+    connect_timeout: Duration = Duration(0.25)
+    idle_close: Duration = Duration(15.0)  # after this a member closes a connection that stands idle
+    request_body: Size = Size(1 << 20)
+    answer_body: Size = Size(1 << 20)
+    retry_after: Duration = Duration(0.0)  # a refusal may ask clients to stay away for this long at most
+    share: Positive = 1.0  # of descriptors, buffers and time on the processor, beside the other pools
+
+
+class RulesTable(Struct, frozen=True, kw_only=True):
+    drain_grace: Duration = Duration(1.0)
+    cold_time: Duration = Duration(10.0)  # a member is warm after this
+    cold_from: Annotated[float, Meta(gt=0, le=1)] = 0.3  # share of its capacity at its start
+    overload_factor: Annotated[float, Meta(gt=1)] = 2.5
+    fall_time: Duration = Duration(2.0)
+    new_members: Literal["cold", "warm"] = "cold"  # such as appear while the proxy runs, and say no start
+    standby: Literal["cold", "warm"] = "cold"  # members of a set that has not served for `cold_time`
+
+
+class PoolTable(Struct, frozen=True, kw_only=True):
+    name: Name
+    dialect: Literal["http", "platform"] = "http"
+    member: list[MemberTable] = []
+    members_file: str | None = None
+    discovery: str | None = None
+    limits: LimitsTable = LimitsTable()
+    rules: RulesTable = RulesTable()
+    sticky_while_draining: bool = False  # a draining member keeps the sessions that it has
+    refusal_header: Header | None = None  # with this, a 503 or 504 says that the request never ran
+    load_header: Header | None = None  # a JSON object: utilization, recent_ms, throughput and others
+    close_delimited: bool = False  # take an answer that ends with its connection for whole
+
+
+class StickyTable(Struct, frozen=True, kw_only=True):
+    cookie: Header | None = None
+    path_parameter: Name | None = None
+    separator: Annotated[str, Meta(min_length=1, max_length=1)] | None = None
+
+
+class RouteTable(Struct, frozen=True, kw_only=True):
+    name: Name
+    host: str = "*"
+    path: str | None = None
+    prefix: str | None = None
+    pattern: str | None = None
+    methods: list[str] = []
+    headers: dict[str, str] = {}  # a value of "*" asks only that the header is there
+    pool: str
+    class_: str | None = field(name="class", default=None)
+    write_class: str | None = None  # for methods that are not safe, where `class` is a safe one
+    deadline: Duration | None = None
+    tenant: str | None = None
+    sticky: StickyTable | None = None
+
+
+class ListenerTable(Struct, frozen=True, kw_only=True):
+    name: Name
+    address: str
+    protocol: Literal["http/1.1"] = "http/1.1"
+    routes: list[str] | None = None  # all of them, if it is not given
+    trusted: list[str] = []  # networks whose Forwarded and X-Forwarded-* are believed
+    ready_path: str | None = None  # answers 200 while the listener wants clients
+    encoded_slashes: Literal["reject", "keep"] = "reject"
+    share: Positive = 1.0  # of the descriptors for clients
+
+
+class File(Struct, frozen=True, kw_only=True):
+    """A whole file."""
+
+    process: ProcessTable = ProcessTable()
+    class_: list[ClassTable] = field(name="class", default=[])
+    tenant: list[TenantTable] = []
+    pool: list[PoolTable]
+    route: list[RouteTable]
+    listener: list[ListenerTable]
+
+
+class MembersFile(Struct, frozen=True, kw_only=True):
+    """A pool's members in a file of their own."""
+
+    member: list[MemberTable]
--- a/spokemast/interface.py
+++ b/spokemast/interface.py
@@ -146,6 +146,8 @@
     worth_by_work: bool = False
     warm_keys: bool = False
     passes_deadline: bool = True
+    sticky_drains: bool = False  # a draining server keeps the requests of its sticky sessions
+    cold_standby: bool = False  # a server of a further set that has not served counts as just started
     prices: Mapping[str, float] = field(default_factory=dict)
     limits: Limits = Limits()
     rules: Rules = Rules()
@@ -171,6 +173,7 @@
     state: ServerState = ServerState.READY
     weight: float = 1.0
     started: float = 0.0  # 0: long ago
+    rank: int = 0  # of its set: one serves while no lower one has a usable server
 
 
 class ServerList(NamedTuple):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,7 @@
 import pytest
 
 from peers import OK, SETTINGS, ScriptedBackend, World, answering, play, request, world
-from spokemast.interface import ServerList, ServerState
+from spokemast.interface import ServerEntry, ServerList, ServerState
 from spokemast.members import watch as discovery_module
 
 ASKED = {**SETTINGS, "registry-mode": "subscribe"}
@@ -36,7 +36,7 @@
             event = await until_lists(here, 2)
             assert event.whole and not event.stale and not event.failed
             known, unknown = event.entries
-            assert known == ("s", 1, 2, 0, ServerState.READY, 1.5, 12.0)
+            assert known == ServerEntry("s", 1, 2, 0, ServerState.READY, 1.5, 12.0)
             assert (unknown.zone, unknown.kind) == (-1, -1)
 
     play(scene)
