--- a/spokemast/__main__.py
+++ b/spokemast/__main__.py
@@ -16,7 +16,7 @@
 from spokemast.fronts.http1 import ClientConnection
 from spokemast.fronts.listener import Listener, drain
 from spokemast.fronts.platform import PlatformReader
-from spokemast.limits import Complaints, Limits, describe
+from spokemast.limits import Complaints, Limits, describe_context
 from spokemast.members.watch import Discovery
 from spokemast.settings import Deployment, read_deployment
 
@@ -89,12 +89,6 @@
         self.complain("new configuration taken", f"discovery at {host}:{port}")
 
 
-def _describe(context: dict[str, Any]) -> str:
-    """What escaped a callback or a task, in a line."""
-    problem = context.get("exception")
-    return str(context.get("message")) + (f": {describe(problem)}" if problem else "")
-
-
 async def serve(configuration: Configuration, path: str) -> None:
     complain = Complaints()
     deployment, limits = configuration.deployment, configuration.limits
@@ -105,7 +99,7 @@
     listener = Listener(PlatformReader(proxy, deployment), slots, complain, ClientConnection)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: complain("defect", _describe(context)))
+    loop.set_exception_handler(lambda _, context: complain("defect", describe_context(context)))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, Reloader(path, configuration, discovery, complain))
--- /dev/null
+++ b/spokemast/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command `micastand`: one file a verb, thin."""
--- /dev/null
+++ b/spokemast/cli/serve.py
@@ -0,0 +1,134 @@
+"""`micastand serve`: the daemon, over a file or over the embedded default."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import signal
+import sys
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from spokemast.cli.words import load_or_tell
+from spokemast.config.plan import load
+from spokemast.daemon.daemon import Daemon
+from spokemast.limits import Complaints, describe_context
+from standins.member import Fleet
+
+DEFAULT_ADDRESS = "127.0.0.1:8080"
+DEFAULT_MEMBERS = 6
+
+#: The embedded default, but for its members.
+DEFAULT = """\
+[[class]]
+name = "track"
+aim = "600ms"
+deadline = "1.5s"
+worth = 3
+
+[[class]]
+name = "book"
+aim = "1.5s"
+deadline = "5s"
+worth = 10
+effect = "keyed"
+dedup_window = "3s"
+
+[[route]]
+name = "all"
+prefix = "/"
+pool = "demo"
+class = "track"
+write_class = "book"
+
+[[listener]]
+name = "main"
+address = "{address}"
+ready_path = "/ready"
+
+[[pool]]
+name = "demo"
+"""
+
+
+def add(verbs: Any) -> None:
+    verb = verbs.add_parser(
+        "serve", help="run the proxy",
+        description="Runs the proxy in the foreground. Without a file: an embedded default on "
+        f"{DEFAULT_ADDRESS} over {DEFAULT_MEMBERS} stand-in members that it starts itself. SIGHUP takes the file "
+        "anew, all or nothing; SIGINT and SIGTERM end it once what it holds is answered, a second one at once.",
+    )  # fmt: skip
+    verb.add_argument("-c", "--config", type=Path, metavar="FILE")
+    verb.add_argument(
+        "-a", "--address", default=DEFAULT_ADDRESS, help="of the embedded default (%(default)s)"
+    )
+    verb.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    if options.config is not None and load_or_tell(options.config) is None:
+        return 1
+    try:
+        return uvloop.run(_serve(options))
+    except OSError as problem:
+        sys.stderr.write(f"micastand serve: can't listen: {problem}\n")
+        return 1
+
+
+async def _serve(options: argparse.Namespace) -> int:
+    async with AsyncExitStack() as stack:
+        path = options.config
+        if path is None:
+            path = await _embedded(stack, options.address)
+        daemon = Daemon(Complaints())
+        stack.callback(daemon.close)
+        daemon.apply(load(path))
+        stopping = _signals(daemon)
+        for name, listener in daemon.listeners.items():
+            host, port = listener.address
+            print(f"micastand: {name} listens on http://{host}:{port}/", flush=True)
+            if options.config is None:
+                print(f"try: curl -i http://{host}:{port}/pallets/42", flush=True)
+        gc.collect()
+        gc.freeze()
+        await stopping.wait()
+        again = asyncio.Event()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, again.set)
+        await _first(daemon.end(), again.wait())
+        print("micastand: ended", flush=True)
+        return 0
+
+
+def _signals(daemon: Daemon) -> asyncio.Event:
+    loop, stopping = asyncio.get_running_loop(), asyncio.Event()
+    loop.set_exception_handler(lambda _, context: daemon.complain("defect", describe_context(context)))
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    return stopping
+
+
+async def _first(*waits: Any) -> None:
+    """Until one of them is done; the others are ended."""
+    tasks = [asyncio.ensure_future(wait) for wait in waits]
+    _, left = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in left:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _embedded(stack: AsyncExitStack, address: str) -> Path:
+    """Start the stand-in members, and write the configuration that names them."""
+    fleet = Fleet(DEFAULT_MEMBERS)
+    stack.push_async_callback(fleet.stop)
+    await fleet.start()
+    folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="micastand-")))
+    path = folder / "micastand.toml"
+    path.write_text(DEFAULT.format(address=address) + fleet.tables())
+    return path
--- /dev/null
+++ b/spokemast/cli/words.py
@@ -0,0 +1,25 @@
+"""What verbs say of wrong files and wrong uses."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from spokemast.config.plan import Plan, load
+from spokemast.config.reader import ConfigError
+
+
+class UseError(ValueError):
+    """The command was used wrongly; says what would be right."""
+
+
+def load_or_tell(path: Path) -> Plan | None:
+    """The file as a plan, or None once all that is wrong in it has been written to standard error."""
+    try:
+        return load(path)
+    except ConfigError as error:
+        for problem in error.problems:
+            sys.stderr.write(f"{problem}\n")
+        count = len(error.problems)
+        sys.stderr.write(f"{path}: {count} error{'s' * (count > 1)}; nothing was changed\n")
+        return None
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -18,7 +18,8 @@
 from spokemast.members.lists import Entry, Source
 from spokemast.limits import Budget, Complaints, Share, describe
 from spokemast.settings import Deployment
-from spokemast.upstreams.connections import Answer, Attempt, Backends, Connect
+from spokemast.upstreams.connections import Answer, Attempt, Backends
+from spokemast.upstreams.dialect import Dialect
 from spokemast.upstreams.http1 import Connection
 
 
@@ -39,6 +40,12 @@
                length: int | None = None, reason: bytes = b"") -> None: ...  # fmt: skip
 
 
+class Gate(Protocol):
+    """Who says whether a pool may take one more request now, where several share the process."""
+
+    def admit(self, pool: str) -> bool: ...
+
+
 class OpenRequest:
     """A request that has been taken, until it is answered and all its attempts have ended."""
 
@@ -98,19 +105,23 @@
         seed: int,
         limits: Share,
         complain: Complaints,
-        connect: Connect | None = None,
+        dialect: Dialect | None = None,
         ids: Ids | None = None,
         timeout_status: int = 502,
     ) -> None:
-        """`connect` makes connections to members, in the platform's dialect if it is not given. `ids` is
-        shared by all pools whose requests bear ids of clients. `timeout_status` is what a client hears of a
-        request that failed because its last attempt took too long."""
+        """`dialect` is what its members speak, the platform's if it is not given. `ids` is shared by all pools
+        whose requests bear ids of clients. `timeout_status` is what a client hears of a request that failed
+        because its last attempt took too long."""
         self.balancer = Balancer(deployment.settings, seed)
         self.complain = complain
         self.budget = Budget(limits.buffered)
         self.timeout_status = timeout_status
         self.open_most = limits.open_most
-        make = connect or partial(Connection, report_fields=deployment.settings.report_fields)
+        self.turns: Gate | None = None  # where several pools share the processor
+        self.name = ""  # by which they know this one
+        self.closed = False
+        dialect = dialect or Dialect(report_fields=deployment.settings.report_fields)
+        make = partial(Connection, dialect=dialect, not_passed=dialect.not_passed())
         self.backends = Backends(
             self, self.budget, complain, limits.backend_sockets, make,
             deployment.settings.limits.connect_timeout, deployment.idle_close,
@@ -186,7 +197,9 @@
         Guards against a pool that hangs: without a bound its requests would come to hold every connection
         that clients may have, and with them the other pools. Harm: a burst is turned away that would have
         passed."""
-        return len(self.open) < self.open_most
+        if self.closed or len(self.open) >= self.open_most:
+            return False
+        return self.turns is None or self.turns.admit(self.name)
 
     def is_known(self, request: OpenRequest) -> bool:
         return self.ids.is_known(request.txn)
@@ -365,8 +378,15 @@
         self.backends.sweep(time.monotonic())
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
 
+    def retire(self) -> None:
+        """Keep no connection; what is open, or on its way, is still served."""
+        for server in list(self.backends.table):
+            self.backends.retire(server)
+
     def close(self) -> None:
-        """Nothing is open any more, and nothing new comes: its connections, timers and source go."""
+        """Nothing new comes: what is still open has failed, and its connections, timers and source go."""
+        self.closed = True
+        self.end_all()
         self._sweeping.cancel()
         if self.source is not None:
             self.source.close()
--- /dev/null
+++ b/spokemast/daemon/daemon.py
@@ -0,0 +1,260 @@
+"""All that runs under one configuration, and the way from one configuration to the next.
+
+A reload is all or nothing: the file is read and checked whole, new pools are made and new listeners bound before
+anything that runs is touched; what can't be had leaves everything as it was.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from pathlib import Path
+from typing import Mapping
+
+from spokemast.config.plan import Plan, load
+from spokemast.config.reader import ConfigError, read_address
+from spokemast.core.proxy import Ids
+from spokemast.daemon.pools import RunningPool
+from spokemast.fronts.http1 import REQUEST_S, ClientConnection
+from spokemast.fronts.listener import ACCEPT_BURST, BACKLOG, Listener, bind, drain
+from spokemast.fronts.ordinary import RoutedReader, RouteTarget
+from spokemast.limits import Complaints, Limits
+from spokemast.shares import WINDOW_S, PoolShare, Slots, Turns, divide_listeners, divide_pools
+
+#: A pool or listener that a reload took out is looked after this often, until nothing is open on it.
+RETIRE_LOOK_S = 0.25
+#: A request whose head was begun before a reload is read to its end by the reader of that time; so long its pool
+#: may still be asked.
+RETIRE_LEAST_S = REQUEST_S + 0.5
+#: Beside the longest deadline, how long the end may take: new connections are still served for a while.
+END_BESIDE_S = 2.0
+
+
+class Daemon:
+    """Listeners and pools of one configuration at a time."""
+
+    def __init__(self, complain: Complaints, seed: int | None = None) -> None:
+        """`seed`: of all random choices; from the system if it is not given."""
+        self.complain = complain
+        self.plan: Plan | None = None
+        self.pools: dict[str, RunningPool] = {}
+        self.listeners: dict[str, Listener] = {}
+        self.retiring_pools: list[tuple[float, RunningPool]] = []  # with the time they retired
+        self.retiring_listeners: list[Listener] = []
+        self.reloads = 0  # that were taken
+        self._random = random.Random(seed)
+        self._tag = f"{self._random.getrandbits(40):010x}"
+        self._ids = Ids()
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(RETIRE_LOOK_S, self._look_after)
+        self._window = self._loop.call_later(WINDOW_S, self._measure)
+        self._measured = time.monotonic(), time.process_time()
+        self._turns: Turns | None = None
+        self._reloading: asyncio.Task[None] | None = None
+        self._again = False  # another reload was asked for while one ran
+
+    # Taking a configuration.
+
+    def apply(self, plan: Plan) -> None:
+        """Run under `plan` from now on. ConfigError or OSError, and nothing changed, if that can't be."""
+        sockets = self._bind(plan)
+        made: dict[str, RunningPool] = {}
+        try:
+            self._make_pools(plan, made)
+        except Exception:
+            for sock in sockets.values():
+                sock.close()
+            for pool in made.values():
+                pool.close()
+            raise
+        self._swap(plan, made, sockets)
+
+    def _bind(self, plan: Plan) -> dict[str, socket.socket]:
+        """Sockets for the listeners that no running one has the address of."""
+        sockets: dict[str, socket.socket] = {}
+        kept = self._kept(plan)
+        try:
+            for name, listener in plan.listeners.items():
+                if name not in kept:
+                    sockets[name] = bind(read_address(listener.table.address))
+        except OSError:
+            for sock in sockets.values():
+                sock.close()
+            raise
+        return sockets
+
+    def _kept(self, plan: Plan) -> dict[str, str]:
+        """The running listener that each new one goes on with: that of its address, under whatever name."""
+        if self.plan is None:
+            return {}
+        old = {name: read_address(self.plan.listeners[name].table.address) for name in self.listeners}
+        by_address = {address: name for name, address in old.items()}
+        kept = {}
+        for name, listener in plan.listeners.items():
+            address = read_address(listener.table.address)
+            if old.get(name) == address:
+                kept[name] = name
+            elif address[1] and address in by_address:
+                kept[name] = by_address[address]
+        return kept
+
+    def _make_pools(self, plan: Plan, made: dict[str, RunningPool]) -> None:
+        _, shares = self._divide(plan)
+        for name, pool in plan.pools.items():
+            running = self.pools.get(name)
+            if running is None or not running.plan.outlasts(pool):
+                seed = self._random.getrandbits(64)
+                made[name] = RunningPool(pool, shares[name], seed, self._ids, self.complain, plan.path.parent)
+
+    def _divide(self, plan: Plan) -> tuple[dict[str, Slots], dict[str, PoolShare]]:
+        process = plan.file.process
+        limits = Limits(process.memory / (1 << 20), process.descriptors)
+        slots = divide_listeners(
+            limits.client_sockets, limits.overflow_sockets,
+            {name: listener.table.share for name, listener in plan.listeners.items()},
+        )  # fmt: skip
+        reached: dict[str, set[str]] = {name: set() for name in plan.pools}
+        for name, listener in plan.listeners.items():
+            for route in plan.routes.values():
+                if listener.table.routes is None or route.name in listener.table.routes:
+                    reached[route.pool].add(name)
+        weights = {name: pool.table.limits.share for name, pool in plan.pools.items()}
+        return slots, divide_pools(limits.buffered, limits.backend_sockets, weights, slots, reached)
+
+    def _swap(self, plan: Plan, made: dict[str, RunningPool], sockets: dict[str, socket.socket]) -> None:
+        """From here on nothing may fail."""
+        slots, shares = self._divide(plan)
+        for name in list(self.pools):
+            if name in made or name not in plan.pools:
+                self._retire_pool(self.pools.pop(name))
+        for name, pool in self.pools.items():
+            try:
+                pool.update(plan.pools[name])
+            except ConfigError as error:  # its file of members has just changed; the old members go on
+                self.complain("members file not taken", error.problems[0])
+        self.pools.update(made)
+        weights = {name: pool.table.limits.share for name, pool in plan.pools.items()}
+        self._turns = Turns(weights) if len(weights) > 1 else None
+        for name, pool in self.pools.items():
+            pool.resize(shares[name], self._turns)
+        self._swap_listeners(plan, sockets, slots)
+        self.plan = plan
+
+    def _swap_listeners(
+        self, plan: Plan, sockets: Mapping[str, socket.socket], slots: Mapping[str, Slots]
+    ) -> None:
+        kept = self._kept(plan)
+        running = {name: self.listeners.pop(old) for name, old in kept.items()}
+        for listener in self.listeners.values():
+            self._retire_listener(listener)
+        self.listeners = running
+        targets = {name: self._target(plan, name) for name in plan.routes}
+        for name, listener_plan in plan.listeners.items():
+            chosen = listener_plan.table.routes
+            mine = targets if chosen is None else {route: targets[route] for route in chosen}
+            reader = RoutedReader(listener_plan, mine, plan.key_headers, self._tag)
+            if name in sockets:
+                running[name] = Listener(reader, slots[name], self.complain, ClientConnection)
+                running[name].start(sockets[name])
+            running[name].reader = reader
+            running[name].most, running[name].overflow_most = slots[name]
+
+    def _target(self, plan: Plan, name: str) -> RouteTarget:
+        route = plan.routes[name]
+        pool = self.pools[route.pool]
+        return RouteTarget(
+            name, pool.proxy, pool.reader, route.classes, route.deadline, route.tenant, route.sticky,
+            pool.sessions, plan.pools[route.pool].table.limits.request_body,
+        )  # fmt: skip
+
+    # What a reload took out.
+
+    def _retire_pool(self, pool: RunningPool) -> None:
+        pool.retire()
+        self.retiring_pools.append((time.monotonic(), pool))
+
+    def _retire_listener(self, listener: Listener) -> None:
+        """Its socket goes at once; connections end after the answer that they wait for."""
+        listener.retire()
+        for _ in range(BACKLOG // ACCEPT_BURST + 1):  # what the kernel holds is ours
+            if not listener.accept():
+                break
+        listener.close()
+        self.retiring_listeners.append(listener)
+
+    def _look_after(self) -> None:
+        """Close what a reload took out, once nothing is open on it."""
+        self._timer = self._loop.call_later(RETIRE_LOOK_S, self._look_after)
+        busy = []
+        for listener in self.retiring_listeners:
+            if listener.is_busy() or listener.is_flushing():
+                busy.append(listener)
+            else:
+                listener.stop()
+        self.retiring_listeners = busy
+        early = time.monotonic() - RETIRE_LEAST_S
+        still = []
+        for since, pool in self.retiring_pools:
+            if since > early or pool.proxy.open:
+                still.append((since, pool))
+            else:
+                pool.close()
+        self.retiring_pools = still
+
+    def _measure(self) -> None:
+        """How much of the last window the processor was used."""
+        self._window = self._loop.call_later(WINDOW_S, self._measure)
+        (wall, used), now = self._measured, (time.monotonic(), time.process_time())
+        self._measured = now
+        if self._turns is not None and now[0] > wall:
+            self._turns.window((now[1] - used) / (now[0] - wall))
+
+    # Reloading.
+
+    def reload(self) -> None:
+        """Take the file anew; for a signal. One that comes while another is under way follows it."""
+        if self._reloading is not None:
+            self._again = True
+        elif self.plan is not None:
+            self._reloading = self._loop.create_task(self._reload(self.plan.path))
+
+    async def _reload(self, path: Path) -> None:
+        """Guards against a bad new file: whatever is wrong with it, what runs stays as it is."""
+        try:
+            self.apply(await self._loop.run_in_executor(None, load, path))
+        except ConfigError as error:
+            for problem in error.problems:
+                self.complain(f"new configuration not taken: {problem.key or problem.file}", problem)
+        except OSError as problem:
+            self.complain("new configuration not taken", f"can't listen: {problem}")
+        else:
+            self.reloads += 1
+            self.complain("new configuration taken", path)
+        finally:
+            self._reloading = None
+        if self._again:
+            self._again = False
+            self.reload()
+
+    # The end.
+
+    async def end(self) -> None:
+        """Serve for a while yet, then answer what is held, and release all."""
+        if self._reloading is not None:
+            self._reloading.cancel()
+        longest = self.plan.longest if self.plan is not None else 0.0
+        listeners = [*self.listeners.values(), *self.retiring_listeners]
+        await drain(listeners, longest, longest + END_BESIDE_S)
+        self.close()
+
+    def close(self) -> None:
+        self._timer.cancel()
+        self._window.cancel()
+        for listener in (*self.listeners.values(), *self.retiring_listeners):
+            listener.stop()
+        for pool in (*self.pools.values(), *(pool for _, pool in self.retiring_pools)):
+            pool.close()
+        self.listeners, self.pools = {}, {}
+        self.retiring_listeners, self.retiring_pools = [], []
--- /dev/null
+++ b/spokemast/daemon/pools.py
@@ -0,0 +1,124 @@
+"""A running pool: its decisions, its connections, and the source of its members."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Union
+
+from spokemast.config.plan import PoolPlan
+from spokemast.config.reader import read_address
+from spokemast.core.proxy import Ids, Proxy
+from spokemast.fronts.platform import PlatformReader
+from spokemast.limits import Complaints
+from spokemast.members.listed import ListedMembers, MembersFile
+from spokemast.members.tables import Converter
+from spokemast.members.watch import Discovery
+from spokemast.shares import PoolShare, Turns
+from spokemast.upstreams.dialect import Dialect
+
+#: What clients hear of a request that failed because its last attempt took too long (RFC 9110, 15.6.5).
+GATEWAY_TIMEOUT = 504
+
+
+def dialect_of(plan: PoolPlan) -> Dialect | None:
+    """What the pool's members speak; None for the platform's dialect."""
+    table = plan.table
+    if table.dialect == "platform":
+        return None
+    return Dialect(
+        report_header=_header(table.load_header),
+        report_fields=plan.deployment.settings.report_fields,
+        refusal_header=_header(table.refusal_header),
+        deadline_header=None,
+        body_most=table.limits.answer_body,
+        platform=False,
+        close_delimited=table.close_delimited,
+    )
+
+
+def _header(name: str | None) -> bytes | None:
+    return name.lower().encode() if name is not None else None
+
+
+class RunningPool:
+    """One pool between its first request and its last. The daemon owns it; `close` releases all that it holds."""
+
+    def __init__(
+        self, plan: PoolPlan, share: PoolShare, seed: int, ids: Ids, complain: Complaints, base: Path
+    ) -> None:
+        """`base`: folder that the name of a members file is relative to. ConfigError if that can't be read."""
+        self.plan, self.complain, self.base = plan, complain, base
+        self.sessions: dict[str, str] = {}  # ids of members by their names in sticky sessions
+        self.proxy = Proxy(plan.deployment, seed, share, complain, dialect_of(plan), ids, GATEWAY_TIMEOUT)
+        self.proxy.name = plan.table.name
+        self.reader = (
+            PlatformReader(self.proxy, plan.deployment) if plan.table.dialect == "platform" else None
+        )
+        cold = plan.table.rules.new_members == "cold"
+        self._convert = Converter(plan.deployment.zones, cold)
+        self.source: Union[ListedMembers, Discovery]
+        try:
+            self.source = self._open_source()
+        except Exception:
+            self.proxy.close()
+            raise
+
+    def _open_source(self) -> Union[ListedMembers, Discovery]:
+        table = self.plan.table
+        source: Union[ListedMembers, Discovery]
+        if table.discovery is not None:
+            address = read_address(table.discovery)
+            source = Discovery(self.proxy, self.plan.deployment, address, self.complain)
+            source.start({"servers": []})
+        elif table.members_file is not None:
+            path = self.base / table.members_file
+            source = file = MembersFile(self.proxy, self._note_sessions, self._convert, path, self.complain)
+            try:
+                file.begin()
+            except Exception:
+                file.close()
+                raise
+        else:
+            source = ListedMembers(self.proxy, self._note_sessions, self._convert)
+            source.take(table.member)
+        self.proxy.source = source
+        return source
+
+    def _note_sessions(self, names: dict[str, str]) -> None:
+        self.sessions.clear()  # in place: routes hold it
+        self.sessions.update(names)
+
+    def update(self, plan: PoolPlan) -> None:
+        """Go on under a new plan that differs by members alone; ConfigError, and nothing changed, if its file of
+        members can't be read."""
+        old, self.plan = self.plan, plan
+        a, b = old.table, plan.table
+        if (a.discovery, a.members_file) == (b.discovery, b.members_file):
+            if b.member and isinstance(self.source, ListedMembers) and a.member != b.member:
+                self.source.take(b.member)
+            return
+        before = self.source
+        try:
+            self.source = self._open_source()
+        except Exception:
+            self.plan = old
+            raise
+        before.close()
+
+    def resize(self, share: PoolShare, turns: Turns | None) -> None:
+        """Another part of the process; what is held over it is kept until it ends."""
+        proxy = self.proxy
+        proxy.turns = turns
+        proxy.open_most = share.open_most
+        proxy.backends.sockets = share.backend_sockets
+        proxy.budget.resize(share.buffered)
+
+    def retire(self) -> None:
+        """No route leads here any more: members get nothing new but what is on its way, and no connection is
+        kept."""
+        self.source.close()
+        self.proxy.source = None
+        self.proxy.retire()
+
+    def close(self) -> None:
+        self.proxy.close()
--- a/spokemast/fronts/dialect.py
+++ b/spokemast/fronts/dialect.py
@@ -8,6 +8,7 @@
 from typing import Iterable, NamedTuple, Protocol, Union
 
 from spokemast.core.proxy import OpenRequest, Proxy
+from spokemast.limits import Budget
 
 
 class RejectError(Exception):
@@ -19,10 +20,10 @@
 
 
 class Destination(Protocol):
-    """Where a request goes, as far as its head tells: the pool that is charged, and its largest body."""
+    """Where a request goes, as far as its head tells: whose budget is charged, and the largest body."""
 
     @property
-    def proxy(self) -> Proxy: ...
+    def budget(self) -> Budget: ...
     @property
     def body_most(self) -> int: ...  # bytes
 
@@ -77,6 +78,9 @@
     draining: bool  # set by the listener: new clients are no longer wanted
     ignores_upgrade: bool  # an upgrade asked for is not taken up, and the request served (RFC 9110, 7.8)
 
+    def new_head(self, peer: str) -> Head:
+        """For a request that begins to come; `peer` is the address of the connection's other end."""
+
     def place(self, head: Head) -> Destination:
         """Called when the head is whole, before any of the body is kept."""
 
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -15,7 +15,7 @@
 import httptools
 
 from spokemast.core.proxy import OpenRequest
-from spokemast.fronts.dialect import Ask, Head, RejectError, Reply
+from spokemast.fronts.dialect import Ask, RejectError, Reply
 from spokemast.fronts.listener import FrontConnection, Listener, Phase
 from spokemast.limits import Budget
 
@@ -73,7 +73,7 @@
         self._begin()
 
     def _begin(self) -> None:
-        self.head = Head(self.listener.reader, self.peer)
+        self.head = self.listener.reader.new_head(self.peer)
         self.body: bytearray | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -137,7 +137,7 @@
         assert destination is not None
         if len(self.body) + len(data) > destination.body_most:
             raise RejectError(413, "body too large")
-        if not destination.proxy.budget.take_upload(len(data)):
+        if not destination.budget.take_upload(len(data)):
             raise RejectError(503, "too much is being uploaded")
         self.body += data
 
@@ -298,7 +298,7 @@
 
     def _release_body(self) -> None:
         if self.body is not None and self.head.destination is not None:
-            self.head.destination.proxy.budget.give(len(self.body))
+            self.head.destination.budget.give(len(self.body))
         self.body = None
 
     # Flow control, and the end.
@@ -308,7 +308,7 @@
         assert self.transport is not None
         self.blocked = time.monotonic()
         if self.head.destination is not None:
-            self.charged_to = self.head.destination.proxy.budget
+            self.charged_to = self.head.destination.budget
             self.charged = self.transport.get_write_buffer_size()
             self.charged_to.held += self.charged
 
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -100,20 +100,27 @@
         self._sweeping: asyncio.TimerHandle | None = None
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(BACKLOG)
-        sock.setblocking(False)
+        """Bind and begin to accept; OSError where the address can't be had."""
+        return self.start(bind(address))
+
+    def start(self, sock: socket.socket) -> tuple[str, int]:
+        """Accept on a socket that listens; it is the listener's from here on."""
         self._sock = sock
         self._loop.add_reader(sock, self.accept)
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
         host, port = sock.getsockname()
         return host, port
 
+    @property
+    def address(self) -> tuple[str, int]:
+        assert self._sock is not None
+        host, port = self._sock.getsockname()
+        return host, port
+
     def accept(self) -> bool:
         """Take what has connected; False once nothing waits any more."""
-        assert self._sock is not None
+        if self._sock is None:
+            return False
         for _ in range(ACCEPT_BURST):
             try:
                 sock, address = self._sock.accept()
@@ -214,8 +221,8 @@
 
     def hush(self) -> None:
         """Nothing is accepted by the loop any more; `accept` still takes what the kernel holds."""
-        assert self._sock is not None
-        self._loop.remove_reader(self._sock)
+        if self._sock is not None:
+            self._loop.remove_reader(self._sock)
 
     def close(self) -> None:
         """The socket goes; the connections stay."""
@@ -244,17 +251,31 @@
             connection.abort()
 
 
-async def drain(listeners: Sequence[Listener], longest: float) -> None:
+def bind(address: tuple[str, int]) -> socket.socket:
+    """A socket that listens; OSError where the address can't be had."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+async def drain(listeners: Sequence[Listener], longest: float, most: float = DRAIN_MOST_S) -> None:
     """After SIGTERM: serve for a while, then close what is idle and answer what is held.
 
-    `longest`: seconds that a request may take at most."""
+    `longest`: seconds that a request may take at most; `most`: that all of it may take."""
     began = time.monotonic()
     for listener in listeners:
         listener.retire()
     await asyncio.sleep(DRAIN_OPEN_S)
     for listener in listeners:
         listener.hush()
-    end = began + min(DRAIN_MOST_S, longest + DRAIN_OPEN_S)
+    end = began + min(most, longest + DRAIN_OPEN_S)
     for listener in listeners:
         while listener.accept() and time.monotonic() < end:  # what the kernel holds is ours
             await asyncio.sleep(0)
--- /dev/null
+++ b/spokemast/fronts/ordinary.py
@@ -0,0 +1,251 @@
+"""Clients that speak plain HTTP/1.1: the route says the pool, the class and the deadline (dialect `http`).
+
+A `RoutedReader` is of one listener and one configuration; it is made anew at a reload, and a request is read to its
+end by the one it began with. No I/O but the clock.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import time
+from itertools import count
+from typing import Iterable, Mapping, NamedTuple, Sequence, Union
+
+from spokemast.config.plan import ByMethod, ListenerPlan, Network
+from spokemast.config.types import StickyTable
+from spokemast.core.proxy import OpenRequest, Proxy
+from spokemast.fronts.dialect import Ask, ClientSide, Destination, Head, RejectError, Reply
+from spokemast.fronts.platform import PlatformReader, pass_on
+from spokemast.limits import Budget
+from spokemast.routes import Rule
+from spokemast.targets import Target, TargetError, read_target
+
+#: Headers that tell of the way to us; a stranger's are not believed and not passed on.
+FORWARDED = frozenset((
+    b"forwarded", b"x-forwarded-for", b"x-forwarded-proto", b"x-forwarded-host", b"x-forwarded-port", b"x-real-ip",
+))  # fmt: skip
+#: Methods whose requests state a length also when they have no body (RFC 9110, 8.6).
+WITH_LENGTH = frozenset((b"POST", b"PUT", b"PATCH"))
+#: Our name on the way, as RFC 9110, 7.6.3, asks of a gateway.
+VIA = b"Via: 1.1 micastand\r\n"
+
+
+class RouteTarget(NamedTuple):
+    """Where the requests of one route go."""
+
+    name: str
+    proxy: Proxy
+    platform: (
+        PlatformReader | None
+    )  # reads the platform's headers, where the pool's dialect is the platform's
+    classes: ByMethod
+    deadline: float | None  # seconds, over that of the class
+    tenant: int
+    sticky: StickyTable | None
+    members: Mapping[str, str]  # ids by the names that members have in sticky sessions; kept up by the pool
+    body_most: int
+
+    @property
+    def budget(self) -> Budget:
+        return self.proxy.budget
+
+
+class Nowhere(NamedTuple):
+    """The destination of what no pool will see."""
+
+    budget: Budget = Budget(0)
+    body_most: int = 0
+
+
+NOWHERE = Nowhere()
+
+
+class PlainHead(Head):
+    """What is kept of a head between its end and that of the body."""
+
+    __slots__ = ("target", "reply")
+    target: Target
+    reply: tuple[int, str] | None
+
+
+class RoutedReader:
+    """All routes of one listener."""
+
+    not_passed = frozenset((
+        b"connection", b"keep-alive", b"proxy-authorization", b"proxy-connection", b"te", b"trailer",
+        b"transfer-encoding", b"upgrade", b"content-length", b"expect", b"host",
+    ))  # fmt: skip
+    single = frozenset((b"content-length", b"host", b"transfer-encoding", b"expect"))
+    ignores_upgrade = True
+
+    def __init__(self, plan: ListenerPlan, targets: Mapping[str, RouteTarget], key_headers: Iterable[str],
+                 tag: str) -> None:  # fmt: skip
+        """`targets` by the names of routes. `tag` makes the ids given to requests this process's own."""
+        self.routes, self.trusted, self.targets = plan.routes, plan.trusted, targets
+        self.ready_path = plan.table.ready_path
+        self.keep_slashes = plan.table.encoded_slashes == "keep"
+        self.draining = False
+        self.platform = any(target.platform is not None for target in targets.values())
+        self.noted = self._noted(key_headers)
+        self.not_passed = RoutedReader.not_passed | FORWARDED
+        if self.platform:  # the platform's members get the time left, written anew
+            self.not_passed |= PlatformReader.not_passed
+        self._numbers, self._tag = count(1), tag
+
+    def _noted(self, key_headers: Iterable[str]) -> frozenset[bytes]:
+        names = {
+            b"connection",
+            b"content-length",
+            b"transfer-encoding",
+            b"host",
+            b"expect",
+            b"cookie",
+        } | FORWARDED
+        names |= {name.encode() for name in key_headers} | {b"x-request-id"}
+        names |= {name.encode() for name in self.routes.headers}
+        if self.platform:
+            names |= PlatformReader.noted
+        return frozenset(names)
+
+    def proxies(self) -> Iterable[Proxy]:
+        return {id(t.proxy): t.proxy for t in self.targets.values()}.values()
+
+    def new_head(self, peer: str) -> PlainHead:
+        return PlainHead(self, peer)
+
+    # The head.
+
+    def place(self, head: Head) -> Destination:
+        assert isinstance(head, PlainHead)
+        found = self._find(head)
+        if isinstance(found, RouteTarget):
+            head.reply = None
+            return found
+        head.reply = found
+        if head.noted.get(b"content-length", b"0") != b"0" or b"transfer-encoding" in head.noted:
+            raise RejectError(*found)  # what would follow is read by nobody
+        return NOWHERE
+
+    def _find(self, head: PlainHead) -> Union[RouteTarget, tuple[int, str]]:
+        noted = head.noted
+        if head.method in (b"CONNECT", b"TRACE"):
+            return 501, "the method is not served"
+        host = noted.get(b"host")
+        if host is None and not head.old:
+            return 400, "no Host"
+        try:
+            text = host.decode("latin-1") if host is not None else "unknown"
+            head.target = read_target(head.url.decode("latin-1"), text, self.keep_slashes)
+        except TargetError as problem:
+            return 400, str(problem)
+        target = head.target
+        if self.ready_path is not None and target.path == self.ready_path:
+            return self._ready()
+        rule = self._rule(head)
+        return self.targets[rule.name] if rule is not None else (404, "no route takes this request")
+
+    def _rule(self, head: PlainHead) -> Rule | None:
+        noted, target = head.noted, head.target
+
+        def value(name: str) -> str | None:
+            found = noted.get(name.encode())
+            return None if found is None else found.decode("latin-1")
+
+        return self.routes.find(target.host, target.segments, head.method.decode("latin-1"), value)
+
+    def _ready(self) -> tuple[int, str]:
+        ready = not self.draining and all(proxy.listed for proxy in self.proxies())
+        return (200, "ready") if ready else (503, "not ready")
+
+    # The whole request.
+
+    def read(self, head: Head, body: bytearray | None, client: ClientSide) -> Ask | Reply:
+        assert isinstance(head, PlainHead)
+        if head.reply is not None:
+            return Reply(*head.reply, head.close)
+        destination = head.destination
+        assert isinstance(destination, RouteTarget)
+        self._rewrite(head)
+        if destination.platform is not None:
+            return destination.platform.read_platform(head, body, client)
+        return self._ask(head, destination, body, client)
+
+    def _ask(self, head: PlainHead, to: RouteTarget, body: bytearray | None, client: ClientSide) -> Ask:
+        classes, noted = to.classes, head.noted
+        has_key = classes.key_header is not None and bool(noted.get(classes.key_header.encode()))
+        cls = classes.choose(head.method.decode("latin-1"), has_key)
+        give_up = to.proxy.balancer.settings.classes[cls].give_up
+        left = give_up if to.deadline is None else min(to.deadline, give_up)
+        sent = pass_on(head, body, head.method in WITH_LENGTH)
+        request = OpenRequest(client, 0, sent, body, head.method == b"HEAD")
+        member = find_session(to.sticky, noted.get(b"cookie", b""), head.target.path) if to.sticky else None
+        return Ask(
+            to.proxy, request, cls, time.monotonic() + left, to.tenant, None, None, False, head.close,
+            to.members.get(member) if member is not None else None,
+        )  # fmt: skip
+
+    def _rewrite(self, head: PlainHead) -> None:
+        """The request as it goes on: the path in its one form, Host as it counts, and who asked."""
+        target, noted = head.target, head.noted
+        head.url = (target.path + target.query).encode("latin-1")
+        host, lines = target.authority.encode("latin-1"), head.lines
+        lines.insert(0, b"Host: %b\r\n" % host)
+        lines.append(VIA)
+        if b"x-request-id" not in noted:
+            lines.append(b"X-Request-Id: %b-%x\r\n" % (self._tag.encode(), next(self._numbers)))
+        lines.extend(forwarded(head.peer, host, noted, is_trusted(head.peer, self.trusted)))
+
+
+def is_trusted(peer: str, networks: Sequence[Network]) -> bool:
+    return bool(networks) and any(ipaddress.ip_address(peer) in network for network in networks)
+
+
+def forwarded(peer: str, host: bytes, noted: Mapping[bytes, bytes], trusted: bool) -> list[bytes]:
+    """Forwarded (RFC 7239) and the older X-Forwarded-* of a request.
+
+    Guards against clients who claim to be others: only what a trusted proxy says of the way before it is kept."""
+    before = noted if trusted else {}
+    address = peer.encode()
+    quoted = b'"[%b]"' % address if b":" in address else address
+    chain = before.get(b"x-forwarded-for")
+    element = b'for=%b;host="%b";proto=http' % (quoted, host)
+    earlier = before.get(b"forwarded")
+    return [
+        b"X-Forwarded-For: %b\r\n" % (chain + b", " + address if chain else address),
+        b"X-Forwarded-Proto: %b\r\n" % before.get(b"x-forwarded-proto", b"http"),
+        b"X-Forwarded-Host: %b\r\n" % before.get(b"x-forwarded-host", host),
+        b"Forwarded: %b\r\n" % (earlier + b", " + element if earlier else element),
+    ]
+
+
+def find_session(sticky: StickyTable, cookies: bytes, path: str) -> str | None:
+    """The name of the member that a sticky session is with, as the client has it; None where it has none.
+
+    The cookie stands above the path parameter. With a separator the name is what follows the last one."""
+    value = None
+    if sticky.cookie is not None:
+        value = _cookie(cookies, sticky.cookie.encode())
+    if value is None and sticky.path_parameter is not None:
+        value = _parameter(path, sticky.path_parameter)
+    if value is None or sticky.separator is None:
+        return value
+    _, found, name = value.rpartition(sticky.separator)
+    return name if found else None
+
+
+def _cookie(cookies: bytes, name: bytes) -> str | None:
+    for pair in cookies.split(b";"):
+        key, found, value = pair.strip().partition(b"=")
+        if found and key == name:
+            return value.strip(b'"').decode("latin-1")
+    return None
+
+
+def _parameter(path: str, name: str) -> str | None:
+    """Of the last segment that has it: `/a;jsessionid=x.b1`."""
+    for segment in reversed(path.split("/")):
+        for part in segment.split(";")[1:]:
+            key, found, value = part.partition("=")
+            if found and key == name:
+                return value
+    return None
--- a/spokemast/fronts/platform.py
+++ b/spokemast/fronts/platform.py
@@ -51,6 +51,7 @@
 
     def __init__(self, proxy: Proxy, deployment: Deployment) -> None:
         self.proxy, self.deployment = proxy, deployment
+        self.budget = proxy.budget
         self.draining = False  # new clients are no longer wanted
 
     def proxies(self) -> Iterable[Proxy]:
@@ -59,6 +60,9 @@
     def ready(self) -> bool:
         return not self.draining and bool(self.proxy.listed)
 
+    def new_head(self, peer: str) -> Head:
+        return Head(self, peer)
+
     def place(self, head: Head) -> PlatformReader:
         return self
 
--- a/spokemast/limits.py
+++ b/spokemast/limits.py
@@ -5,7 +5,7 @@
 import sys
 import time
 import traceback
-from typing import Protocol
+from typing import Any, Mapping, Protocol
 
 #: Largest body that the protocol knows, either way.
 BODY_MOST = 64 << 10
@@ -56,9 +56,13 @@
     """Bytes buffered for all requests and answers together."""
 
     def __init__(self, most: int) -> None:
+        self.held = 0
+        self.resize(most)
+
+    def resize(self, most: int) -> None:
+        """Another bound, in bytes, from now on."""
         self.most = most
         self.uploads_most = int(most * (1 - ANSWER_ROOM))
-        self.held = 0
 
     def take_upload(self, count: int) -> bool:
         if self.held + count > self.uploads_most:
@@ -77,6 +81,12 @@
     return f"{type(problem).__name__}: {problem}{where}"
 
 
+def describe_context(context: Mapping[str, Any]) -> str:
+    """What escaped a callback or a task of the loop, in a line."""
+    problem = context.get("exception")
+    return str(context.get("message")) + (f": {describe(problem)}" if problem else "")
+
+
 class Complaints:
     """The log: each kind of complaint once in a while, with how many were left out."""
 
--- /dev/null
+++ b/spokemast/members/tables.py
@@ -0,0 +1,63 @@
+"""Members as our own files list them, in the module's form."""
+
+from __future__ import annotations
+
+import time
+from typing import Callable, Iterable, Sequence
+
+from spokemast.config.reader import read_address
+from spokemast.config.types import MemberTable
+from spokemast.interface import ServerEntry, ServerState
+from spokemast.members.lists import Entry
+
+#: Rank of the standby members of set 0: behind every set of serving ones.
+STANDBY_RANK = 1_000_000
+
+
+class Numbers:
+    """Numbers for names as they are met; the first ones are given."""
+
+    def __init__(self, names: Iterable[str]) -> None:
+        self._numbers = {name: number for number, name in enumerate(names)}
+
+    def __call__(self, name: str) -> int:
+        return self._numbers.setdefault(name, len(self._numbers))
+
+
+class Converter:
+    """Lists of members into entries; it remembers which ones it has seen, for those that appear later are new."""
+
+    def __init__(
+        self, zones: Iterable[str], new_are_cold: bool, clock: Callable[[], float] = time.time
+    ) -> None:
+        """`new_are_cold`: one that was not in the first list counts as started when it appeared, unless it says
+        when. `clock`: Unix time in seconds."""
+        self._zone, self._new_are_cold, self._clock = Numbers(zones), new_are_cold, clock
+        self._started: dict[str, float] | None = None  # of those in the last list
+
+    def entries(self, members: Sequence[MemberTable]) -> list[Entry]:
+        """The members that may serve or finish; a stopped one is not listed at all."""
+        before, now = self._started, self._clock()
+        late = 0.0 if before is None or not self._new_are_cold else now
+        started = {}
+        entries = []
+        for member in members:
+            if member.state == "stopped":
+                continue
+            since = (before or {}).get(member.id, late) if member.started is None else member.started
+            started[member.id] = since
+            entries.append((self._entry(member, since), read_address(member.address)))
+        self._started = started
+        return entries
+
+    def _entry(self, member: MemberTable, started: float) -> ServerEntry:
+        state = ServerState.DRAINING if member.state == "draining" else ServerState.READY
+        rank = member.set + (STANDBY_RANK if member.state == "standby" else 0)
+        return ServerEntry(
+            member.id, self._zone(member.zone), member.cell, 0, state, member.weight, started, rank
+        )
+
+
+def session_names(members: Iterable[MemberTable]) -> dict[str, str]:
+    """Ids of members by the names that sticky sessions have for them; a stopped one has none."""
+    return {member.route or member.id: member.id for member in members if member.state != "stopped"}
--- a/spokemast/routes.py
+++ b/spokemast/routes.py
@@ -140,6 +140,7 @@
         self._exact: dict[str, _Node] = {}
         self._suffix: dict[str, _Node] = {}
         self._any_host = _Node()
+        self.headers: set[str] = set()  # that any rule asks for
         for rule in rules:
             self.add(rule)
 
@@ -162,6 +163,7 @@
                     f"host, path or method, or a header more"
                 )
         place.append(rule)
+        self.headers |= rule.headers.keys()
         place.sort(key=_rank)
 
     def _host(self, host: str) -> _Node:
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -156,6 +156,11 @@
             backend.wanted, backend.gone = False, True
             self.close_idle(server)
 
+    def retire(self, server: str) -> None:
+        """Keep no connection to it: those in use close once they have been used."""
+        self.table[server].wanted = False
+        self.close_idle(server)
+
     def send(self, attempt: Attempt) -> None:
         backend = self.table.get(attempt.server)
         if backend is None:  # it went between the decision and now
--- /dev/null
+++ b/spokemast/upstreams/dialect.py
@@ -0,0 +1,54 @@
+"""What the members of a pool mean by their answers: which are served, refuse, fail, and which headers say more.
+
+Pure: no I/O and no clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Sequence
+
+from spokemast.interface import Result
+from spokemast.limits import BODY_MOST
+
+#: Headers of an answer that are of one connection alone (RFC 9110, 7.6.1), or written anew.
+HOP_BY_HOP = frozenset((
+    b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-connection", b"te", b"trailer",
+    b"transfer-encoding", b"upgrade", b"content-length",
+))  # fmt: skip
+#: Statuses from 400 on that speak of the backend: it waited too long, or has too much to do.
+NOT_OF_THE_REQUEST = frozenset((408, 429))
+#: Statuses with which a backend may say that it never ran the request.
+REFUSALS = frozenset((503, 504))
+
+
+@dataclass(frozen=True, slots=True)
+class Dialect:
+    """Names of headers in lower case."""
+
+    report_header: bytes | None = b"x-pressure"
+    report_fields: Sequence[str] = ()  # of a load report, in the settings' words
+    refusal_header: bytes | None = b"x-turned-away"  # with the value 1, or any if it is not the platform's
+    deadline_header: bytes | None = b"X-Remaining"  # tells the member how long the proxy waits
+    body_most: int = BODY_MOST  # bytes of an answer's body
+    platform: bool = True  # 200 alone is served; a 4xx says that no member can use the request
+    close_delimited: bool = False  # an answer that ends with its connection counts as whole
+
+    def not_passed(self) -> frozenset[bytes]:
+        """Headers of an answer that do not go on to the client."""
+        own = (self.report_header, self.refusal_header)
+        return HOP_BY_HOP | {name for name in own if name is not None}
+
+    def result(self, status: int, refusal: bytes | None) -> Result:
+        """What a whole answer means. `refusal`: the value of the refusal header, where there is one.
+
+        A refusal proves that the request never ran; any other 5xx may have run."""
+        if refusal is not None and status in REFUSALS and (refusal.strip() == b"1" or not self.platform):
+            return Result.FULL
+        if not self.platform:
+            return Result.SERVED if status < 500 else Result.ERROR
+        if status == 200:
+            return Result.SERVED
+        if 400 <= status < 500 and status not in NOT_OF_THE_REQUEST:
+            return Result.UNUSABLE
+        return Result.ERROR
--- a/spokemast/upstreams/http1.py
+++ b/spokemast/upstreams/http1.py
@@ -12,22 +12,16 @@
 import orjson
 
 from spokemast.interface import Result
-from spokemast.limits import BODY_MOST
 from spokemast.upstreams.connections import Answer, Attempt, Backend, Backends, Upstream
+from spokemast.upstreams.dialect import Dialect
 
-#: What may come for one request, head, interim answers and framing of chunks with it. Guards the memory and
-#: the CPU against anything that keeps coming, whatever it says of itself.
-ANSWER_MOST = BODY_MOST + (64 << 10)
+#: What may come for one request beside the body of its answer: head, interim answers, framing of chunks. With the
+#: body's own bound it guards the memory and the CPU against anything that keeps coming, whatever it says of itself.
+BESIDE_MOST = 64 << 10
 #: And before its head has ended.
 HEAD_MOST = 32 << 10
-#: Headers of an answer that are not passed on: of this connection alone, or for the proxy alone.
-NOT_PASSED = frozenset((
-    b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-connection", b"te", b"trailer",
-    b"transfer-encoding", b"upgrade", b"content-length", b"x-pressure", b"x-turned-away",
-))  # fmt: skip
-
-#: Statuses from 400 on that speak of the backend: it waited too long, or has too much to do.
-NOT_OF_THE_REQUEST = frozenset((408, 429))
+#: Answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
+BODILESS = frozenset((204, 304))
 
 #: Fields of a load report by their names on sockets, in the settings' words.
 REPORT_WORDS = {
@@ -57,8 +51,10 @@
     """One connection to a backend; it carries one attempt at a time."""
 
     def __init__(self, backend: Backend, pool: Backends, sock: socket.socket,
-                 report_fields: Sequence[str]) -> None:  # fmt: skip
-        self.backend, self.pool, self.sock, self.report_fields = backend, pool, sock, report_fields
+                 dialect: Dialect, not_passed: frozenset[bytes]) -> None:  # fmt: skip
+        """`not_passed` is the dialect's, made once for all connections."""
+        self.backend, self.pool, self.sock = backend, pool, sock
+        self.dialect, self.not_passed = dialect, not_passed
         self.life = backend.life
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
@@ -76,7 +72,7 @@
         """Forget the answer before; the next one may come."""
         self._forget_head()
         self._release()
-        self.complete = self.surplus = self.keep = False
+        self.complete = self.surplus = self.keep = self.length_only = False
         self.received = 0
 
     def _forget_head(self) -> None:
@@ -84,8 +80,10 @@
         self.lines: list[bytes] = []
         self.length: int | None = None
         self.framed = False  # its end can be told from that of the connection
-        self.turned_away = False
+        self.refusal: bytes | None = None
         self.pressure = b""
+        self.reason = b""
+        self.hop = b""  # what the Connection header names
 
     def _release(self) -> None:
         self.pool.budget.give(self.held)
@@ -116,7 +114,11 @@
         attempt.written_at = time.monotonic()
         attempt.connection = self
         request = attempt.request
-        data = b"%bX-Remaining: %dm\r\n\r\n" % (request.head, max(1, round(attempt.timeout * 1000)))
+        if self.dialect.deadline_header is None:
+            data = request.head + b"\r\n"
+        else:
+            left = max(1, round(attempt.timeout * 1000))
+            data = b"%b%b: %dm\r\n\r\n" % (request.head, self.dialect.deadline_header, left)
         if request.body:
             data += request.body
         # Straight to the kernel: so it is certain what has left, and a break before the last byte is
@@ -148,30 +150,44 @@
         if self.surplus or self.held:  # trailers, or what nobody asked for
             return
         key = name.lower()
-        if key not in NOT_PASSED:
+        if key not in self.not_passed:
             self.lines.append(b"%b: %b\r\n" % (name, value))
-        elif key == b"x-pressure":
+        elif key == self.dialect.report_header:
             self.pressure = value
-        elif key == b"x-turned-away":
-            self.turned_away = value.strip() == b"1"
+        elif key == self.dialect.refusal_header:
+            self.refusal = value
         elif key == b"content-length":
             self.length = int(value)
             self.framed = True
         elif key == b"transfer-encoding":
             self.framed = value.lower().rpartition(b",")[2].strip() == b"chunked"
+        elif key == b"connection":
+            self.hop += b"," + value.lower()
+
+    def on_status(self, reason: bytes) -> None:
+        self.reason += reason
 
     def on_headers_complete(self) -> None:
-        if not self.surplus and self.parser is not None:
-            self.status = self.parser.get_status_code()
+        if self.surplus or self.parser is None or self.complete:
+            return
+        self.status = self.parser.get_status_code()
+        attempt = self.attempt
+        if attempt is not None and attempt.request.bodiless and self.status >= 200:
+            # The answer to HEAD ends here, whatever length it states (RFC 9112, 6.3); the parser can't know.
+            self.complete = True
+            self.keep = self.parser.should_keep_alive()
+            self.length_only = True
 
     def on_body(self, body: bytes) -> None:
-        if not self.surplus and self.status == 200:
+        if self.complete:
+            self.surplus = True
+        elif not self.surplus and (self.status == 200 or not self.dialect.platform):
             self.body.append(body)
             self.held += len(body)
             self.pool.budget.held += len(body)
 
     def on_message_complete(self) -> None:
-        if self.surplus or self.parser is None:
+        if self.surplus or self.parser is None or self.length_only:
             return
         if self.status < 200:  # an interim answer: the real one follows
             self._forget_head()
@@ -194,13 +210,20 @@
                 self._spoilt(repr(problem.__context__ or problem))
                 return
             self.surplus = True
-        if self.status and not self.framed and self.status not in (204, 304):
-            self._spoilt("no end of its own")  # whole and cut short look the same
-        elif self.complete and self.held <= BODY_MOST:
+        self._judge()
+
+    def _judge(self) -> None:
+        """What has come so far: an answer, too much of one, or not yet enough."""
+        dialect = self.dialect
+        if self.status and not self.framed and self.status not in BODILESS and not self.length_only:
+            if not dialect.close_delimited:
+                self._spoilt("no end of its own")  # whole and cut short look the same
+                return
+        if self.complete and self.held <= dialect.body_most:
             self._finish()
-        elif self.received > (ANSWER_MOST if self.status else HEAD_MOST):
+        elif self.received > (dialect.body_most + BESIDE_MOST if self.status else HEAD_MOST):
             self._spoilt("without end")
-        elif max(self.held, self.length or 0) > BODY_MOST:
+        elif max(self.held, self.length or 0) > dialect.body_most and not self.length_only:
             self._spoilt("too large")
 
     def _spoilt(self, why: object) -> None:
@@ -215,38 +238,48 @@
         """The answer is whole."""
         attempt = self.attempt
         assert attempt is not None
-        result = self._result()
+        result = self.dialect.result(self.status, self.refusal)
         report = self._report()
-        answer = Answer(self.lines, b"".join(self.body)) if result == Result.SERVED else None
+        answer = None
+        if result == Result.SERVED or (result == Result.ERROR and not self.dialect.platform):
+            answer = self._answer()
         self.attempt = None
         attempt.connection = None
         if self.keep and not self.surplus and not self.unsent and not self.closed:
+            if self.length_only:
+                self.parser = httptools.HttpResponseParser(self)  # the old one waits for a body
             self._expect()
             self.pool.park(self)
         else:
             self.drop()
         self.pool.owner.finish_attempt(attempt, result, report, answer)
 
-    def _result(self) -> Result:
-        if self.status == 200:
-            return Result.SERVED
-        if self.turned_away and self.status in (503, 504):
-            return Result.FULL
-        if 400 <= self.status < 500 and self.status not in NOT_OF_THE_REQUEST:
-            return Result.UNUSABLE
-        return Result.ERROR
+    def _answer(self) -> Answer:
+        lines = self.lines
+        names = {name.strip() for name in self.hop.split(b",")} - {b"", b"close", b"keep-alive"}
+        if names:  # headers of this connection alone (RFC 9110, 7.6.1)
+            lines = [line for line in lines if line.partition(b":")[0].lower() not in names]
+        length = self.length if self.length_only or self.status in BODILESS else None
+        return Answer(lines, b"".join(self.body), self.status, self.reason, length)
 
     def _report(self) -> Mapping[str, float] | None:
         if not self.pressure:
             return None
         try:
-            return read_report(self.pressure, self.report_fields)
+            return read_report(self.pressure, self.dialect.report_fields)
         except ValueError as problem:
             self.pool.complain("malformed load report", problem)
             return None
 
     # Ending.
 
+    def _ends_with_connection(self) -> bool:
+        """Whether the end of input is that of the answer (RFC 9112, 6.3, rule 8)."""
+        return (
+            self.dialect.close_delimited and self.attempt is not None and self.status >= 200
+            and not self.framed and not self.unsent and self.held <= self.dialect.body_most
+        )  # fmt: skip
+
     def _fail(self, result: Result) -> None:
         attempt = self.attempt
         self.drop()
@@ -254,6 +287,10 @@
             self.pool.owner.finish_attempt(attempt, result)
 
     def eof_received(self) -> None:
+        if self._ends_with_connection():
+            self.complete = True
+            self._finish()
+            return
         self._fail(Result.NO_CONNECTION if self.unsent else Result.RESET)
 
     def connection_lost(self, exc: Exception | None) -> None:
