--- a/spokemast/config/check.py
+++ b/spokemast/config/check.py
@@ -45,7 +45,9 @@
         _check_pool(pool, folder, problems)
     routes = list(_read(values, "route"))
     known = {key: _names(box, key) for key in LISTS}
-    effects = {cls.name: cls.effect for cls in _read(values, "class_")}
+    effects = {
+        cls.name: cls.effect for cls in reversed([*_read(values, "class_")])
+    }  # of two, the first counts
     for route in routes:
         _check_route(route, known, effects, problems)
     _check_conflicts(routes, problems)
--- a/spokemast/config/reader.py
+++ b/spokemast/config/reader.py
@@ -220,7 +220,7 @@
     host, _, port = text.rpartition(":")
     try:
         number = int(port)
-        if not port.isdigit() or number > 65535:
+        if not (port.isascii() and port.isdigit()) or number > 65535:
             raise ValueError
         return str(ipaddress.IPv4Address(host)), number
     except ValueError:
--- a/spokemast/config/types.py
+++ b/spokemast/config/types.py
@@ -8,9 +8,9 @@
 
 from msgspec import Meta, Struct, field
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)")
 _SECONDS = {"ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0}
-_SIZE = re.compile(r"(\d+(?:\.\d+)?)(B|KiB|MiB|GiB)")
+_SIZE = re.compile(r"([0-9]+(?:\.[0-9]+)?)(B|KiB|MiB|GiB)")
 _BYTES = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
 
 
--- a/spokemast/daemon/daemon.py
+++ b/spokemast/daemon/daemon.py
@@ -10,6 +10,7 @@
 import random
 import socket
 import time
+from itertools import count
 from pathlib import Path
 from typing import Mapping
 
@@ -45,7 +46,8 @@
         self.retiring_listeners: list[Listener] = []
         self.reloads = 0  # that were taken
         self._random = random.Random(seed)
-        self._tag = f"{self._random.getrandbits(40):010x}"
+        tag = b"%010x" % self._random.getrandbits(40)
+        self._request_ids = (b"%b-%x" % (tag, number) for number in count(1))
         self._ids = Ids()
         self._loop = asyncio.get_running_loop()
         self._timer = self._loop.call_later(RETIRE_LOOK_S, self._look_after)
@@ -154,7 +156,7 @@
         for name, listener_plan in plan.listeners.items():
             chosen = listener_plan.table.routes
             mine = targets if chosen is None else {route: targets[route] for route in chosen}
-            reader = RoutedReader(listener_plan, mine, plan.key_headers, self._tag)
+            reader = RoutedReader(listener_plan, mine, plan.key_headers, self._request_ids)
             if name in sockets:
                 running[name] = Listener(reader, slots[name], self.complain, ClientConnection)
                 running[name].start(sockets[name])
--- a/spokemast/fronts/ordinary.py
+++ b/spokemast/fronts/ordinary.py
@@ -8,8 +8,7 @@
 
 import ipaddress
 import time
-from itertools import count
-from typing import Iterable, Mapping, NamedTuple, Sequence, Union
+from typing import Iterable, Iterator, Mapping, NamedTuple, Sequence, Union
 
 from spokemast.config.plan import ByMethod, ListenerPlan, Network
 from spokemast.config.types import StickyTable
@@ -79,8 +78,8 @@
     ignores_upgrade = True
 
     def __init__(self, plan: ListenerPlan, targets: Mapping[str, RouteTarget], key_headers: Iterable[str],
-                 tag: str) -> None:  # fmt: skip
-        """`targets` by the names of routes. `tag` makes the ids given to requests this process's own."""
+                 ids: Iterator[bytes]) -> None:  # fmt: skip
+        """`targets` by the names of routes. `ids` for requests that bring none, one for the whole process."""
         self.routes, self.trusted, self.targets = plan.routes, plan.trusted, targets
         self.ready_path = plan.table.ready_path
         self.keep_slashes = plan.table.encoded_slashes == "keep"
@@ -90,7 +89,7 @@
         self.not_passed = RoutedReader.not_passed | FORWARDED
         if self.platform:  # the platform's members get the time left, written anew
             self.not_passed |= PlatformReader.not_passed
-        self._numbers, self._tag = count(1), tag
+        self._ids = ids
 
     def _noted(self, key_headers: Iterable[str]) -> frozenset[bytes]:
         names = {
@@ -192,7 +191,7 @@
         lines.insert(0, b"Host: %b\r\n" % host)
         lines.append(VIA)
         if b"x-request-id" not in noted:
-            lines.append(b"X-Request-Id: %b-%x\r\n" % (self._tag.encode(), next(self._numbers)))
+            lines.append(b"X-Request-Id: %b\r\n" % next(self._ids))
         lines.extend(forwarded(head.peer, host, noted, is_trusted(head.peer, self.trusted)))
 
 
