--- a/spokemast/cli/serve.py
+++ b/spokemast/cli/serve.py
@@ -14,8 +14,9 @@
 
 import uvloop
 
-from spokemast.cli.words import load_or_tell
+from spokemast.cli.words import UseError, load_or_tell
 from spokemast.config.plan import load
+from spokemast.config.reader import read_address
 from spokemast.daemon.daemon import Daemon
 from spokemast.limits import Complaints, describe_context
 from standins.member import Fleet
@@ -73,6 +74,10 @@
 def run(options: argparse.Namespace) -> int:
     if options.config is not None and load_or_tell(options.config) is None:
         return 1
+    try:
+        read_address(options.address)
+    except ValueError as problem:
+        raise UseError(f"-a {problem}") from None
     try:
         return uvloop.run(_serve(options))
     except OSError as problem:
--- a/tests/test_ordinary.py
+++ b/tests/test_ordinary.py
@@ -121,7 +121,10 @@
 def test_refused_head_requests_are_framed_without_a_body(tmp_path: Path) -> None:
     async def scene() -> None:
         backend = ScriptedBackend("s", answering(GOOD), state="stopped")
-        text = lambda: one_pool([backend]).replace('id = "s"', 'id = "s"\nstate = "stopped"')  # noqa: E731
+
+        def text() -> str:
+            return one_pool([backend]).replace('id = "s"', 'id = "s"\nstate = "stopped"')
+
         async with ground(tmp_path, [backend], text) as here:
             client = await here.connect()
             for _ in range(2):
@@ -174,7 +177,10 @@
 
     async def scene() -> None:
         backend = ScriptedBackend("s", answering(GOOD))
-        text = lambda: one_pool([backend]) + LISTENER.replace("main", "inner") + 'trusted = ["127.0.0.0/8"]\n'  # noqa: E731
+
+        def text() -> str:
+            return one_pool([backend]) + LISTENER.replace("main", "inner") + 'trusted = ["127.0.0.0/8"]\n'
+
         async with ground(tmp_path, [backend], text) as here:
             await here.ask(requests_to("/", "GET", b"", *claims))
             await here.ask(requests_to("/", "GET", b"", *claims), "inner")
@@ -232,7 +238,10 @@
 def test_no_route_is_404_and_the_connection_stays(tmp_path: Path) -> None:
     async def scene() -> None:
         backend = ScriptedBackend("s", answering(GOOD))
-        text = lambda: one_pool([backend], routes=route("only", "web", prefix="/only"))  # noqa: E731
+
+        def text() -> str:
+            return one_pool([backend], routes=route("only", "web", prefix="/only"))
+
         async with ground(tmp_path, [backend], text) as here:
             client = await here.connect()
             assert (await client.ask(requests_to("/other")))[0] == 404
@@ -332,7 +341,10 @@
     async def scene() -> None:
         full, well = ScriptedBackend("full", answering(answer)), ScriptedBackend("well", answering(GOOD))
         both = [full, well]
-        text = lambda: one_pool(both, 'refusal_header = "X-Not-Run"')  # noqa: E731
+
+        def text() -> str:
+            return one_pool(both, 'refusal_header = "X-Not-Run"')
+
         async with ground(tmp_path, both, text) as here:
             statuses = {(await here.ask(requests_to("/", "POST", b"x")))[0] for _ in range(12)}
             assert statuses == {200} and full.calls  # it never ran, so it went elsewhere
