Measure routes, throughput, isolation and weights; two causes of a skewed split mended

benchmarks/ has a command each. The split by weight was up to 23 points off: six idle connections a member made the busiest one open anew for most requests (now a pool's limit, 64), and a trace of one slow answer, however small, lost its server every tie for 30 s (below 0.01 it is none).

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, a command each: `python -m benchmarks.NAME`. Ratios are within one run."""
--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -29,6 +29,7 @@
 ERROR_OVER = 0.3  # and only where they stand out from the fleet by this
 UTIL_WEIGHT = 0.8  # a fully busy server counts a little less than one own request more
 ERROR_WEIGHT = 2.0  # a failing server must not win by being quick
+ERROR_LEAST = 0.01  # less is none: a trace of one slow answer would decide every tie for as long as it fades
 ERROR_STEP = 0.3  # two failures in a row pass the limit, one does not
 OTHER_CLASS = 0.5  # of a server's error share, for a class that has one of its own there
 SLOW_FROM, SLOW_FULL = 2.5, 8.0  # an answer that took this multiple of the usual starts to count, counts full
@@ -556,11 +557,13 @@
         share = self._faded(server.errors, server.errors_at)
         failure = slowness if result == Result.SERVED else 1.0
         self.errors_usual += SPEED_STEP * (failure - self.errors_usual)
-        server.errors = share + ERROR_STEP * (failure - share)
+        share += ERROR_STEP * (failure - share)
+        server.errors = share if share > ERROR_LEAST else 0.0
         server.errors_at = self.now
         if number is not None:
             own = self._faded(*server.by_class.get(number, (0.0, 0.0)))
-            server.by_class[number] = own + ERROR_STEP * (failure - own), self.now
+            own += ERROR_STEP * (failure - own)
+            server.by_class[number] = own if own > ERROR_LEAST else 0.0, self.now
 
     def _note_speed(self, server: Server) -> None:
         """Kinds that report more than the usual utilization are drawn less, until all report alike."""
--- a/spokemast/config/plan.py
+++ b/spokemast/config/plan.py
@@ -227,6 +227,7 @@
     return Deployment(
         settings, zones, {}, {c.name: n for n, c in enumerate(classes)},
         {t.name: n for n, t in enumerate(file.tenant)}, float(limits.idle_close),
+        limits.idle_connections,
     )  # fmt: skip
 
 
--- a/spokemast/config/types.py
+++ b/spokemast/config/types.py
@@ -92,6 +92,7 @@
     second_copies: bool = False  # of a request that may be repeated, while the first attempt is silent
     connect_timeout: Duration = Duration(0.25)
     idle_close: Duration = Duration(15.0)  # after this a member closes a connection that stands idle
+    idle_connections: Number = 64  # kept to one member
     request_body: Size = Size(1 << 20)
     answer_body: Size = Size(1 << 20)
     retry_after: Duration = Duration(0.0)  # a refusal may ask clients to stay away for this long at most
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -124,7 +124,7 @@
         make = partial(Connection, dialect=dialect, not_passed=dialect.not_passed())
         self.backends = Backends(
             self, self.budget, complain, limits.backend_sockets, make,
-            deployment.settings.limits.connect_timeout, deployment.idle_close,
+            deployment.settings.limits.connect_timeout, deployment.idle_close, deployment.idle_most,
         )  # fmt: skip
         self.source: Source | None = None  # of the list of members
         self.open: dict[int, OpenRequest] = {}
--- a/spokemast/settings.py
+++ b/spokemast/settings.py
@@ -104,6 +104,9 @@
     classes: Mapping[str, int]
     tenants: Mapping[str, int]
     idle_close: float  # seconds after which a backend closes an idle connection
+    idle_most: int | None = (
+        None  # idle connections kept to one backend; the platform's figure if it is not given
+    )
 
 
 def read_deployment(box: Mapping[str, Any]) -> Deployment:
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -129,12 +129,13 @@
     """All connections to backends."""
 
     def __init__(self, owner: Owner, budget: Budget, complain: Complaints, sockets: int, make: Connect,
-                 connect_timeout: float, idle_close: float) -> None:  # fmt: skip
+                 connect_timeout: float, idle_close: float, idle_most: int | None = None) -> None:  # fmt: skip
         """`sockets`: descriptors at most. `connect_timeout`, `idle_close`: seconds; after the latter a
-        backend closes a connection that stands idle."""
+        backend closes a connection that stands idle. `idle_most`: idle connections kept to one backend."""
         self.owner, self.budget, self.complain = owner, budget, complain
         self.sockets, self._make = sockets, make
         self.connect_timeout = connect_timeout
+        self.idle_most = IDLE_MOST if idle_most is None else idle_most
         self.idle_s = idle_close * IDLE_SHARE
         self.table: dict[str, Backend] = {}
         self.open = 0
@@ -226,7 +227,7 @@
         if not backend.wanted or connection.life != backend.life:
             connection.drop()
             return
-        if len(backend.idle) >= IDLE_MOST:
+        if len(backend.idle) >= self.idle_most:
             backend.idle[0].drop()
         connection.idle_since = time.monotonic()
         backend.idle.append(connection)
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,39 @@
+"""Stand-in members as a process: prints their addresses as a line of JSON, ends when standard input does."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+
+import uvloop
+
+from standins.member import Behaviour, Fleet
+
+
+async def _run(options: argparse.Namespace) -> None:
+    fleet = Fleet(options.members)
+    body = b"x" * options.body if options.body is not None else None
+    for member in fleet.members:
+        member.behaviour = Behaviour(delay=options.delay, hangs=options.hang, body=body)
+    await fleet.start()
+    print(json.dumps({member.name: member.address for member in fleet.members}), flush=True)
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+    print(json.dumps({member.name: member.counts.requests for member in fleet.members}), flush=True)
+    await fleet.stop()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="standins", description=__doc__)
+    parser.add_argument("--members", type=int, default=4)
+    parser.add_argument("--delay", type=float, default=0.0, help="seconds before each answer")
+    parser.add_argument("--hang", action="store_true", help="take requests and never answer")
+    parser.add_argument(
+        "--body", type=int, help="bytes of each answer, instead of what a member says of itself"
+    )
+    uvloop.run(_run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/clients.py
@@ -0,0 +1,138 @@
+"""Stand-in clients: connections that ask again as soon as they are answered, or at a rate; for benchmarks."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+import time
+from collections import Counter
+from typing import Callable, cast
+
+import httptools
+import uvloop
+
+
+class Caller(asyncio.Protocol):
+    """One connection; one request at a time."""
+
+    def __init__(self, request: Callable[[], bytes], clients: Clients) -> None:
+        self.request, self.clients = request, clients
+        self.transport: asyncio.Transport | None = None
+        self.began = 0.0
+        self.parser = httptools.HttpResponseParser(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.ask()
+
+    def ask(self) -> None:
+        self.began = time.perf_counter()
+        assert self.transport is not None
+        self.transport.write(self.request())
+
+    def on_message_complete(self) -> None:
+        clients = self.clients
+        clients.statuses[self.parser.get_status_code()] += 1
+        clients.times.append(time.perf_counter() - self.began)
+        if clients.stopped:
+            return
+        if clients.pause:
+            asyncio.get_running_loop().call_later(clients.pause, self._again)
+        else:
+            asyncio.get_running_loop().call_soon(self._again)
+
+    def _again(self) -> None:
+        if self.transport is not None and not self.transport.is_closing() and not self.clients.stopped:
+            self.ask()
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.clients.lost += not self.clients.stopped
+
+
+class Clients:
+    """Several callers; `pause` seconds between an answer and the next request of a connection."""
+
+    def __init__(self, pause: float = 0.0) -> None:
+        self.pause = pause
+        self.statuses: Counter[int] = Counter()
+        self.times: list[float] = []
+        self.lost = 0
+        self.stopped = False
+
+    async def run(
+        self, address: tuple[str, int], requests: list[Callable[[], bytes]], seconds: float, warm: float
+    ) -> dict[str, object]:
+        """Ask for `warm` seconds and then for `seconds` that count."""
+        loop = asyncio.get_running_loop()
+        callers = []
+        for request in requests:
+            _, caller = await loop.create_connection(lambda r=request: Caller(r, self), *address)  # type: ignore[misc]
+            callers.append(caller)
+        await asyncio.sleep(warm)
+        self.statuses.clear()
+        self.times.clear()
+        print("warm", flush=True)
+        began = time.perf_counter()
+        await asyncio.sleep(seconds)
+        took = time.perf_counter() - began
+        self.stopped = True
+        times = sorted(self.times)
+
+        def at(share: float) -> float:
+            return times[min(len(times) - 1, int(share * len(times)))] if times else 0.0
+
+        return {
+            "per_s": len(times) / took, "count": len(times), "p50": at(0.5), "p99": at(0.99), "lost": self.lost,
+            "statuses": {str(status): count for status, count in self.statuses.items()},
+        }  # fmt: skip
+
+
+def platform_request(number: int) -> Callable[[], bytes]:
+    """A `track` in the platform's dialect, with a new id each time."""
+    count = 0
+
+    def make() -> bytes:
+        nonlocal count
+        count += 1
+        return (
+            b"GET /api?x=1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: t%d-%d\r\nX-Lane: track\r\nX-Remaining: 4000m\r\n\r\n"
+            % (number, count)
+        )
+
+    return make
+
+
+def plain_request(path: str, method: str = "GET") -> Callable[[], bytes]:
+    data = f"{method} {path} HTTP/1.1\r\nHost: app.svc\r\nAccept: */*\r\nUser-Agent: stand-in\r\n".encode()
+    data += b"Content-Length: 0\r\n\r\n" if method == "POST" else b"\r\n"
+    return lambda: data
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="standins.clients", description=__doc__)
+    parser.add_argument("address")
+    parser.add_argument("--connections", type=int, default=16)
+    parser.add_argument("--seconds", type=float, default=3.0)
+    parser.add_argument("--warm", type=float, default=0.7)
+    parser.add_argument("--pause", type=float, default=0.0)
+    parser.add_argument("--platform", action="store_true")
+    parser.add_argument("--path", default="/api?x=1")
+    parser.add_argument("--method", default="GET")
+    options = parser.parse_args()
+    host, _, port = options.address.rpartition(":")
+    requests = [
+        platform_request(n) if options.platform else plain_request(options.path, options.method)
+        for n in range(options.connections)
+    ]
+    clients = Clients(options.pause)
+    print(json.dumps(uvloop.run(clients.run((host, int(port)), requests, options.seconds, options.warm))))
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
