--- /dev/null
+++ b/spokemast/fastcgi/application.py
@@ -0,0 +1,188 @@
+"""The application's side of a connection (we are asked): records in, events out, records to send back. No I/O.
+
+Theory of operation. Each request id has a state: no entry (inactive), PARAMS, STDIN, WHOLE (all has come, the answer is
+owed) and LOST (answered early or refused; what still comes for it is thrown away). The table below says what each
+record does in each state. What no rule of the specification allows ends the reading: `confused` is set, nothing
+after it is read, and requests that are whole still get their answers.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import Iterator, NamedTuple, Union
+
+from spokemast.fastcgi.records import (
+    Decoder, ProtocolError, Record, Role, Status, Type, encode, encode_end, encode_pairs, read_begin, read_pairs,
+)  # fmt: skip
+
+#: Bytes of a request's params at most, and how many pairs: as much as HTTP allows for a head, and what a web server
+#: adds of its own.
+PARAMS_MOST = 32 << 10
+PAIRS_MOST = 256
+#: Records for ids that are not open, and other records that do nothing, before the peer is given up. The
+#: specification has them ignored (section 3.3); a peer that sends nothing else keeps us busy for nothing.
+IDLE_RECORDS_MOST = 1000
+
+
+class State(Enum):
+    PARAMS = auto()
+    STDIN = auto()
+    WHOLE = auto()
+    LOST = auto()
+
+
+class Begun(NamedTuple):
+    """A request's params are whole; its body follows."""
+
+    request: int
+    params: dict[bytes, bytes]
+
+
+class Data(NamedTuple):
+    request: int
+    data: bytes
+
+
+class Ended(NamedTuple):
+    """The request's body is whole."""
+
+    request: int
+
+
+class Aborted(NamedTuple):
+    """The web server no longer wants an answer, and is owed an END_REQUEST (section 5.4)."""
+
+    request: int
+
+
+class Refused(NamedTuple):
+    """A request that was ended here, with its protocol status; it was never begun."""
+
+    request: int
+    status: Status
+
+
+Event = Union[Begun, Data, Ended, Aborted, Refused]
+
+
+class _Open:
+    __slots__ = ("state", "keep", "params")
+
+    def __init__(self, keep: bool) -> None:
+        self.state = State.PARAMS
+        self.keep = keep
+        self.params = bytearray()
+
+
+class ApplicationSide:
+    """One connection of a web server."""
+
+    def __init__(self, requests_most: int) -> None:
+        """`requests_most`: requests open at once; more are ended as OVERLOADED."""
+        self.requests_most = requests_most
+        self.open: dict[int, _Open] = {}
+        self.output = bytearray()  # to send; the owner takes it
+        self.confused = ""  # why nothing more is read
+        self.closing = False  # a request without KEEP_CONN has ended: close once nothing is open
+        self._decoder = Decoder()
+        self._idle_records = 0
+
+    def feed(self, data: bytes) -> Iterator[Event]:
+        """What these bytes mean. Never raises for what a peer sent: see `confused`."""
+        if self.confused:
+            return
+        try:
+            for record in self._decoder.feed(data):
+                yield from self._record(record)
+        except ProtocolError as problem:
+            self.confused = str(problem)
+
+    def _record(self, record: Record) -> Iterator[Event]:
+        if record.request == 0:
+            self._manage(record)
+            return
+        if record.type == Type.BEGIN_REQUEST:
+            yield from self._begin(record)
+            return
+        entry = self.open.get(record.request)
+        if entry is None or entry.state == State.LOST:
+            self._idle()
+        elif record.type == Type.PARAMS:
+            yield from self._params(record, entry)
+        elif record.type == Type.STDIN:
+            yield from self._stdin(record, entry)
+        elif record.type == Type.ABORT_REQUEST:
+            entry.state = State.LOST
+            yield Aborted(record.request)
+        else:  # DATA is of filters, the others of applications; unknown ones are of no use here
+            self._idle()
+
+    def _idle(self) -> None:
+        self._idle_records += 1
+        if self._idle_records > IDLE_RECORDS_MOST:
+            raise ProtocolError("too many records that belong to nothing")
+
+    def _manage(self, record: Record) -> None:
+        """Management records (section 4)."""
+        self._idle()
+        if record.type == Type.GET_VALUES:
+            known = {b"FCGI_MAX_CONNS": b"1024", b"FCGI_MAX_REQS": b"%d" % self.requests_most,
+                     b"FCGI_MPXS_CONNS": b"1" if self.requests_most > 1 else b"0"}  # fmt: skip
+            asked = {name for name, _ in read_pairs(record.content, PAIRS_MOST)}
+            pairs = [(name, value) for name, value in known.items() if name in asked]
+            self.output += encode(Type.GET_VALUES_RESULT, 0, encode_pairs(pairs))
+        elif record.type > Type.UNKNOWN_TYPE or record.type == 0:
+            self.output += encode(Type.UNKNOWN_TYPE, 0, bytes((record.type,)) + bytes(7))
+        else:
+            raise ProtocolError(f"a record of type {record.type} with request id 0")
+
+    def _begin(self, record: Record) -> Iterator[Event]:
+        if record.request in self.open:
+            raise ProtocolError(f"request {record.request} begun while it is open")
+        role, keep = read_begin(record.content)
+        status = Status.REQUEST_COMPLETE
+        if role != Role.RESPONDER:
+            status = Status.UNKNOWN_ROLE
+        elif len(self.open) >= self.requests_most:
+            status = Status.OVERLOADED
+        if status == Status.REQUEST_COMPLETE:
+            self.open[record.request] = _Open(keep)
+            return
+        self._idle()
+        self.output += encode_end(record.request, status)
+        self.closing = self.closing or not keep
+        yield Refused(record.request, status)
+
+    def _params(self, record: Record, entry: _Open) -> Iterator[Event]:
+        if entry.state != State.PARAMS:
+            raise ProtocolError("PARAMS after their end")
+        entry.params += record.content
+        if len(entry.params) > PARAMS_MOST:
+            raise ProtocolError(f"params of more than {PARAMS_MOST} bytes")
+        if not record.content:
+            pairs = read_pairs(bytes(entry.params), PAIRS_MOST)
+            entry.params.clear()
+            entry.state = State.STDIN
+            yield Begun(record.request, dict(pairs))
+
+    def _stdin(self, record: Record, entry: _Open) -> Iterator[Event]:
+        if entry.state != State.STDIN:
+            raise ProtocolError("STDIN before the params' end, or after its own")
+        if record.content:
+            yield Data(record.request, record.content)
+        else:
+            entry.state = State.WHOLE
+            self._idle_records = 0
+            yield Ended(record.request)
+
+    # Answers.
+
+    def lose(self, request: int) -> None:
+        """What still comes for the request is thrown away."""
+        self.open[request].state = State.LOST
+
+    def end(self, request: int, status: int = Status.REQUEST_COMPLETE) -> bytes:
+        """The END_REQUEST of an open request; its id is free from here on."""
+        entry = self.open.pop(request)
+        self.closing = self.closing or not entry.keep
+        return encode_end(request, status)
--- /dev/null
+++ b/spokemast/fastcgi/cgi.py
@@ -0,0 +1,199 @@
+"""Between HTTP and CGI/1.1 (RFC 3875): params of a request, headers of an answer. No I/O.
+
+A request is held as HTTP/1.1 members get it (request line and headers), so that the core has one form for all.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Iterable, Mapping, NamedTuple, Sequence
+
+#: Header block of an answer at most, in bytes; guards against one without end.
+BLOCK_MOST = 32 << 10
+#: Field names (RFC 9110, 5.1).
+TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+#: What may stand in a field's value: no control characters but tabs.
+VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+STATUS = re.compile(rb"([1-5][0-9][0-9])(?: ([\t\x20-\x7e\x80-\xff]*))?")
+#: Headers of a request that are no HTTP_ params (RFC 3875, 4.1.18), or must not be. `Proxy` would become HTTP_PROXY,
+#: which libraries take for the proxy to use (CVE-2016-5385).
+NOT_HTTP = frozenset((b"content-length", b"content-type", b"proxy", b"connection", b"transfer-encoding"))
+
+
+class CgiError(ValueError):
+    """What is no CGI request or answer."""
+
+
+class CgiHead(NamedTuple):
+    """The header block of an answer."""
+
+    status: int
+    reason: bytes
+    lines: list[bytes]  # headers to pass on, each with its end
+    headers: dict[bytes, bytes]  # by name in lower case; the last of several
+    length: int | None  # as Content-Length states it
+
+
+def find_end(data: bytes | bytearray) -> tuple[int, int] | None:
+    """Where the header block ends and the body begins; None while it has not ended (RFC 3875, 6.2: either form of
+    line end)."""
+    best: tuple[int, int] | None = None
+    for mark in (b"\r\n\r\n", b"\n\n", b"\n\r\n"):
+        at = data.find(mark, 0, BLOCK_MOST + 4)
+        if at >= 0 and (best is None or at < best[0]):
+            best = at, at + len(mark)
+    return best
+
+
+def read_head(block: bytes) -> CgiHead:
+    """The header block, without the empty line (RFC 3875, 6.3); CgiError where it is none.
+
+    Status stands above Location; with a Location alone a client is redirected by 302."""
+    lines: list[bytes] = []
+    headers: dict[bytes, bytes] = {}
+    status: bytes | None = None
+    for line in block.replace(b"\r\n", b"\n").split(b"\n"):
+        name, colon, value = line.partition(b":")
+        value = value.strip(b" \t")
+        if not colon or not TOKEN.fullmatch(name) or not VALUE.fullmatch(value):
+            raise CgiError("a line of the header block is no header")
+        key = name.lower()
+        if key in (b"status", b"content-length", b"transfer-encoding") and key in headers:
+            raise CgiError(f"{key.decode()} twice")
+        headers[key] = value
+        if key == b"status":
+            status = value
+        elif key != b"content-length":
+            lines.append(b"%b: %b\r\n" % (name, value))
+    if b"transfer-encoding" in headers:
+        raise CgiError("a transfer coding")  # RFC 3875, 6.3.4: an application must not send one
+    code, reason = _status(status, b"location" in headers)
+    return CgiHead(code, reason, lines, headers, _length(headers.get(b"content-length")))
+
+
+def _status(value: bytes | None, moved: bool) -> tuple[int, bytes]:
+    if value is None:
+        return (302, b"Found") if moved else (200, b"OK")
+    match = STATUS.fullmatch(value)
+    if match is None or int(match[1]) < 200:
+        raise CgiError(f"the status {value[:40]!r}")
+    return int(match[1]), match[2] or b""
+
+
+def _length(value: bytes | None) -> int | None:
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 12:
+        raise CgiError("an unreadable Content-Length")
+    return int(value)
+
+
+# Requests.
+
+
+def to_params(
+    head: bytes, length: int, extra: Mapping[bytes, bytes], peer: bytes, timeout_ms: int
+) -> list[tuple[bytes, bytes]]:
+    """Params for an application from a request's line and headers.
+
+    `extra` is from the configuration (SCRIPT_FILENAME and others) and stands above all; `timeout_ms` becomes
+    REQUEST_TIMEOUT_MS, how long the proxy will wait."""
+    line, *rest = head.split(b"\r\n")
+    method, _, target_and_version = line.partition(b" ")
+    target = target_and_version.rpartition(b" ")[0]
+    path, _, query = target.partition(b"?")
+    params = {
+        b"GATEWAY_INTERFACE": b"CGI/1.1", b"SERVER_SOFTWARE": b"micastand", b"SERVER_PROTOCOL": b"HTTP/1.1",
+        b"REQUEST_METHOD": method, b"REQUEST_URI": target, b"QUERY_STRING": query, b"SCRIPT_NAME": path,
+        b"DOCUMENT_URI": path, b"REMOTE_ADDR": peer, b"CONTENT_LENGTH": b"%d" % length if length else b"",
+        b"REQUEST_TIMEOUT_MS": b"%d" % timeout_ms,
+    }  # fmt: skip
+    for item in rest:
+        name, colon, value = item.partition(b":")
+        if colon:
+            _add(params, name, value.strip())
+    host, _, port = params.get(b"HTTP_HOST", b"").rpartition(b":")
+    known = host and port.isdigit()
+    params[b"SERVER_NAME"] = host if known else params.get(b"HTTP_HOST", b"")
+    params[b"SERVER_PORT"] = port if known else b"80"
+    params.update(extra)
+    return list(params.items())
+
+
+def _add(params: dict[bytes, bytes], name: bytes, value: bytes) -> None:
+    """A header as its param. One whose name has an underscore is left out: `X_User` and `X-User` become the same
+    param, and a client could pass the one off as the other."""
+    key = name.lower()
+    if key == b"content-type":
+        params[b"CONTENT_TYPE"] = value
+    elif key not in NOT_HTTP and b"_" not in name:
+        param = b"HTTP_" + name.upper().replace(b"-", b"_")
+        between = b"; " if key == b"cookie" else b", "
+        params[param] = params[param] + between + value if param in params else value
+
+
+class Asked(NamedTuple):
+    """A request as a FastCGI client describes it."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]  # names as HTTP writes them
+    length: int | None  # of the body, as CONTENT_LENGTH states it
+
+
+def from_params(params: Mapping[bytes, bytes]) -> Asked:
+    """The request that params describe; CgiError where they describe none.
+
+    Whatever stands in them was not seen by an HTTP parser, so methods, targets and values are judged here: a line
+    break in a value would be a header of its own at the member."""
+    method = params.get(b"REQUEST_METHOD", b"")
+    if not TOKEN.fullmatch(method):
+        raise CgiError("REQUEST_METHOD is missing or no method")
+    target = params.get(b"REQUEST_URI", b"")
+    if not target:
+        query = params.get(b"QUERY_STRING", b"")
+        target = (
+            params.get(b"SCRIPT_NAME", b"") + params.get(b"PATH_INFO", b"") + (b"?" + query if query else b"")
+        )
+    if not target or not VALUE.fullmatch(target) or b" " in target or b"\t" in target:
+        raise CgiError("REQUEST_URI is missing or no target")
+    headers = []
+    for name, value in params.items():
+        header = _header(name)
+        if header is None:
+            continue
+        if not TOKEN.fullmatch(header) or not VALUE.fullmatch(value):
+            raise CgiError(f"the param {name[:40]!r} is no header")
+        headers.append((header, value))
+    return Asked(method, target, headers, _body_length(params.get(b"CONTENT_LENGTH", b"")))
+
+
+def _header(name: bytes) -> bytes | None:
+    if name == b"CONTENT_TYPE":
+        return b"Content-Type"
+    if name.startswith(b"HTTP_") and len(name) > 5:
+        return b"-".join(part.capitalize() for part in name[5:].lower().split(b"_"))
+    return None
+
+
+def _body_length(value: bytes) -> int | None:
+    if not value:
+        return None
+    if not value.isdigit() or len(value) > 12:
+        raise CgiError("an unreadable CONTENT_LENGTH")
+    return int(value)
+
+
+def write_answer(status: int, reason: bytes, lines: Sequence[bytes], body: bytes) -> bytes:
+    """An answer as an application writes it to STDOUT."""
+    head = b"Status: %d %b\r\n%b" % (status, reason, b"".join(lines))
+    return b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
+
+
+def header_of(lines: Iterable[bytes], name: bytes) -> bytes | None:
+    """The value of the first of these header lines that has the name, in lower case."""
+    for line in lines:
+        key, _, value = line.partition(b":")
+        if key.lower() == name:
+            return value.strip()
+    return None
--- /dev/null
+++ b/tests/test_fastcgi_codec.py
@@ -0,0 +1,413 @@
+"""FastCGI records, both sides of a connection, and CGI, as tables and properties; no socket."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from spokemast.fastcgi import application as app
+from spokemast.fastcgi.application import Aborted, ApplicationSide, Begun, Data, Ended, Refused
+from spokemast.fastcgi.cgi import (
+    CgiError, find_end, from_params, read_head, to_params, write_answer,
+)  # fmt: skip
+from spokemast.fastcgi.records import (
+    CONTENT_MOST, HELD_MOST, Decoder, ProtocolError, Record, Role, Status, Type, encode, encode_begin, encode_end,
+    encode_pairs, encode_stream, read_begin, read_end, read_pairs,
+)  # fmt: skip
+from spokemast.fastcgi.webserver import STDERR_MOST, End, WebServerSide, encode_request
+
+EVERY = settings(derandomize=True, max_examples=300, deadline=None)
+PARAMS = [
+    (b"REQUEST_METHOD", b"POST"),
+    (b"REQUEST_URI", b"/a?b"),
+    (b"CONTENT_LENGTH", b"4"),
+    (b"HTTP_HOST", b"h"),
+]
+
+
+def chopped(data: bytes, cuts: list[int]) -> list[bytes]:
+    edges = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
+    return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+
+
+# Records.
+
+
+@EVERY
+@given(
+    st.lists(st.tuples(st.integers(0, 255), st.integers(0, 65535), st.binary(max_size=300)), max_size=8),
+    st.lists(st.integers(0, 5000), max_size=12),
+)
+def test_records_come_back_whatever_the_chunks(
+    records: list[tuple[int, int, bytes]], cuts: list[int]
+) -> None:
+    data = b"".join(encode(*record) for record in records)
+    decoder = Decoder()
+    got = [record for part in chopped(data, cuts) for record in decoder.feed(part)]
+    assert got == [Record(*record) for record in records] and decoder.held == 0
+    assert len(data) % 8 == 0
+
+
+@EVERY
+@given(st.lists(st.binary(max_size=200), max_size=30))
+def test_any_bytes_are_records_or_an_error_and_little_is_held(parts: list[bytes]) -> None:
+    decoder = Decoder()
+    try:
+        for part in parts:
+            list(decoder.feed(b"\x01" + part))
+            assert decoder.held <= HELD_MOST
+    except ProtocolError:
+        pass
+
+
+@EVERY
+@given(st.lists(st.tuples(st.binary(max_size=300), st.binary(max_size=300)), max_size=20))
+def test_pairs_of_both_forms_come_back(pairs: list[tuple[bytes, bytes]]) -> None:
+    assert read_pairs(encode_pairs(pairs), 20) == pairs
+
+
+def test_pairs_cut_anywhere_are_an_error_or_fewer_pairs() -> None:
+    whole = encode_pairs([(b"a", b"b" * 200), (b"c" * 130, b"")])
+    ends = {len(encode_pairs([(b"a", b"b" * 200)])): 1, 0: 0}
+    for end in range(len(whole)):
+        if end in ends:
+            assert len(read_pairs(whole[:end], 9)) == ends[end]
+        else:
+            with pytest.raises(ProtocolError):
+                read_pairs(whole[:end], 9)
+
+
+def test_pairs_that_state_gigabytes_or_are_many() -> None:
+    with pytest.raises(ProtocolError, match="within a pair"):
+        read_pairs(b"\xff\xff\xff\xff\x01", 9)
+    with pytest.raises(ProtocolError, match="more than 3"):
+        read_pairs(encode_pairs([(b"a", b"b")] * 4), 3)
+
+
+def test_streams_are_cut_into_records_that_fit() -> None:
+    data = bytes(3 * CONTENT_MOST)
+    records = list(Decoder().feed(encode_stream(Type.STDIN, 1, data)))
+    assert b"".join(r.content for r in records) == data and len(records) == 4
+    assert encode_stream(Type.STDIN, 1, b"") == b""
+    with pytest.raises(ValueError, match="65536"):
+        encode(Type.STDIN, 1, bytes(65536))
+
+
+def test_bodies_of_begin_and_end() -> None:
+    (begin, end) = Decoder().feed(encode_begin(7, True) + encode_end(7, Status.OVERLOADED, 0xFFFFFFFF))
+    assert read_begin(begin.content) == (Role.RESPONDER, True)
+    assert read_end(end.content) == (0xFFFFFFFF, Status.OVERLOADED)
+    for read in (read_begin, read_end):
+        with pytest.raises(ProtocolError):
+            read(b"short")
+
+
+# The application's side.
+
+
+def whole_request(number: int = 1, keep: bool = True, body: bytes = b"body") -> bytes:
+    return encode_request(number, PARAMS, body, keep)[0]
+
+
+def events(side: ApplicationSide, data: bytes) -> list[app.Event]:
+    return list(side.feed(data))
+
+
+def test_a_request_cut_at_every_byte_means_the_same() -> None:
+    data = whole_request()
+    for cut in range(len(data) + 1):
+        side = ApplicationSide(1)
+        got = events(side, data[:cut]) + events(side, data[cut:])
+        assert got == [Begun(1, dict(PARAMS)), Data(1, b"body"), Ended(1)]
+        assert side.end(1) and not side.closing and not side.confused
+
+
+def test_a_request_that_ends_early_is_never_taken_for_whole() -> None:
+    data = whole_request()
+    for cut in range(len(data) - 8):
+        assert not any(isinstance(event, Ended) for event in events(ApplicationSide(1), data[:cut]))
+
+
+def test_requests_multiplexed_record_by_record() -> None:
+    one, two = whole_request(1), whole_request(2, body=b"x" * 10)
+    parts = [list(Decoder().feed(data)) for data in (one, two)]
+    mixed = [record for pair in zip(*parts, strict=True) for record in pair]
+    side = ApplicationSide(2)
+    got = [event for r in mixed for event in events(side, encode(r.type, r.request, r.content))]
+    assert [e for e in got if e.request == 1] == events(ApplicationSide(1), one)
+    assert [e for e in got if e.request == 2] == events(ApplicationSide(1), two)
+
+
+def test_more_requests_at_once_than_are_allowed_are_refused_and_never_begin() -> None:
+    side = ApplicationSide(1)
+    got = events(side, whole_request(1) + whole_request(2))
+    assert Refused(2, Status.OVERLOADED) in got and not any(
+        isinstance(e, Begun) and e.request == 2 for e in got
+    )
+    (end,) = Decoder().feed(bytes(side.output))
+    assert (end.type, end.request, read_end(end.content)) == (Type.END_REQUEST, 2, (0, Status.OVERLOADED))
+    assert not side.confused and 1 in side.open
+
+
+def test_other_roles_are_refused() -> None:
+    side = ApplicationSide(4)
+    assert events(side, encode_begin(3, True, Role.FILTER)) == [Refused(3, Status.UNKNOWN_ROLE)]
+    assert not side.open
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        encode_begin(0, True),
+        encode(Type.PARAMS, 0),
+        encode(Type.STDIN, 0, b"x"),
+        encode_begin(1, True) * 2,
+        encode(Type.BEGIN_REQUEST, 1, b"short"),
+        encode_begin(1, True) + encode(Type.STDIN, 1, b"x"),
+        encode_begin(1, True) + encode(Type.PARAMS, 1, b"\x05\x01a") + encode(Type.PARAMS, 1),
+        encode_begin(1, True) + encode(Type.PARAMS, 1) * 2,
+        whole_request() + encode(Type.STDIN, 1, b"more"),
+        whole_request() + encode(Type.PARAMS, 1, b"more"),
+        encode_begin(1, True) + encode_stream(Type.PARAMS, 1, bytes(app.PARAMS_MOST + 1)),
+        encode_begin(1, True) + encode_stream(Type.PARAMS, 1, b"\x00\x00" * 300) + encode(Type.PARAMS, 1),
+        encode(Type.STDIN, 9, b"") * (app.IDLE_RECORDS_MOST + 1),
+        encode(77, 0) * (app.IDLE_RECORDS_MOST + 1),
+        encode_begin(1, True, Role.FILTER) * (app.IDLE_RECORDS_MOST + 1),
+    ],
+)  # fmt: skip
+def test_what_no_rule_allows_ends_the_reading_and_not_what_is_whole(data: bytes) -> None:
+    side = ApplicationSide(4)
+    events(side, whole_request(99))
+    events(side, data)
+    assert side.confused and side.open[99].state == app.State.WHOLE
+    assert events(side, whole_request(5)) == []
+
+
+@pytest.mark.parametrize(
+    "data", [encode(Type.STDIN, 9, b"x"), encode(Type.ABORT_REQUEST, 9), encode(Type.DATA, 1)]
+)
+def test_records_of_requests_that_are_not_open_are_ignored(data: bytes) -> None:
+    side = ApplicationSide(1)
+    assert events(side, data) == [] and not side.confused
+    assert events(side, whole_request())[-1] == Ended(1)
+
+
+def test_an_abort_frees_its_id_once_it_is_ended() -> None:
+    side = ApplicationSide(1)
+    events(side, whole_request())
+    assert events(side, encode(Type.ABORT_REQUEST, 1)) == [Aborted(1)]
+    assert events(side, encode(Type.ABORT_REQUEST, 1)) == []  # once
+    side.end(1)
+    assert events(side, whole_request())[-1] == Ended(1)
+
+
+def test_keep_conn_says_whether_the_connection_closes() -> None:
+    side = ApplicationSide(2)
+    events(side, whole_request(1, keep=False) + whole_request(2))
+    side.end(2)
+    assert not side.closing
+    side.end(1)
+    assert side.closing
+
+
+def test_management_records() -> None:
+    side = ApplicationSide(3)
+    asked = encode_pairs([(b"FCGI_MPXS_CONNS", b""), (b"FCGI_MAX_REQS", b""), (b"OTHER", b"")])
+    assert events(side, encode(Type.GET_VALUES, 0, asked) + encode(99, 0)) == []
+    values, unknown = Decoder().feed(bytes(side.output))
+    assert dict(read_pairs(values.content, 9)) == {b"FCGI_MPXS_CONNS": b"1", b"FCGI_MAX_REQS": b"3"}
+    assert (unknown.type, unknown.content[0]) == (Type.UNKNOWN_TYPE, 99)
+
+
+RECORDS = st.tuples(
+    st.sampled_from([*Type, 0, 12, 255]), st.integers(0, 3),
+    st.sampled_from([b"", b"x", bytes(8), encode_begin(1, True)[8:16], encode_pairs(PARAMS), encode_end(1)[8:16]]),
+)  # fmt: skip
+
+
+@EVERY
+@given(st.lists(RECORDS, max_size=40), st.lists(st.integers(0, 2000), max_size=6), st.randoms())
+def test_a_peer_that_sends_any_record_at_any_time(
+    records: list[tuple[int, int, bytes]], cuts: list[int], chance: random.Random
+) -> None:
+    """No exception, no more open than allowed, and each request that is whole can be ended once."""
+    data = b"".join(encode(*record) for record in records)
+    side, server = ApplicationSide(2), WebServerSide()
+    server.begin()
+    whole: set[int] = set()
+    for part in chopped(data, cuts):
+        for event in side.feed(part):
+            if isinstance(event, Ended):
+                assert event.request not in whole
+                whole.add(event.request)
+            elif isinstance(event, Aborted) and event.request in side.open:
+                whole.discard(event.request)
+                side.end(event.request)
+        if whole and chance.random() < 0.5:
+            side.end(whole.pop())
+        assert len(side.open) <= 2
+        server.feed(part)
+
+
+# The web server's side.
+
+
+def answered(*records: tuple[Any, ...]) -> tuple[End | None, WebServerSide]:
+    side = WebServerSide()
+    side.begin()
+    return side.feed(b"".join(encode(*record) for record in records)), side
+
+
+END = encode_end(1)[8:16]
+
+
+@pytest.mark.parametrize(
+    "records, end, stray",
+    [
+        ([(Type.STDOUT, 1, b"a"), (Type.STDOUT, 1), (Type.END_REQUEST, 1, END)], End.ANSWERED, False),
+        ([(Type.STDOUT, 1, b"a"), (Type.END_REQUEST, 1, END)], End.ANSWERED, False),
+        ([(Type.END_REQUEST, 1, END)], End.SILENT, False),
+        ([(Type.STDOUT, 1), (Type.END_REQUEST, 1, END)], End.SILENT, False),
+        ([(Type.STDERR, 1, b"a"), (Type.END_REQUEST, 1, END)], End.SILENT, False),
+        ([(Type.END_REQUEST, 1, encode_end(1, 1)[8:16])], End.NEVER_RAN, False),
+        ([(Type.END_REQUEST, 1, encode_end(1, 2)[8:16])], End.NEVER_RAN, False),
+        ([(Type.END_REQUEST, 1, encode_end(1, 3)[8:16])], End.NEVER_RAN, False),
+        ([(Type.END_REQUEST, 1, encode_end(1, 9)[8:16])], End.BROKEN, False),
+        ([(Type.STDOUT, 1, b"a"), (Type.END_REQUEST, 1, encode_end(1, 2)[8:16])], End.BROKEN, False),
+        ([(Type.STDOUT, 1, b"a")], None, False),
+        ([(Type.STDOUT, 7, b"a")], None, True),
+        ([(Type.STDOUT, 1, b"a"), (Type.END_REQUEST, 1, END), (Type.STDOUT, 1, b"b")], End.ANSWERED, True),
+        ([(Type.END_REQUEST, 1, b"odd")], End.BROKEN, True),
+        ([(Type.STDIN, 1, b"a")], End.BROKEN, True),
+        ([(Type.STDOUT, 0, b"a")], End.BROKEN, True),
+        ([(Type.GET_VALUES_RESULT, 0, b"")], None, False),
+    ],
+)  # fmt: skip
+def test_what_the_records_of_an_answer_mean(records: list[Any], end: End | None, stray: bool) -> None:
+    got, side = answered(*records)
+    assert (got, side.stray) == (end, stray)
+    assert end != End.ANSWERED or side.stdout == b"a"
+
+
+def test_an_answer_cut_at_every_byte_has_not_ended() -> None:
+    data = encode(Type.STDOUT, 1, b"Status: 200\r\n\r\nbody") + encode(Type.STDOUT, 1) + encode_end(1)
+    for cut in range(len(data)):
+        side = WebServerSide()
+        side.begin()
+        assert side.feed(data[:cut]) is None
+        assert side.feed(data[cut:]) == End.ANSWERED and side.stdout.endswith(b"body") and not side.stray
+
+
+def test_what_goes_to_stderr_is_kept_in_part() -> None:
+    _, side = answered(*[(Type.STDERR, 1, bytes(1000))] * 10)
+    assert len(side.stderr) == STDERR_MOST
+
+
+def test_a_late_record_of_the_request_before_is_none_of_the_next() -> None:
+    side = WebServerSide()
+    first = side.begin()
+    side.feed(encode(Type.STDOUT, first, b"a") + encode_end(first))
+    second = side.begin()
+    assert second != first
+    assert side.feed(
+        encode(Type.STDOUT, first, b"late") + encode(Type.STDOUT, second, b"b") + encode_end(second)
+    )
+    assert side.stdout == b"b" and side.stray
+
+
+def test_an_application_can_have_begun_once_its_params_have_ended() -> None:
+    data, head = encode_request(1, PARAMS, b"body", True)
+    assert [r.type for r in Decoder().feed(data[:head])] == [Type.BEGIN_REQUEST, Type.PARAMS, Type.PARAMS]
+    assert [r.type for r in Decoder().feed(data[head:])] == [Type.STDIN, Type.STDIN]
+    for cut in range(head):
+        assert not any(isinstance(e, Begun) for e in events(ApplicationSide(1), data[:cut]))
+    assert any(isinstance(e, Begun) for e in events(ApplicationSide(1), data[:head]))
+
+
+# CGI.
+
+
+@pytest.mark.parametrize(
+    "block, status, lines",
+    [
+        (b"Content-Type: a", 200, [b"Content-Type: a\r\n"]),
+        (b"Status: 404 Gone Away\nX: y", 404, [b"X: y\r\n"]),
+        (b"Location: http://x/", 302, [b"Location: http://x/\r\n"]),
+        (b"Status: 201\r\nLocation: /new", 201, [b"Location: /new\r\n"]),  # Status stands above
+        (b"Set-Cookie: a\r\nSet-Cookie: b", 200, [b"Set-Cookie: a\r\n", b"Set-Cookie: b\r\n"]),
+    ],
+)
+def test_header_blocks(block: bytes, status: int, lines: list[bytes]) -> None:
+    head = read_head(block)
+    assert (head.status, head.lines) == (status, lines)
+
+
+@pytest.mark.parametrize(
+    "block",
+    [b"no header", b"Status: abc", b"Status: 99", b"Status: 100", b"Status: 200\nStatus: 404", b"X Y: 1", b": 1",
+     b"A: b\x00c", b"Content-Length: ten", b"Content-Length: -1", b"Content-Length: 1\nContent-Length: 2",
+     b"Transfer-Encoding: chunked", b"A: b\rC: d", b""],
+)  # fmt: skip
+def test_what_is_no_header_block(block: bytes) -> None:
+    with pytest.raises(CgiError):
+        read_head(block)
+
+
+@pytest.mark.parametrize("mark", [b"\r\n\r\n", b"\n\n"])
+def test_the_end_of_a_header_block(mark: bytes) -> None:
+    data = b"A: b" + mark + b"body\r\n\r\nmore\n\n"
+    assert find_end(data) == (4, 4 + len(mark))
+    assert find_end(data[: 3 + len(mark)]) is None
+    assert find_end(bytes(100_000) + b"\n\n") is None
+
+
+def test_a_request_there_and_back() -> None:
+    head = (
+        b"POST /a/b?c=d HTTP/1.1\r\nHost: h:81\r\nX-Some-Thing: 1\r\nContent-Type: t\r\nContent-Length: 4\r\n"
+    )
+    params = dict(to_params(head, 4, {b"SCRIPT_FILENAME": b"/app"}, b"1.2.3.4", 900))
+    assert params[b"REQUEST_METHOD"] == b"POST" and params[b"REQUEST_URI"] == b"/a/b?c=d"
+    assert params[b"HTTP_X_SOME_THING"] == b"1" and params[b"CONTENT_TYPE"] == b"t"
+    assert (params[b"SERVER_NAME"], params[b"SERVER_PORT"]) == (b"h", b"81")
+    assert params[b"CONTENT_LENGTH"] == b"4" and params[b"REQUEST_TIMEOUT_MS"] == b"900"
+    assert b"HTTP_CONTENT_LENGTH" not in params and params[b"SCRIPT_FILENAME"] == b"/app"
+    asked = from_params(params)
+    assert (asked.method, asked.target, asked.length) == (b"POST", b"/a/b?c=d", 4)
+    assert dict(asked.headers) == {b"Host": b"h:81", b"X-Some-Thing": b"1", b"Content-Type": b"t"}
+
+
+def test_clients_can_forge_no_param() -> None:
+    head = b"GET / HTTP/1.1\r\nHost: h\r\nProxy: evil\r\nX_User: evil\r\nX-User: good\r\nScript-Filename: evil\r\n"
+    params = dict(to_params(head, 0, {b"SCRIPT_FILENAME": b"/app"}, b"1.2.3.4", 900))
+    assert b"HTTP_PROXY" not in params and params[b"HTTP_X_USER"] == b"good"
+    assert params[b"SCRIPT_FILENAME"] == b"/app" and params[b"CONTENT_LENGTH"] == b""
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{b"REQUEST_METHOD": b""}, {b"REQUEST_METHOD": b"A B"}, {b"REQUEST_METHOD": b"A\r\nX: 1"}, {b"REQUEST_URI": b"a b"},
+     {b"REQUEST_URI": b"/a\r\nX: 1"}, {b"REQUEST_URI": b""}, {b"HTTP_X": b"a\r\nEvil: 1"}, {b"HTTP_X\r\nEVIL": b"1"},
+     {b"CONTENT_LENGTH": b"ten"}, {b"CONTENT_LENGTH": b"-1"}, {b"CONTENT_LENGTH": b"9" * 13}, {b"HTTP_X": b"\x00"}],
+)  # fmt: skip
+def test_params_that_describe_no_request(change: dict[bytes, bytes]) -> None:
+    with pytest.raises(CgiError):
+        from_params({**dict(PARAMS), **change})
+
+
+def test_a_request_by_script_name_alone() -> None:
+    params = {b"REQUEST_METHOD": b"GET", b"SCRIPT_NAME": b"/s", b"PATH_INFO": b"/p", b"QUERY_STRING": b"q"}
+    assert from_params(params).target == b"/s/p?q"
+
+
+def test_answers_there_and_back() -> None:
+    data = write_answer(404, b"Not Found", [b"X: y\r\n"], b"body")
+    at = find_end(data)
+    assert at is not None
+    head = read_head(data[: at[0]])
+    assert (head.status, head.reason, head.lines, head.length) == (404, b"Not Found", [b"X: y\r\n"], 4)
+    assert data[at[1] :] == b"body"
