Speak FastCGI on either side: a front with multiplexed requests, upstreams, Unix sockets

A partner's application speaks FastCGI and nothing else. fronts/fastcgi.py gives each request of a connection its one END_REQUEST; upstreams/fastcgi.py reads an application's records as outcomes, and what proves that it never ran is the end of the params, not of STDIN. What connections to members share is in upstreams/base.py, load reports in report.py.

--- a/spokemast/cli/serve.py
+++ b/spokemast/cli/serve.py
@@ -96,7 +96,8 @@
         stopping = _signals(daemon)
         for name, listener in daemon.listeners.items():
             host, port = listener.address
-            print(f"micastand: {name} listens on http://{host}:{port}/", flush=True)
+            place = f"http://{host}:{port}/" if port else host
+            print(f"micastand: {name} listens on {place}", flush=True)
             if options.config is None:
                 print(f"try: curl -i http://{host}:{port}/pallets/42", flush=True)
         gc.collect()
--- a/spokemast/config/check.py
+++ b/spokemast/config/check.py
@@ -107,6 +107,14 @@
             read_members_file(folder / pool.members_file)
         except ConfigError as error:
             problems.found.extend(error.problems)
+    _check_protocol(pool, at, problems)
+
+
+def _check_protocol(pool: PoolTable, at: str, problems: Problems) -> None:
+    if pool.fastcgi is not None and pool.protocol != "fastcgi":
+        problems.add(f"{at}.fastcgi", 'goes with protocol = "fastcgi"; take it out, or state that')
+    if pool.close_delimited and pool.protocol == "fastcgi":
+        problems.add(f"{at}.close_delimited", "is of HTTP/1.1; a FastCGI answer ends with END_REQUEST")
     if pool.dialect == "platform":
         for key in ("refusal_header", "load_header", "close_delimited"):
             if getattr(pool, key):
@@ -186,7 +194,8 @@
         except ValueError:
             continue
         for other_host, other_port, name in taken:
-            if port and port == other_port and (host == other_host or "0.0.0.0" in (host, other_host)):
+            same = port == other_port and host == other_host and (port or host.startswith("unix:"))
+            if same or (port and port == other_port and "0.0.0.0" in (host, other_host)):
                 problems.add(
                     f"listener[{listener.name}].address",
                     f"{listener.address} overlaps with listener {name!r} at {other_host}:{other_port}",
--- a/spokemast/config/reader.py
+++ b/spokemast/config/reader.py
@@ -18,6 +18,8 @@
 from spokemast.config.types import Duration, File, MembersFile, MemberTable, Size
 
 T = TypeVar("T", bound=Struct)
+#: Bytes of a Unix socket's path that the kernel takes, 107, and our prefix.
+UNIX_MOST = 107 + 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +218,13 @@
 
 
 def read_address(text: str) -> tuple[str, int]:
-    """An IPv4 address and a port; ValueError in words that say what would be right."""
+    """An IPv4 address and a port, or `unix:` and a path with 0; ValueError in words that say what would be right."""
+    if text.startswith("unix:"):
+        if not text.startswith("unix:/") or "\0" in text or len(text.encode()) > UNIX_MOST:
+            raise ValueError(
+                f"{text!r}: an absolute path of up to {UNIX_MOST - 5} bytes is wanted after unix:"
+            )
+        return text, 0
     host, _, port = text.rpartition(":")
     try:
         number = int(port)
@@ -224,4 +232,6 @@
             raise ValueError
         return str(ipaddress.IPv4Address(host)), number
     except ValueError:
-        raise ValueError(f"{text!r} is not an IPv4 address and a port, such as 127.0.0.1:8080") from None
+        raise ValueError(
+            f"{text!r} is not an IPv4 address and a port, such as 127.0.0.1:8080, nor unix:/path"
+        ) from None
--- a/spokemast/config/types.py
+++ b/spokemast/config/types.py
@@ -109,9 +109,16 @@
     standby: Literal["cold", "warm"] = "cold"  # members of a set that has not served for `cold_time`
 
 
+class FastCgiTable(Struct, frozen=True, kw_only=True):
+    params: dict[str, str] = {}  # such as SCRIPT_FILENAME; they stand above what a request says
+    keep: bool = True  # connections are kept where the application does
+
+
 class PoolTable(Struct, frozen=True, kw_only=True):
     name: Name
     dialect: Literal["http", "platform"] = "http"
+    protocol: Literal["http/1.1", "fastcgi"] = "http/1.1"
+    fastcgi: FastCgiTable | None = None
     member: list[MemberTable] = []
     members_file: str | None = None
     discovery: str | None = None
@@ -148,7 +155,8 @@
 class ListenerTable(Struct, frozen=True, kw_only=True):
     name: Name
     address: str
-    protocol: Literal["http/1.1"] = "http/1.1"
+    protocol: Literal["http/1.1", "fastcgi"] = "http/1.1"
+    requests_at_once: Annotated[int, Meta(ge=1, le=1024)] = 16  # on one connection of a FastCGI client
     routes: list[str] | None = None  # all of them, if it is not given
     trusted: list[str] = []  # networks whose Forwarded and X-Forwarded-* are believed
     ready_path: str | None = None  # answers 200 while the listener wants clients
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -18,7 +18,7 @@
 from spokemast.members.lists import Entry, Source
 from spokemast.limits import Budget, Complaints, Share, describe
 from spokemast.settings import Deployment
-from spokemast.upstreams.connections import Answer, Attempt, Backends
+from spokemast.upstreams.connections import Answer, Attempt, Backends, Upstream
 from spokemast.upstreams.dialect import Dialect
 from spokemast.upstreams.http1 import Connection
 
@@ -106,10 +106,12 @@
         limits: Share,
         complain: Complaints,
         dialect: Dialect | None = None,
+        connect: Callable[..., Upstream] = Connection,
         ids: Ids | None = None,
         timeout_status: int = 502,
     ) -> None:
-        """`dialect` is what its members speak, the platform's if it is not given. `ids` is shared by all pools
+        """`connect` makes connections to members, in HTTP/1.1 if it is not given. `dialect` is what its members
+        mean by their answers, the platform's if it is not given. `ids` is shared by all pools
         whose requests bear ids of clients. `timeout_status` is what a client hears of a request that failed
         because its last attempt took too long."""
         self.balancer = Balancer(deployment.settings, seed)
@@ -121,7 +123,7 @@
         self.name = ""  # by which they know this one
         self.closed = False
         dialect = dialect or Dialect(report_fields=deployment.settings.report_fields)
-        make = partial(Connection, dialect=dialect, not_passed=dialect.not_passed())
+        make = partial(connect, dialect=dialect, not_passed=dialect.not_passed())
         self.backends = Backends(
             self, self.budget, complain, limits.backend_sockets, make,
             deployment.settings.limits.connect_timeout, deployment.idle_close, deployment.idle_most,
--- a/spokemast/daemon/daemon.py
+++ b/spokemast/daemon/daemon.py
@@ -10,16 +10,19 @@
 import random
 import socket
 import time
+from functools import partial
 from itertools import count
 from pathlib import Path
 from typing import Mapping
 
 from spokemast.config.plan import Plan, load
 from spokemast.config.reader import ConfigError, read_address
+from spokemast.config.types import ListenerTable
 from spokemast.core.proxy import Ids
 from spokemast.daemon.pools import RunningPool
+from spokemast.fronts.fastcgi import FastCgiFront
 from spokemast.fronts.http1 import REQUEST_S, ClientConnection
-from spokemast.fronts.listener import ACCEPT_BURST, BACKLOG, Listener, bind, drain
+from spokemast.fronts.listener import ACCEPT_BURST, BACKLOG, UNIX, Listener, Serve, bind, drain, release
 from spokemast.fronts.ordinary import RoutedReader, RouteTarget
 from spokemast.limits import Complaints, Limits
 from spokemast.shares import WINDOW_S, PoolShare, Slots, Turns, divide_listeners, divide_pools
@@ -33,6 +36,13 @@
 END_BESIDE_S = 2.0
 
 
+def serve_of(table: ListenerTable) -> Serve:
+    """What makes connections of clients."""
+    if table.protocol == "http/1.1":
+        return ClientConnection
+    return partial(FastCgiFront, requests_most=table.requests_at_once)
+
+
 class Daemon:
     """Listeners and pools of one configuration at a time."""
 
@@ -67,7 +77,7 @@
             self._make_pools(plan, made)
         except Exception:
             for sock in sockets.values():
-                sock.close()
+                release(sock)
             for pool in made.values():
                 pool.close()
             raise
@@ -83,7 +93,7 @@
                     sockets[name] = bind(read_address(listener.table.address))
         except OSError:
             for sock in sockets.values():
-                sock.close()
+                release(sock)
             raise
         return sockets
 
@@ -98,7 +108,7 @@
             address = read_address(listener.table.address)
             if old.get(name) == address:
                 kept[name] = name
-            elif address[1] and address in by_address:
+            elif address in by_address and (address[1] or address[0].startswith(UNIX)):
                 kept[name] = by_address[address]
         return kept
 
@@ -158,7 +168,7 @@
             mine = targets if chosen is None else {route: targets[route] for route in chosen}
             reader = RoutedReader(listener_plan, mine, plan.key_headers, self._request_ids)
             if name in sockets:
-                running[name] = Listener(reader, slots[name], self.complain, ClientConnection)
+                running[name] = Listener(reader, slots[name], self.complain, serve_of(listener_plan.table))
                 running[name].start(sockets[name])
             running[name].reader = reader
             running[name].most, running[name].overflow_most = slots[name]
--- a/spokemast/daemon/pools.py
+++ b/spokemast/daemon/pools.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
-from typing import Union
+from typing import Callable, Union
 
 from spokemast.config.plan import PoolPlan
 from spokemast.config.reader import read_address
+from spokemast.config.types import FastCgiTable
 from spokemast.core.proxy import Ids, Proxy
 from spokemast.fronts.platform import PlatformReader
 from spokemast.limits import Complaints
@@ -14,7 +16,10 @@
 from spokemast.members.tables import Converter
 from spokemast.members.watch import Discovery
 from spokemast.shares import PoolShare, Turns
+from spokemast.upstreams.connections import Upstream
 from spokemast.upstreams.dialect import Dialect
+from spokemast.upstreams.fastcgi import FastCgiConnection, application
+from spokemast.upstreams.http1 import Connection
 
 #: What clients hear of a request that failed because its last attempt took too long (RFC 9110, 15.6.5).
 GATEWAY_TIMEOUT = 504
@@ -40,6 +45,15 @@
     return name.lower().encode() if name is not None else None
 
 
+def connect_of(plan: PoolPlan) -> Callable[..., Upstream]:
+    """What makes connections to the pool's members."""
+    table = plan.table
+    if table.protocol == "http/1.1":
+        return Connection
+    own = table.fastcgi or FastCgiTable()
+    return partial(FastCgiConnection, application=application(own.params, own.keep))
+
+
 class RunningPool:
     """One pool between its first request and its last. The daemon owns it; `close` releases all that it holds."""
 
@@ -49,7 +63,10 @@
         """`base`: folder that the name of a members file is relative to. ConfigError if that can't be read."""
         self.plan, self.complain, self.base = plan, complain, base
         self.sessions: dict[str, str] = {}  # ids of members by their names in sticky sessions
-        self.proxy = Proxy(plan.deployment, seed, share, complain, dialect_of(plan), ids, GATEWAY_TIMEOUT)
+        self.proxy = Proxy(
+            plan.deployment, seed, share, complain, dialect=dialect_of(plan), connect=connect_of(plan), ids=ids,
+            timeout_status=GATEWAY_TIMEOUT,
+        )  # fmt: skip
         self.proxy.name = plan.table.name
         self.reader = (
             PlatformReader(self.proxy, plan.deployment) if plan.table.dialect == "platform" else None
--- a/spokemast/fastcgi/application.py
+++ b/spokemast/fastcgi/application.py
@@ -1,7 +1,8 @@
 """The application's side of a connection (we are asked): records in, events out, records to send back. No I/O.
 
 Theory of operation. Each request id has a state: no entry (inactive), PARAMS, STDIN, WHOLE (all has come, the answer is
-owed) and LOST (answered early or refused; what still comes for it is thrown away). The table below says what each
+owed) and LOST (given up by
+the web server). The table below says what each
 record does in each state. What no rule of the specification allows ends the reading: `confused` is set, nothing
 after it is read, and requests that are whole still get their answers.
 """
@@ -175,11 +176,11 @@
             self._idle_records = 0
             yield Ended(record.request)
 
-    # Answers.
+    def is_within_record(self) -> bool:
+        """Whether the bytes that came last are part of a record that has not ended."""
+        return self._decoder.held > 0
 
-    def lose(self, request: int) -> None:
-        """What still comes for the request is thrown away."""
-        self.open[request].state = State.LOST
+    # Answers.
 
     def end(self, request: int, status: int = Status.REQUEST_COMPLETE) -> bytes:
         """The END_REQUEST of an open request; its id is free from here on."""
--- a/spokemast/fronts/dialect.py
+++ b/spokemast/fronts/dialect.py
@@ -45,6 +45,19 @@
         self.peer = peer  # address of the other end of the connection
         self.destination: Destination | None = None
 
+    def add(self, name: bytes, value: bytes) -> None:
+        """A header as it comes; RejectError for one that may not come twice."""
+        reader, noted, key = self.reader, self.noted, name.lower()
+        if key in reader.noted:
+            if key in noted:
+                if key in reader.single:
+                    raise RejectError(400, f"{key.decode()} twice")
+                # One field on several lines is one list (RFC 9110, 5.3; RFC 6265, 5.4 for cookies).
+                value = noted[key] + (b"; " if key == b"cookie" else b", ") + value
+            noted[key] = value
+        if key not in reader.not_passed:
+            self.lines.append(b"%b: %b\r\n" % (name, value))
+
 
 class Ask(NamedTuple):
     """A request that is whole and well formed."""
@@ -81,6 +94,9 @@
     def new_head(self, peer: str) -> Head:
         """For a request that begins to come; `peer` is the address of the connection's other end."""
 
+    def believes(self, peer: str) -> bool:
+        """Whether what this peer says of the way before it is believed."""
+
     def place(self, head: Head) -> Destination:
         """Called when the head is whole, before any of the body is kept."""
 
--- /dev/null
+++ b/spokemast/fronts/fastcgi.py
@@ -0,0 +1,334 @@
+"""FastCGI on a client's connection (a web server that asks us): several requests at once, each with its own answer.
+
+The protocol is spokemast/fastcgi/application.py; what a request means is the reader's, as for HTTP. Here the bytes are
+moved, and here each request that has begun gets its one END_REQUEST.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import socket
+import time
+from typing import cast
+
+from spokemast.core.proxy import OpenRequest
+from spokemast.fastcgi.application import Aborted, ApplicationSide, Begun, Data, Ended, Event
+from spokemast.fastcgi.cgi import CgiError, from_params, write_answer
+from spokemast.fastcgi.records import Status, Type, encode, encode_stream
+from spokemast.fronts.dialect import Ask, Head, RejectError, Reply
+from spokemast.fronts.http1 import BODILESS, IDLE_S, LINGER_S, READ_STALL_S, REASONS, REQUEST_S
+from spokemast.fronts.listener import FrontConnection, Listener, Phase
+from spokemast.limits import Budget
+
+
+def is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+class FcgiRequest:
+    """One request of a connection; the core answers it as it answers a connection of HTTP."""
+
+    __slots__ = ("connection", "number", "since", "head", "body", "length", "open", "bodiless", "ended")
+
+    def __init__(self, connection: FastCgiFront, number: int, head: Head, length: int | None) -> None:
+        self.connection, self.number, self.head, self.length = connection, number, head, length
+        self.since = time.monotonic()  # when its params were whole
+        self.body: bytearray | None = None
+        self.open: OpenRequest | None = None  # taken by a pool
+        self.bodiless = head.method == b"HEAD"
+        self.ended = False
+
+    def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False,
+               length: int | None = None, reason: bytes = b"") -> None:  # fmt: skip
+        """`close` is of connections that can carry nothing after; here each request has its own records."""
+        self.open = None
+        self.connection.answered(
+            self, status, reason or REASONS.get(status, b"No Reason"), lines, body, length
+        )
+
+    def release_body(self) -> None:
+        if self.body is not None and self.head.destination is not None:
+            self.head.destination.budget.give(len(self.body))
+        self.body = None
+
+
+class FastCgiFront(FrontConnection):
+    """One connection of a FastCGI client."""
+
+    def __init__(self, listener: Listener, sock: socket.socket, overflow: bool, peer: str,
+                 requests_most: int) -> None:  # fmt: skip
+        """`requests_most`: requests at once; more are ended as OVERLOADED, which says that they never ran."""
+        self.listener, self.sock, self.overflow, self.peer = listener, sock, overflow, peer
+        self.transport: asyncio.Transport | None = None
+        self.side = ApplicationSide(requests_most)
+        self.requests: dict[int, FcgiRequest] = {}  # begun and not answered
+        self.since = time.monotonic()
+        self.phase = Phase.IDLE
+        self.asked = False  # a whole request has come
+        self.blocked = 0.0  # since when the client has not taken what was written
+        self.charged = 0
+        self.charged_to: Budget | None = None
+        self.budget: Budget | None = None  # of the pool that the last request went to
+        self.paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.listener.joined(self)
+
+    # Receiving.
+
+    def data_received(self, data: bytes) -> None:
+        if self.phase == Phase.LINGER:
+            return
+        if self.phase == Phase.IDLE:
+            self.listener.idle.pop(self, None)
+            self.phase = Phase.HEAD
+            if self.asked:
+                self.since = time.monotonic()
+        for event in self.side.feed(data):
+            self._react(event)
+        self._flush()
+        self._after()
+
+    def _react(self, event: Event) -> None:
+        if isinstance(event, Begun):
+            self._begin(event)
+            return
+        request = self.requests.get(event.request)
+        if request is None or request.ended:
+            return
+        if isinstance(event, Data):
+            self._data(request, event.data)
+        elif isinstance(event, Ended):
+            self._whole(request)
+        elif isinstance(event, Aborted):
+            self._abort(request)
+
+    def _begin(self, event: Begun) -> None:
+        reader = self.listener.reader
+        client = event.params.get(b"REMOTE_ADDR", b"").decode("latin-1")
+        # A web server that is trusted speaks for its client.
+        head = reader.new_head(
+            client if client and reader.believes(self.peer) and is_address(client) else self.peer
+        )
+        request = self.requests[event.request] = FcgiRequest(self, event.request, head, None)
+        try:
+            asked = from_params(event.params)
+            head.url, head.method, request.length = asked.target, asked.method, asked.length
+            request.bodiless = asked.method == b"HEAD"
+            for name, value in asked.headers:
+                head.add(name, value)
+            if asked.length is not None:
+                head.noted[b"content-length"] = b"%d" % asked.length
+            destination = head.destination = head.reader.place(head)
+            self.budget = destination.budget
+            if (asked.length or 0) > destination.body_most:
+                raise RejectError(413, "body too large")
+        except CgiError as problem:
+            self._reject(request, 400, str(problem))
+        except RejectError as problem:
+            self._reject(request, problem.status, problem.why)
+
+    def _data(self, request: FcgiRequest, data: bytes) -> None:
+        destination = request.head.destination
+        assert destination is not None
+        if request.body is None:
+            request.body = bytearray()
+        if len(request.body) + len(data) > (request.length or 0):
+            self._reject(request, 400, "more on STDIN than CONTENT_LENGTH states")
+        elif not destination.budget.take_upload(len(data)):
+            self._reject(request, 503, "too much is being uploaded")
+        else:
+            request.body += data
+
+    def _whole(self, request: FcgiRequest) -> None:
+        if len(request.body or b"") != (request.length or 0):
+            self._reject(request, 400, "less on STDIN than CONTENT_LENGTH states")
+            return
+        self.asked = True
+        self.listener.strangers.pop(self, None)
+        try:
+            item = request.head.reader.read(request.head, request.body, request)
+        except RejectError as problem:
+            self._reject(request, problem.status, problem.why)
+            return
+        if isinstance(item, Reply):
+            self._reject(request, item.status, item.why)
+        else:
+            request.body = None  # it is the open request's now
+            self._take(request, item)
+
+    def _take(self, request: FcgiRequest, item: Ask) -> None:
+        proxy = item.proxy
+        if self.overflow:
+            status, why = 503, "too many connections"
+        elif proxy.is_known(item.request):
+            status, why = 409, "this X-Txn has been used"
+        elif not proxy.has_room():
+            status, why = 503, "this pool has all it can hold"
+        else:
+            request.open = item.request
+            left = max(0.0, item.deadline - time.monotonic())
+            proxy.take(
+                item.request, item.cls, left, item.tenant, item.key, item.hint, item.retry, item.member
+            )
+            return
+        proxy.drop(item.request)
+        self._reject(request, status, why)
+
+    def _reject(self, request: FcgiRequest, status: int, why: str) -> None:
+        """Answered without the module; what still comes for it is thrown away until its STDIN has ended."""
+        request.release_body()
+        self.answered(request, status, REASONS.get(status, b"No Reason"), [], why.encode() + b"\n", None)
+
+    def _abort(self, request: FcgiRequest) -> None:
+        """The web server's client has gone away: the attempt is given up, and the id is free again."""
+        taken, request.open = request.open, None
+        if taken is not None:
+            taken.owner.withdraw(taken)
+        request.release_body()
+        self._end(request, b"")
+
+    # Answering.
+
+    def answered(self, request: FcgiRequest, status: int, reason: bytes, lines: list[bytes], body: bytes,
+                 length: int | None) -> None:  # fmt: skip
+        """The one answer of a request."""
+        if request.bodiless or status in BODILESS:
+            stated = [b"Content-Length: %d\r\n" % length] if length is not None and status != 204 else []
+            out = b"Status: %d %b\r\n%b\r\n" % (status, reason, b"".join([*lines, *stated]))
+        else:
+            out = write_answer(status, reason, lines, body)
+        self._end(request, out)
+        self._flush()
+        self._after()
+
+    def _end(self, request: FcgiRequest, out: bytes) -> None:
+        """STDOUT and END_REQUEST; nothing of this request comes after them."""
+        request.ended = True
+        del self.requests[request.number]
+        if out:
+            self.side.output += encode_stream(Type.STDOUT, request.number, out) + encode(
+                Type.STDOUT, request.number
+            )
+        self.side.output += self.side.end(request.number, Status.REQUEST_COMPLETE)
+        if self.listener.draining:
+            self.side.closing = True
+
+    def _flush(self) -> None:
+        if self.side.output and self.transport is not None and not self.transport.is_closing():
+            data = bytes(self.side.output)
+            self.side.output.clear()
+            self.transport.write(data)
+
+    def _after(self) -> None:
+        """Close, or wait for the next request."""
+        if self.transport is None or self.transport.is_closing() or self.phase == Phase.LINGER:
+            return
+        last = self.side.closing or self.side.confused
+        if self.requests or (self.side.open and not self.side.confused):
+            self.phase = Phase.WHOLE if self.requests else Phase.HEAD
+        elif last:
+            self.phase = Phase.LINGER
+            self.since = time.monotonic()
+            self.listener.forget(self)
+            self.listener.lingering[self] = None
+            self.transport.write_eof()
+        elif self.phase == Phase.WHOLE:
+            self.phase = Phase.IDLE
+            self.since = time.monotonic()
+            self.listener.idle[self] = None
+        elif self.phase == Phase.HEAD and not self.side.is_within_record():
+            self.phase = Phase.IDLE
+
+    # Flow control, and the end.
+
+    def pause_writing(self) -> None:
+        """What the client does not take counts as buffered, and it is asked for nothing more."""
+        assert self.transport is not None
+        self.blocked = time.monotonic()
+        self.charged_to = self.budget
+        if self.charged_to is not None:
+            self.charged = self.transport.get_write_buffer_size()
+            self.charged_to.held += self.charged
+        self._read_on(False)
+
+    def resume_writing(self) -> None:
+        self._uncharge()
+        self._read_on(True)
+
+    def _read_on(self, on: bool) -> None:
+        if on == self.paused and self.transport is not None and not self.transport.is_closing():
+            self.paused = not on
+            (self.transport.resume_reading if on else self.transport.pause_reading)()
+
+    def _uncharge(self) -> None:
+        self.blocked = 0.0
+        if self.charged_to is not None:
+            self.charged_to.give(self.charged)
+        self.charged, self.charged_to = 0, None
+
+    def eof_received(self) -> None:
+        """The client has gone away; the transport closes."""
+        self._leave()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._leave()
+        self._uncharge()
+        self.listener.left(self)
+
+    def _leave(self) -> None:
+        """Nobody waits for the answers any more."""
+        for request in list(self.requests.values()):
+            taken, request.open = request.open, None
+            request.ended = True
+            if taken is not None:
+                taken.owner.withdraw(taken)
+            request.release_body()
+        self.requests.clear()
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def retire(self) -> bool:
+        """Close a connection with no open request, unless one waits in the kernel: that is ours already."""
+        if self.requests:
+            return False
+        try:
+            unread = bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            unread = False
+        if not unread:
+            self.listener.forget(self)
+            self.abort()
+        return not unread
+
+    def sweep(self, now: float) -> None:
+        """Limits in time."""
+        if self.blocked and now - self.blocked > READ_STALL_S:
+            self.abort()
+        elif self.phase == Phase.LINGER:
+            if now - self.since > LINGER_S and not self.blocked:
+                self.abort()
+        elif self.phase == Phase.IDLE:
+            if now - self.since > (IDLE_S if self.asked and not self.overflow else REQUEST_S):
+                self.retire()
+        else:
+            self._sweep_requests(now)
+
+    def _sweep_requests(self, now: float) -> None:
+        """Guards against requests that never come whole, and against records and params that never end."""
+        for request in list(self.requests.values()):
+            if request.open is None and now - request.since > REQUEST_S:
+                self._reject(request, 408, "the request did not come to its end")
+        if self.phase == Phase.HEAD and now - self.since > REQUEST_S:
+            self.abort()
+
+    def is_busy(self) -> bool:
+        return self.phase != Phase.LINGER or bool(self.blocked)
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -99,17 +99,7 @@
         self._count(len(name) + len(value))
         if self.phase != HEAD:  # trailers
             return
-        head, key = self.head, name.lower()
-        reader, noted = head.reader, head.noted
-        if key in reader.noted:
-            if key in noted:
-                if key in reader.single:
-                    raise RejectError(400, f"{key.decode()} twice")
-                # One field on several lines is one list (RFC 9110, 5.3; RFC 6265, 5.4 for cookies).
-                value = noted[key] + (b"; " if key == b"cookie" else b", ") + value
-            noted[key] = value
-        if key not in reader.not_passed:
-            head.lines.append(b"%b: %b\r\n" % (name, value))
+        self.head.add(name, value)
 
     def _count(self, more: int) -> None:
         self.head.size += more
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+import stat
 import time
 from contextlib import suppress
 from enum import IntEnum
@@ -37,6 +39,11 @@
 #: Bytes read of a connection that is turned away on the spot.
 GLANCE_MOST = 16 << 10
 
+#: An address that begins so is the path of a Unix socket.
+UNIX = "unix:"
+#: Peer of a connection that came by one.
+LOCAL = "local"
+
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -108,14 +115,14 @@
         self._sock = sock
         self._loop.add_reader(sock, self.accept)
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
-        host, port = sock.getsockname()
-        return host, port
+        return self.address
 
     @property
     def address(self) -> tuple[str, int]:
+        """Where it listens; of a Unix socket `unix:` and the path, and 0."""
         assert self._sock is not None
-        host, port = self._sock.getsockname()
-        return host, port
+        name = self._sock.getsockname()
+        return (UNIX + name, 0) if isinstance(name, str) else (name[0], name[1])
 
     def accept(self) -> bool:
         """Take what has connected; False once nothing waits any more."""
@@ -131,7 +138,7 @@
                 self._evict()
                 self._rest()
                 return True
-            self._admit(sock, address[0])
+            self._admit(sock, address[0] if address else LOCAL)
         return True
 
     def _rest(self) -> None:
@@ -157,7 +164,8 @@
                 return
             self.overflowing += 1
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family == socket.AF_INET:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._opening += 1
         task = self._loop.create_task(self._start(sock, overflow, peer))
         self._starting.add(task)  # the loop alone would not keep it
@@ -228,7 +236,7 @@
         """The socket goes; the connections stay."""
         if self._sock is not None:
             self._loop.remove_reader(self._sock)
-            self._sock.close()
+            release(self._sock)
             self._sock = None
 
     def is_busy(self) -> bool:
@@ -252,11 +260,15 @@
 
 
 def bind(address: tuple[str, int]) -> socket.socket:
-    """A socket that listens; OSError where the address can't be had."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    """A socket that listens; OSError where the address can't be had. `unix:` and a path is a Unix socket."""
+    path = address[0].removeprefix(UNIX) if address[0].startswith(UNIX) else None
+    sock = socket.socket(socket.AF_INET if path is None else socket.AF_UNIX, socket.SOCK_STREAM)
     try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
+        if path is None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        else:
+            _clear(path)
+        sock.bind(address if path is None else path)
         sock.listen(BACKLOG)
     except OSError:
         sock.close()
@@ -265,6 +277,28 @@
     return sock
 
 
+def _clear(path: str) -> None:
+    """Remove the socket that a process left when it died; one on which somebody listens stays, and so does whatever
+    is no socket: bind then says so."""
+    with suppress(OSError):
+        if not stat.S_ISSOCK(os.stat(path).st_mode):
+            return
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+            try:
+                probe.connect(path)
+            except ConnectionRefusedError:
+                os.unlink(path)
+
+
+def release(sock: socket.socket) -> None:
+    """Close a listening socket; a Unix one leaves no file."""
+    name = sock.getsockname()
+    sock.close()
+    if isinstance(name, str):
+        with suppress(OSError):
+            os.unlink(name)
+
+
 async def drain(listeners: Sequence[Listener], longest: float, most: float = DRAIN_MOST_S) -> None:
     """After SIGTERM: serve for a while, then close what is idle and answer what is held.
 
--- a/spokemast/fronts/ordinary.py
+++ b/spokemast/fronts/ordinary.py
@@ -15,6 +15,7 @@
 from spokemast.core.proxy import OpenRequest, Proxy
 from spokemast.fronts.dialect import Ask, ClientSide, Destination, Head, RejectError, Reply
 from spokemast.fronts.platform import PlatformReader, pass_on
+from spokemast.fronts.listener import LOCAL
 from spokemast.limits import Budget
 from spokemast.routes import Rule
 from spokemast.targets import Target, TargetError, read_target
@@ -112,6 +113,9 @@
     def new_head(self, peer: str) -> PlainHead:
         return PlainHead(self, peer)
 
+    def believes(self, peer: str) -> bool:
+        return is_trusted(peer, self.trusted)
+
     # The head.
 
     def place(self, head: Head) -> Destination:
@@ -192,10 +196,13 @@
         lines.append(VIA)
         if b"x-request-id" not in noted:
             lines.append(b"X-Request-Id: %b\r\n" % next(self._ids))
-        lines.extend(forwarded(head.peer, host, noted, is_trusted(head.peer, self.trusted)))
+        lines.extend(forwarded(head.peer, host, noted, self.believes(head.peer)))
 
 
 def is_trusted(peer: str, networks: Sequence[Network]) -> bool:
+    """Whether what a peer says of the way before it is believed. Who may open our Unix socket is."""
+    if peer == LOCAL:
+        return True
     return bool(networks) and any(ipaddress.ip_address(peer) in network for network in networks)
 
 
@@ -204,7 +211,7 @@
 
     Guards against clients who claim to be others: only what a trusted proxy says of the way before it is kept."""
     before = noted if trusted else {}
-    address = peer.encode()
+    address = b"unknown" if peer == LOCAL else peer.encode()
     quoted = b'"[%b]"' % address if b":" in address else address
     chain = before.get(b"x-forwarded-for")
     element = b'for=%b;host="%b";proto=http' % (quoted, host)
--- a/spokemast/fronts/platform.py
+++ b/spokemast/fronts/platform.py
@@ -63,6 +63,9 @@
     def new_head(self, peer: str) -> Head:
         return Head(self, peer)
 
+    def believes(self, peer: str) -> bool:
+        return False
+
     def place(self, head: Head) -> PlatformReader:
         return self
 
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -24,10 +24,16 @@
 #: Harm: a new connection now and then, where a backend is asked again at once.
 REST_S = 0.005
 
+#: An address that begins so is the path of a Unix socket; its port is 0.
+UNIX = "unix:"
 #: Where a backend listens and when it last started: connections are of one life of it.
 Life = tuple[tuple[str, int], float]
 
 
+def family(address: tuple[str, int]) -> socket.AddressFamily:
+    return socket.AF_UNIX if address[0].startswith(UNIX) else socket.AF_INET
+
+
 class Job(Protocol):
     """A request, as a member gets it."""
 
@@ -51,13 +57,16 @@
     life: Life
     handed: bool  # the transport owns the socket
     closed: bool
-    unsent: bool  # part of the request is still in our buffers
     idle_since: float  # monotonic
 
     def start(self, attempt: Attempt) -> None:
         """Write the attempt's request; its end is told to the owner."""
         raise NotImplementedError
 
+    def is_unsent(self) -> bool:
+        """Whether so much of the request is still here that it can't have run."""
+        raise NotImplementedError
+
     def is_alive(self) -> bool:
         """Whether a kept connection can still be used."""
         raise NotImplementedError
@@ -90,7 +99,7 @@
 
     def is_written(self) -> bool:
         """Whether the last byte of the request has left, so that it may have run."""
-        return self.connection is not None and not self.connection.unsent
+        return self.connection is not None and not self.connection.is_unsent()
 
     def drop(self) -> None:
         """Stop waiting: the connection is closed, which also tells the backend."""
@@ -175,7 +184,7 @@
             self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
             return
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = socket.socket(family(backend.life[0]), socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError as problem:
             self.complain("no socket for a backend", problem)
             self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
@@ -198,9 +207,13 @@
 
     async def _connect(self, connection: Upstream) -> None:
         loop, sock = asyncio.get_running_loop(), connection.sock
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        where: tuple[str, int] | str = connection.life[0]
+        if sock.family == socket.AF_UNIX:
+            where = connection.life[0][0].removeprefix(UNIX)
+        else:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         async with asyncio.timeout(self.connect_timeout):
-            await loop.sock_connect(sock, connection.life[0])
+            await loop.sock_connect(sock, where)
         connection.handed = True
         try:
             await loop.create_connection(lambda: connection, sock=sock)
--- a/spokemast/upstreams/http1.py
+++ b/spokemast/upstreams/http1.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
-import math
 import socket
-import time
-from typing import Mapping, Sequence, cast
+from typing import Mapping
 
 import httptools
-import orjson
 
 from spokemast.interface import Result
-from spokemast.upstreams.connections import Answer, Attempt, Backend, Backends, Upstream
+from spokemast.upstreams.connections import Answer, Attempt, Backend, Backends
 from spokemast.upstreams.dialect import Dialect
+from spokemast.upstreams.report import read_report
+from spokemast.upstreams.base import SocketUpstream
 
 #: What may come for one request beside the body of its answer: head, interim answers, framing of chunks. With the
 #: body's own bound it guards the memory and the CPU against anything that keeps coming, whatever it says of itself.
@@ -23,50 +21,18 @@
 #: Answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
 BODILESS = frozenset((204, 304))
 
-#: Fields of a load report by their names on sockets, in the settings' words.
-REPORT_WORDS = {
-    "util": "utilization",
-    "latency_ms": "recent_ms",
-    "qps": "throughput",
-    "inflight": "outstanding",
-    "queue": "backlog",
-    "eps": "errors_per_s",
-}
 
-
-def read_report(value: bytes, fields: Sequence[str]) -> dict[str, float] | None:
-    """The load report in the module's words; ValueError where it is none."""
-    box = orjson.loads(value)
-    if not isinstance(box, dict):
-        raise ValueError("not an object")
-    report: dict[str, float] = {}
-    for name, figure in box.items():
-        word = REPORT_WORDS.get(str(name), str(name))
-        if word in fields and type(figure) in (int, float) and math.isfinite(figure):
-            report[word] = float(figure)
-    return report or None
-
-
-class Connection(Upstream):
+class Connection(SocketUpstream):
     """One connection to a backend; it carries one attempt at a time."""
 
     def __init__(self, backend: Backend, pool: Backends, sock: socket.socket,
                  dialect: Dialect, not_passed: frozenset[bytes]) -> None:  # fmt: skip
         """`not_passed` is the dialect's, made once for all connections."""
-        self.backend, self.pool, self.sock = backend, pool, sock
+        super().__init__(backend, pool, sock)
         self.dialect, self.not_passed = dialect, not_passed
-        self.life = backend.life
-        self.transport: asyncio.Transport | None = None
-        self.attempt: Attempt | None = None
-        self.unsent = False  # part of the request is still in our buffers
-        self.closed = False
-        self.handed = False  # the transport owns the socket
-        self.idle_since = 0.0
         self.held = 0  # bytes of the body, charged to the budget
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._expect()
-        pool.open += 1
-        backend.open += 1
 
     def _expect(self) -> None:
         """Forget the answer before; the next one may come."""
@@ -90,29 +56,10 @@
         self.held = 0
         self.body: list[bytes] = []
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        transport = cast(asyncio.Transport, transport)
-        self.transport = transport
-        # pause_writing then says that something is left in our buffers, resume_writing that nothing is.
-        transport.set_write_buffer_limits(high=0)
-
     # Sending.
 
-    def is_alive(self) -> bool:
-        """Guards against a kept connection whose end has come but has not been read yet."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return not self.closed
-        except OSError:
-            return False
-        return False  # end of input, or bytes that nobody asked for
-
     def start(self, attempt: Attempt) -> None:
-        assert self.transport is not None
-        self.attempt = attempt
-        attempt.written_at = time.monotonic()
-        attempt.connection = self
+        self.take(attempt)
         request = attempt.request
         if self.dialect.deadline_header is None:
             data = request.head + b"\r\n"
@@ -121,24 +68,7 @@
             data = b"%b%b: %dm\r\n\r\n" % (request.head, self.dialect.deadline_header, left)
         if request.body:
             data += request.body
-        # Straight to the kernel: so it is certain what has left, and a break before the last byte is
-        # told from one after it.
-        try:
-            sent = self.sock.send(data)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            self._fail(Result.NO_CONNECTION)
-            return
-        if sent < len(data):
-            self.unsent = True
-            self.transport.write(data[sent:])
-
-    def pause_writing(self) -> None:
-        self.unsent = True
-
-    def resume_writing(self) -> None:
-        self.unsent = False
+        self.write(data)
 
     # What the parser finds; it is acted on once the parser is done, outside its callbacks.
 
@@ -202,7 +132,7 @@
             self.drop()
             return
         self.received += len(data)
-        self.backend.heard = time.monotonic()
+        self.note_heard()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -232,7 +162,7 @@
         answers break the limits of the protocol fails."""
         self.pool.complain("spoilt answer", why)
         self.status = 0  # nothing that it said is to be believed
-        self._fail(Result.RESET)
+        self.fail(Result.RESET)
 
     def _finish(self) -> None:
         """The answer is whole."""
@@ -245,7 +175,7 @@
             answer = self._answer()
         self.attempt = None
         attempt.connection = None
-        if self.keep and not self.surplus and not self.unsent and not self.closed:
+        if self.keep and not self.surplus and not self.is_unsent() and not self.closed:
             if self.length_only:
                 self.parser = httptools.HttpResponseParser(self)  # the old one waits for a body
             self._expect()
@@ -277,46 +207,16 @@
         """Whether the end of input is that of the answer (RFC 9112, 6.3, rule 8)."""
         return (
             self.dialect.close_delimited and self.attempt is not None and self.status >= 200
-            and not self.framed and not self.unsent and self.held <= self.dialect.body_most
+            and not self.framed and not self.is_unsent() and self.held <= self.dialect.body_most
         )  # fmt: skip
 
-    def _fail(self, result: Result) -> None:
-        attempt = self.attempt
-        self.drop()
-        if attempt is not None:
-            self.pool.owner.finish_attempt(attempt, result)
-
     def eof_received(self) -> None:
         if self._ends_with_connection():
             self.complete = True
             self._finish()
             return
-        self._fail(Result.NO_CONNECTION if self.unsent else Result.RESET)
+        self.fail(self.broken())
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        if self.attempt is not None:
-            self._fail(Result.NO_CONNECTION if self.unsent else Result.RESET)
-        self.drop()
-
-    def drop(self) -> None:
-        """Close at once; nothing further is heard of it."""
-        if self.attempt is not None:
-            self.attempt.connection = None
-            self.attempt = None
-        if not self.closed:
-            self.closed = True
-            self._release()
-            self.parser = None  # they hold one another, and would stay until the collector comes by
-            self.pool.forget(self)
-            if self.transport is not None:
-                self.transport.abort()
-            else:
-                self.close_socket()
-
-    def close_socket(self) -> None:
-        """Where no transport came of it. One that failed half-way has closed the descriptor itself; closing
-        its number again would end whatever connection has got it since."""
-        if self.handed:
-            self.sock.detach()
-        else:
-            self.sock.close()
+    def release(self) -> None:
+        self._release()
+        self.parser = None  # they hold one another, and would stay until the collector comes by
