Test FastCGI over sockets: cuts at every byte, lying applications, multiplexed clients

Every answer and every request is cut at each byte, closed, killed or stalled; an application's end is held against a table of 22 cases, alone and beside one that is well; aborts, drains, ends, slow readers and Unix sockets have tests of their own. 63 tests, none with a second effect or a missing answer.

--- /dev/null
+++ b/tests/test_fastcgi.py
@@ -0,0 +1,678 @@
+"""FastCGI over sockets: clients and applications, and what goes wrong between them."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any, AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+
+import pytest
+
+from daemons import LISTENER, Ground, ground, pool, requests_to, route
+from peers import Call, ScriptedBackend, answering, play
+from spokemast.fastcgi.cgi import write_answer
+from spokemast.fastcgi.records import Status, Type, encode, encode_begin, encode_end, encode_stream
+from spokemast.interface import Outcome, Result
+from standins.fastcgi import Application, FcgiCall, Script, WebServer, saying
+
+HTTP_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+FCGI = 'protocol = "fastcgi"'
+KEYED = '[[class]]\nname = "book"\naim = "1s"\ndeadline = "4s"\neffect = "keyed"\ndedup_window = "3s"\n'
+OK = saying(200, b"hi")
+
+
+def app_pool(name: str, apps: Sequence[Application], *more: str, params: str = "") -> str:
+    return pool(name, apps, FCGI, *more, f"fastcgi = {{ params = {{ {params} }} }}" if params else "")  # type: ignore[arg-type]
+
+
+@asynccontextmanager
+async def fleet(folder: Path, apps: Sequence[Application], text: Callable[[], str]) -> AsyncIterator[Ground]:
+    async with ground(folder, apps, text) as here:  # type: ignore[arg-type]
+        yield here
+
+
+def simple(apps: Sequence[Application], *more: str, front: str = "") -> Callable[[], str]:
+    return lambda: LISTENER + front + route("all", "p", 'class = "book"') + KEYED + app_pool("p", apps, *more)
+
+
+def outcomes(here: Ground, name: str = "p") -> list[Result]:
+    """Watch the results that the module is told from here on."""
+    proxy = here.daemon.pools[name].proxy
+    seen: list[Result] = []
+    post = proxy.post
+
+    def watched(event: Any) -> None:
+        if isinstance(event, Outcome):
+            seen.append(event.result)
+        post(event)
+
+    proxy.post = watched  # type: ignore[method-assign]
+    return seen
+
+
+# Upstream.
+
+
+def test_a_request_to_an_application_and_back(tmp_path: Path) -> None:
+    async def scene() -> None:
+        app = Application("a", saying(201, b"made", b"X-Own: 1\r\n", b"Connection: close\r\n"))
+
+        def text() -> str:
+            return LISTENER + route("all", "p") + app_pool("p", [app], params='SCRIPT_FILENAME = "/srv/x"')
+
+        async with fleet(tmp_path, [app], text) as here:
+            status, head, body = await here.ask(
+                requests_to("/a?b=c", "POST", b"data", "Content-Type: t", "X-A: 1")
+            )
+            assert (status, body) == (201, b"made") and b"X-Own: 1" in head and b"Connection" not in head
+            (call,) = app.calls
+            params = call.params
+            assert (
+                call.body == b"data" and params[b"CONTENT_LENGTH"] == b"4" and params[b"CONTENT_TYPE"] == b"t"
+            )
+            assert params[b"REQUEST_METHOD"] == b"POST" and params[b"REQUEST_URI"] == b"/a?b=c"
+            assert params[b"SCRIPT_FILENAME"] == b"/srv/x" and params[b"HTTP_X_A"] == b"1"
+            assert params[b"REMOTE_ADDR"] == b"127.0.0.1" and 0 < int(params[b"REQUEST_TIMEOUT_MS"]) <= 30_000
+            assert here.daemon.pools["p"].proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_connections_are_kept_where_the_application_does(tmp_path: Path) -> None:
+    async def scene() -> None:
+        app = Application("a", OK)
+        async with fleet(tmp_path, [app], simple([app])) as here:
+            for _ in range(5):
+                assert (await here.ask(requests_to()))[0] == 200
+            assert app.connections == 1
+            for connection in app.open:
+                connection.close()
+            await app.until(lambda: not app.open)
+            assert (await here.ask(requests_to()))[0] == 200 and app.connections == 2
+            app.scripts = [closing]
+            for _ in range(3):
+                assert (await here.ask(requests_to()))[0] == 200
+
+    async def closing(call: FcgiCall) -> None:
+        call.say(write_answer(200, b"OK", [], b"x"))
+        call.connection.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("unix", [False, True])
+def test_an_application_on_a_unix_socket(unix: bool, tmp_path: Path) -> None:
+    async def scene() -> None:
+        app = Application("a", OK)
+        text = simple([app])
+        if unix:
+            start = app.start
+            app.start = lambda path=None: start(str(tmp_path / "a.sock"))  # type: ignore[method-assign]
+        async with fleet(tmp_path, [app], text) as here:
+            assert app.address.startswith("unix:") == unix
+            assert (await here.ask(requests_to()))[0] == 200
+
+    play(scene)
+
+
+ANSWER = write_answer(200, b"OK", [b"X: y\r\n"], b"whole body")
+
+
+def exchange(call: FcgiCall) -> bytes:
+    number = call.number
+    return (
+        encode(Type.STDERR, number, b"note")
+        + encode_stream(Type.STDOUT, number, ANSWER)
+        + encode(Type.STDOUT, number)
+        + encode_end(number)
+    )
+
+
+@pytest.mark.parametrize("how", ["closed", "killed"])
+def test_an_answer_cut_at_every_byte_has_one_effect_and_one_answer(how: str, tmp_path: Path) -> None:
+    """An unsafe request whose answer is cut anywhere may have run: it fails, and never goes again."""
+
+    async def scene() -> None:
+        cut = 0
+
+        async def script(call: FcgiCall) -> None:
+            call.raw(exchange(call)[:cut])
+            if how == "closed":
+                call.connection.close()
+            else:
+                call.die()
+
+        app = Application("a", script)
+        async with fleet(tmp_path, [app], simple([app])) as here:
+            client = await here.connect()
+            whole = len(exchange(FcgiCall(1, {}, None)))  # type: ignore[arg-type]
+            here.daemon.pools["p"].proxy.balancer._learn = lambda *args, **kw: None  # type: ignore[method-assign]
+            for cut in range(whole):
+                await client.send(requests_to("/", "POST", b"x"))
+                status, _, _ = await client.read()
+                assert status == 502, cut
+                assert len(app.calls) == cut + 1
+            cut = whole
+            if how == "closed":
+                await client.send(requests_to("/", "POST", b"x"))
+                assert (await client.read())[2] == b"whole body"
+            assert here.daemon.pools["p"].proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_an_answer_that_stalls_at_any_byte_ends_at_the_deadline(tmp_path: Path) -> None:
+    async def scene() -> None:
+        whole = exchange(FcgiCall(1, {}, None))  # type: ignore[arg-type]
+        cuts = list(range(0, len(whole), 7))
+
+        async def script(call: FcgiCall) -> None:
+            call.raw(exchange(call)[: cuts[len(app.calls) - 1]])
+
+        app = Application("a", script)
+
+        def text() -> str:
+            return LISTENER + route("all", "p", 'deadline = "60ms"') + app_pool("p", [app])
+
+        async with fleet(tmp_path, [app], text) as here:
+            here.daemon.pools["p"].proxy.balancer._learn = lambda *args, **kw: None  # type: ignore[method-assign]
+            for number in range(len(cuts)):
+                assert (await here.ask(requests_to("/", "POST", b"x")))[0] == 504
+                assert len(app.calls) == number + 1
+
+    play(scene)
+
+
+async def dies(call: FcgiCall) -> None:
+    call.die()
+
+
+def records(*wanted: tuple[int, bytes]) -> Script:
+    async def script(call: FcgiCall) -> None:
+        call.raw(b"".join(encode(kind, call.number, content) for kind, content in wanted))
+
+    return script
+
+
+def ends(status: int, application: int = 0) -> bytes:
+    return encode_end(1, status, application)[8:16]
+
+
+WHOLE = (Type.STDOUT, write_answer(200, b"OK", [], b"hi"))
+BARE = (Type.STDOUT, b"Content-Type: t\r\n\r\nhi")
+TABLE: list[tuple[str, Script, Result]] = [
+    ("dies after reading, before answering", dies, Result.RESET),
+    ("END_REQUEST without STDOUT", records((Type.END_REQUEST, ends(0))), Result.RESET),
+    ("OVERLOADED", records((Type.END_REQUEST, ends(2))), Result.FULL),
+    ("CANT_MPX_CONN", records((Type.END_REQUEST, ends(1))), Result.FULL),
+    ("UNKNOWN_ROLE", records((Type.END_REQUEST, ends(3))), Result.FULL),
+    ("OVERLOADED after STDOUT", records(WHOLE, (Type.END_REQUEST, ends(2))), Result.RESET),
+    ("a protocol status that is none", records((Type.END_REQUEST, ends(9))), Result.RESET),
+    ("an END_REQUEST that is none", records(WHOLE, (Type.END_REQUEST, b"x")), Result.RESET),
+    ("no header block", records((Type.STDOUT, b"junk"), (Type.END_REQUEST, ends(0))), Result.RESET),
+    ("a header block without end", records((Type.STDOUT, b"A: b\r\n" * 9000), (Type.END_REQUEST, ends(0))),
+     Result.RESET),
+    ("more than it states", records((Type.STDOUT, b"Content-Length: 1\r\n\r\nhi"), (Type.END_REQUEST, ends(0))),
+     Result.RESET),
+    ("less than it states", records((Type.STDOUT, b"Content-Length: 3\r\n\r\nhi"), (Type.END_REQUEST, ends(0))),
+     Result.RESET),
+    ("a status of 500", records((Type.STDOUT, b"Status: 500\r\n\r\nhi"), (Type.END_REQUEST, ends(0))), Result.ERROR),
+    ("an exit status, no length", records(BARE, (Type.END_REQUEST, ends(0, 1))), Result.ERROR),
+    ("an exit status, a length", records(WHOLE, (Type.END_REQUEST, ends(0, 1))), Result.SERVED),
+    ("no length", records(BARE, (Type.END_REQUEST, ends(0))), Result.SERVED),
+    ("STDOUT after END_REQUEST", records(WHOLE, (Type.END_REQUEST, ends(0)), WHOLE), Result.SERVED),
+    ("a record of no request", records((Type.STDIN, b"x")), Result.RESET),
+    ("another version", lambda call: _raw(call, b"\x02" + bytes(15)), Result.RESET),
+    ("HTTP", lambda call: _raw(call, HTTP_OK), Result.RESET),
+    ("id 0", lambda call: _raw(call, encode(Type.STDOUT, 0, b"x")), Result.RESET),
+    ("another id alone", lambda call: _raw(call, encode(Type.STDOUT, 99, b"x") + encode_end(call.number)),
+     Result.RESET),
+]  # fmt: skip
+
+
+async def _raw(call: FcgiCall, data: bytes) -> None:
+    call.raw(data)
+
+
+@pytest.mark.parametrize("name, script, result", TABLE, ids=[name for name, _, _ in TABLE])
+def test_what_an_application_says_and_what_it_means(
+    name: str, script: Script, result: Result, tmp_path: Path
+) -> None:
+    """Each for an unsafe request, first alone, then with another application that is well."""
+
+    async def scene() -> None:
+        app, well = Application("ill", script), Application("well", OK)
+        async with fleet(tmp_path, [app, well], simple([app])) as here:
+            seen = outcomes(here)
+            status, head, _ = await here.ask(requests_to("/", "POST", b"x"))
+            expected = {Result.SERVED: 200, Result.FULL: 503, Result.RESET: 502, Result.ERROR: 500}[result]
+            if name == "an exit status, no length":
+                expected = 502
+            assert (status, seen[0]) == (expected, result) and set(seen) == {result}
+            assert len(app.calls) == len(seen)
+            assert here.daemon.pools["p"].proxy.budget.held == 0
+            await here.reload(LISTENER, route("all", "q"), app_pool("q", [app, well]))
+            asked, before = 0, len(app.calls)
+            while len(app.calls) == before:
+                asked += 1
+                status, _, _ = await here.ask(requests_to("/", "POST", b"x"))
+            # Only what never ran went on to the other one.
+            assert status == (200 if result in (Result.FULL, Result.SERVED) else expected)
+            assert len(well.calls) == asked - (0 if result == Result.FULL else 1)
+
+    play(scene)
+
+
+def test_a_connection_with_something_left_on_it_is_not_used_again(tmp_path: Path) -> None:
+    async def scene() -> None:
+        late = records(WHOLE, (Type.END_REQUEST, ends(0)), WHOLE)
+        app = Application("a", late, OK)
+        async with fleet(tmp_path, [app], simple([app])) as here:
+            client = await here.connect()
+            for _ in range(2):
+                assert (await client.ask(requests_to()))[1] == b"hi"
+            assert app.connections == 2
+
+    play(scene)
+
+
+def test_a_break_before_the_params_have_ended_proves_that_it_never_ran(tmp_path: Path) -> None:
+    """And one while STDIN is on its way does not: an application begins on its params."""
+
+    async def scene() -> None:
+        begun = Application("a", dies, early=True)
+        async with fleet(
+            tmp_path, [begun], simple([begun], "[pool.limits]", 'request_body = "8MiB"')
+        ) as here:
+            seen = outcomes(here)
+            assert (await here.ask(requests_to("/", "POST", bytes(8 << 20))))[0] == 502
+            assert seen == [Result.RESET]
+
+    play(scene)
+
+
+def test_head_and_answers_without_a_body(tmp_path: Path) -> None:
+    async def scene() -> None:
+        app = Application("a", saying(200, b"body"), saying(204, b""), saying(304, b""), OK)
+        async with fleet(tmp_path, [app], simple([app])) as here:
+            client = await here.connect()
+            for method, line in (("HEAD", b"Content-Length: 4"), ("GET", b"204"), ("GET", b"304")):
+                await client.send(requests_to("/", method))
+                head = await asyncio.wait_for(client.reader.readuntil(b"\r\n\r\n"), 10)
+                assert line in head
+            assert (await client.ask(requests_to()))[1] == b"hi"
+
+    play(scene)
+
+
+def test_stderr_goes_to_the_log_bounded(tmp_path: Path) -> None:
+    async def loud(call: FcgiCall) -> None:
+        call.say(write_answer(200, b"OK", [], b"x"), b"trouble\n" * 20_000)
+
+    async def scene() -> None:
+        app = Application("a", loud)
+        async with fleet(tmp_path, [app], simple([app])) as here:
+            assert (await here.ask(requests_to()))[0] == 200
+            (line,) = [line for line in here.heard.lines if "stderr" in line]
+            assert "trouble" in line and len(line) < 20_000
+
+    play(scene)
+
+
+# Front.
+
+
+def front(*more: str) -> str:
+    return FCGI + "\n" + "".join(f"{line}\n" for line in more)
+
+
+@asynccontextmanager
+async def behind_fastcgi(
+    folder: Path, backend: ScriptedBackend, *more: str, listener: str = LISTENER
+) -> AsyncIterator[tuple[Ground, WebServer]]:
+    def text() -> str:
+        return listener + front(*more) + route("all", "p", 'class = "book"') + KEYED + pool("p", [backend])
+
+    async with ground(folder, [backend], text) as here:
+        web = await WebServer.connect(here.daemon.listeners["main"].address)
+        try:
+            yield here, web
+        finally:
+            web.close()
+
+
+def test_a_request_of_a_web_server_and_back(tmp_path: Path) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend(
+            "s", answering(b"HTTP/1.1 404 Gone\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nno")
+        )
+        async with behind_fastcgi(tmp_path, backend, 'trusted = ["127.0.0.0/8"]') as (here, web):
+            answer = await web.ask(1, "POST", "/a//b?c", body=b"data", HTTP_X_THING="7", CONTENT_TYPE="t")
+            assert (answer.status, answer.body, answer.protocol) == (404, b"no", 0) and answer.headers[
+                b"x-a"
+            ] == b"1"
+            head = backend.calls[0].head
+            assert head.startswith(b"POST /a/b?c HTTP/1.1\r\n") and backend.calls[0].body == b"data"
+            for line in (b"Host: shop.test", b"X-Thing: 7", b"Content-Type: t", b"X-Forwarded-For: 9.8.7.6",
+                         b"Content-Length: 4"):  # fmt: skip
+                assert head.count(b"\n" + line + b"\r\n") == 1, line
+
+    play(scene)
+
+
+def test_a_stranger_does_not_speak_for_its_client(tmp_path: Path) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (_, web):
+            await web.ask(1)
+            assert b"X-Forwarded-For: 127.0.0.1\r\n" in backend.calls[0].head
+
+    play(scene)
+
+
+@pytest.mark.parametrize("keep", [True, False])
+def test_keep_conn(keep: bool, tmp_path: Path) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (_, web):
+            assert (await web.ask(1, keep=keep)).status == 200
+            if keep:
+                assert (await web.ask(1)).status == 200  # the same id again
+            else:
+                assert await web.ended() == b""
+
+    play(scene)
+
+
+def test_requests_at_once_each_get_their_own_answer_in_any_order(tmp_path: Path) -> None:
+    async def scene() -> None:
+        gates = [asyncio.Event() for _ in range(5)]
+
+        async def script(call: Call) -> None:
+            number = int(call.head.split(b"/")[1].split(b" ")[0])
+            await gates[number].wait()
+            await call.say(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d" % number)
+
+        backend = ScriptedBackend("s", script)
+        async with behind_fastcgi(tmp_path, backend, "requests_at_once = 4") as (here, web):
+            here.daemon.pools["p"].proxy.balancer.servers["s"].answered = True
+            await web.send(b"".join(web.request(n + 1, "GET", f"/{n}") for n in range(5)))
+            assert (await web.read(5)).protocol == Status.OVERLOADED  # never begun
+            await backend.until_called(4)
+            for number in (2, 0, 3, 1):
+                gates[number].set()
+                answer = await web.read(number + 1)
+                assert answer.body == b"%d" % number
+            assert len(backend.calls) == 4
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ["closed", "killed"])
+def test_a_request_cut_at_every_byte_reaches_nobody(how: str, tmp_path: Path) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (here, web):
+            data = web.request(1, "POST", "/", b"body")
+            address = here.daemon.listeners["main"].address
+            for cut in range(len(data)):
+                other = await WebServer.connect(address)
+                await other.send(data[:cut])
+                if how == "closed":
+                    other.close()
+                else:
+                    other.writer.transport.abort()
+            await here.until(lambda: len(here.daemon.listeners["main"].connections) == 1)
+            assert not backend.calls
+            assert (await web.ask(1, "POST", body=b"body")).status == 200
+            proxy = here.daemon.pools["p"].proxy
+            assert not proxy.open and proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_a_request_in_single_bytes(tmp_path: Path) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (_, web):
+            for byte in web.request(1, "POST", "/", b"body"):
+                await web.send(bytes((byte,)))
+                await asyncio.sleep(0)
+            assert (await web.read(1)).status == 200 and len(backend.calls) == 1
+
+    play(scene)
+
+
+def test_a_request_that_stalls_is_answered_408(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("spokemast.fronts.fastcgi.REQUEST_S", 0.0)
+
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (_, web):
+            await web.send(web.request(1, "POST", "/", b"body")[:-8])
+            assert (await web.read(1)).status == 408 and not backend.calls
+
+    play(scene)
+
+
+BAD: dict[str, tuple[bytes, int]] = {
+    "more on STDIN than stated": (encode_stream(Type.STDIN, 1, b"12345") + encode(Type.STDIN, 1), 400),
+    "less on STDIN than stated": (encode_stream(Type.STDIN, 1, b"1") + encode(Type.STDIN, 1), 400),
+    "nothing on STDIN": (encode(Type.STDIN, 1), 400),
+}
+
+
+@pytest.mark.parametrize("kind", BAD)
+def test_a_length_that_disagrees(kind: str, tmp_path: Path) -> None:
+    stdin, status = BAD[kind]
+
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (here, web):
+            whole = web.request(1, "POST", "/", b"four")
+            head = whole[: whole.index(encode(Type.STDIN, 1, b"four"))]
+            await web.send(head + stdin)
+            assert (await web.read(1)).status == status and not backend.calls
+            assert (await web.ask(2)).status == 200
+            assert here.daemon.pools["p"].proxy.budget.held == 0
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    "params",
+    [{"REQUEST_METHOD": ""}, {"REQUEST_URI": "/\r\nX: 1"}, {"HTTP_X": "a\r\nB: c"}, {"CONTENT_LENGTH": "-1"},
+     {"REQUEST_URI": "/../x"}, {"HTTP_HOST": "a b"}, {"REQUEST_METHOD": "CONNECT"}],
+)  # fmt: skip
+def test_params_that_are_no_request_go_no_further(params: dict[str, Any], tmp_path: Path) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (_, web):
+            assert (await web.ask(1, **params)).status in (400, 501) and not backend.calls
+            assert (await web.ask(2)).status == 200
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+        encode_begin(0, True),
+        encode_begin(1, True) * 2,
+        encode(Type.STDIN, 0),
+    ],
+)
+def test_what_is_no_fastcgi_ends_the_connection_once_what_is_open_is_answered(
+    data: bytes, tmp_path: Path
+) -> None:
+    async def scene() -> None:
+        gate = asyncio.Event()
+
+        async def held(call: Call) -> None:
+            await gate.wait()
+            await call.say(HTTP_OK)
+
+        backend = ScriptedBackend("s", held)
+        async with behind_fastcgi(tmp_path, backend) as (_, web):
+            await web.send(web.request(9))
+            await backend.until_called()
+            await web.send(data)
+            gate.set()
+            assert (await web.read(9)).body == b"hi"
+            assert await web.ended() == b""
+
+    play(scene)
+
+
+def test_an_abort_gives_up_the_attempt_and_frees_the_id(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async def silent(call: Call) -> None:
+            await call.left()
+
+        backend = ScriptedBackend("s", silent, answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (here, web):
+            await web.send(web.request(1, "POST", "/", b"x"))
+            call = await backend.until_called()
+            await web.send(encode(Type.ABORT_REQUEST, 1))
+            answer = await web.read(1)
+            assert (answer.status, answer.protocol) == (0, 0)  # END_REQUEST and nothing else
+            await call.left()  # the attempt's connection is closed
+            assert not here.daemon.pools["p"].proxy.open
+            assert (await web.ask(1)).status == 200
+
+    play(scene)
+
+
+def test_a_web_server_that_leaves_withdraws_all_its_requests(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async def silent(call: Call) -> None:
+            await call.left()
+
+        backend = ScriptedBackend("s", silent)
+        async with behind_fastcgi(tmp_path, backend) as (here, web):
+            here.daemon.pools["p"].proxy.balancer.servers["s"].answered = True
+            await web.send(b"".join(web.request(n, "POST", "/", b"x") for n in (1, 2, 3)))
+            await backend.until_called(3)
+            web.close()
+            await here.until(lambda: not here.daemon.pools["p"].proxy.open)
+            assert here.daemon.pools["p"].proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_a_slow_reader_holds_its_budget_and_is_cut(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("spokemast.fronts.fastcgi.READ_STALL_S", 0.0)
+
+    async def scene() -> None:
+        body = bytes(900 << 10)
+        backend = ScriptedBackend(
+            "s", answering(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        )
+        async with behind_fastcgi(tmp_path, backend) as (here, web):
+            web.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            listener = here.daemon.listeners["main"]
+            number = 0
+            while listener.connections:
+                number += 1
+                await web.send(web.request(number))
+                for _ in range(200):
+                    await asyncio.sleep(0)
+            assert here.daemon.pools["p"].proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_the_end_answers_all_multiplexed_requests(tmp_path: Path) -> None:
+    async def scene() -> None:
+        gate = asyncio.Event()
+
+        async def held(call: Call) -> None:
+            await gate.wait()
+            await call.say(HTTP_OK)
+
+        backend = ScriptedBackend("s", held)
+        async with behind_fastcgi(tmp_path, backend) as (here, web):
+            here.daemon.pools["p"].proxy.balancer.servers["s"].answered = True
+            await web.send(b"".join(web.request(n) for n in (1, 2, 3)))
+            await backend.until_called(3)
+            listener = here.daemon.listeners["main"]
+            end = asyncio.ensure_future(here.daemon.end())
+            await here.until(lambda: listener._sock is None)
+            gate.set()
+            for number in (3, 1, 2):
+                assert (await web.read(number)).status == 200
+            assert await web.ended() == b""
+            web.close()
+            await end
+
+    play(scene)
+
+
+def test_a_member_that_drains_with_multiplexed_requests_open(tmp_path: Path) -> None:
+    async def scene() -> None:
+        gate = asyncio.Event()
+
+        async def held(call: Call) -> None:
+            await gate.wait()
+            await call.say(HTTP_OK)
+
+        old, new = ScriptedBackend("old", held), ScriptedBackend("new", answering(HTTP_OK))
+
+        def text(state: str) -> str:
+            warm = 'rules = { new_members = "warm" }'
+            both = state == "draining"
+            members = pool("p", [old, new] if both else [old], warm, old={"state": state})
+            return LISTENER + front() + route("all", "p") + members
+
+        async with ground(tmp_path, [old, new], lambda: text("serving")) as here:
+            here.daemon.pools["p"].proxy.balancer.servers["old"].answered = True
+            web = await WebServer.connect(here.daemon.listeners["main"].address)
+            await web.send(b"".join(web.request(n, "POST", "/", b"x") for n in (1, 2, 3)))
+            await old.until_called(3)
+            await here.reload(text("draining"))
+            for number in range(4, 9):
+                assert (await web.ask(number, "POST", body=b"y")).status == 200
+            gate.set()
+            for number in (1, 2, 3):
+                assert (await web.read(number)).status == 200
+            assert (len(old.calls), len(new.calls)) == (3, 5)
+            web.close()
+
+    play(scene)
+
+
+def test_a_listener_on_a_unix_socket(tmp_path: Path) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        path = tmp_path / "front.sock"
+        listener = LISTENER.replace("127.0.0.1:0", f"unix:{path}")
+        async with behind_fastcgi(tmp_path, backend, listener=listener) as (here, web):
+            assert (await web.ask(1)).status == 200
+            assert (
+                b"X-Forwarded-For: 9.8.7.6\r\n" in backend.calls[0].head
+            )  # who may open it speaks for clients
+            before = here.daemon.listeners["main"]
+            await here.reload()
+            assert here.daemon.listeners["main"] is before and path.exists()
+            here.daemon.close()
+            assert not path.exists()
+
+    play(scene)
+
+
+def test_fastcgi_to_fastcgi(tmp_path: Path) -> None:
+    async def scene() -> None:
+        app = Application("a", OK)
+        async with fleet(tmp_path, [app], simple([app], front=front())) as here:
+            web = await WebServer.connect(here.daemon.listeners["main"].address)
+            answer = await web.ask(1, "POST", "/x", body=b"body", HTTP_X_A="b")
+            assert (answer.status, answer.body) == (200, b"hi")
+            assert app.calls[0].body == b"body" and app.calls[0].params[b"HTTP_X_A"] == b"b"
+            app.scripts = [dies]
+            answer = await web.ask(2, "POST", "/x", body=b"body")
+            assert answer.status == 502 and len(app.calls) == 2  # one effect, one answer
+            web.close()
+
+    play(scene)
