--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -29,6 +29,7 @@
 ERROR_OVER = 0.3  # and only where they stand out from the fleet by this
 UTIL_WEIGHT = 0.8  # a fully busy server counts a little less than one own request more
 ERROR_WEIGHT = 2.0  # a failing server must not win by being quick
+FAILED = 2  # failures in a row, slow answers are none, after which a set is passed over for some seconds
 ERROR_LEAST = 0.01  # less is none: a trace of one slow answer would decide every tie for as long as it fades
 ERROR_STEP = 0.3  # two failures in a row pass the limit, one does not
 OTHER_CLASS = 0.5  # of a server's error share, for a class that has one of its own there
@@ -77,7 +78,7 @@
 
     __slots__ = ("id", "zone", "cell", "weight", "size", "kind", "state", "started", "out", "giving",
                  "util", "util_at", "errors", "errors_at", "by_class", "answered", "cold_next", "rank",
-                 "used", "woken")  # fmt: skip
+                 "used", "woken", "failed")  # fmt: skip
 
     def __init__(self, entry: ServerEntry) -> None:
         self.id = entry.server
@@ -92,6 +93,7 @@
             self.util = self.util_at = self.errors = self.errors_at = 0.0
             self.by_class: dict[int, tuple[float, float]] = {}  # its error share of each class, and when
             self.answered = False
+            self.failed = 0  # attempts in a row that were not served
             self.cold_next = -math.inf
         self.zone, self.cell, self.started, self.state = entry.zone, entry.cell, entry.started, entry.state
         self.kind, self.rank = entry.kind, entry.rank
@@ -459,7 +461,7 @@
     def _responds(self, server: Server) -> bool:
         if server.out and self.now - next(iter(server.out.values())) > self.silence:
             return False
-        return self._faded(server.errors, server.errors_at) <= ERROR_LIMIT
+        return server.failed < FAILED or self.now >= server.errors_at + min(DECAY_S, server.failed / 2)
 
     def _of_few(self, pool: Pool, tried: list[Server], number: int) -> Server:
         """Where draws find none in a set that has some: two of the usable ones, whatever their load."""
@@ -555,6 +557,7 @@
         ):  # it speaks of the client; counted, bad clients would blacken all servers
             return
         share = self._faded(server.errors, server.errors_at)
+        server.failed = 0 if result == Result.SERVED else server.failed + 1
         failure = slowness if result == Result.SERVED else 1.0
         self.errors_usual += SPEED_STEP * (failure - self.errors_usual)
         share += ERROR_STEP * (failure - share)
