--- /dev/null
+++ b/benchmarks/fastcgi.py
@@ -0,0 +1,114 @@
+"""Requests a second on one core for each combination of HTTP and FastCGI: `python -m benchmarks.fastcgi`.
+
+The four play in turn, round by round, and ratios are to HTTP on both sides within a round. Also the memory that an
+idle and a busy connection hold, as the growth of the proxy's resident set over many of them.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+from benchmarks.scene import clients, daemon, members, tables
+from standins.clients import fastcgi_request, plain_request
+
+FRONTS = ("http/1.1", "fastcgi")
+CONFIG = """[process]
+descriptors = 4096
+[[class]]
+name = "track"
+aim = "2s"
+deadline = "4s"
+[[route]]
+name = "api"
+prefix = "/"
+pool = "p"
+class = "track"
+[[listener]]
+name = "main"
+address = "127.0.0.1:0"
+protocol = "{front}"
+[[pool]]
+name = "p"
+protocol = "{member}"
+"""
+CONNECTIONS = 400
+
+
+def resident(pid: int) -> int:
+    """Bytes."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return int(next(line for line in lines if line.startswith("VmRSS")).split()[1]) << 10
+
+
+async def held(address: str, pid: int, request: bytes, answered: bool) -> float:
+    """Bytes of the proxy for each of many connections, after an answer or while it is owed. As many stay open
+    before them, so that what grows once, and what could be used again, is not counted."""
+    host, _, port = address.rpartition(":")
+    writers: list[asyncio.StreamWriter] = []
+    sizes = []
+    for _ in range(2):
+        for _ in range(CONNECTIONS):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writers.append(writer)
+            writer.write(request)
+            if answered:
+                await reader.read(65536)
+        await asyncio.sleep(0.3)
+        sizes.append(resident(pid))
+    for writer in writers:
+        writer.close()
+    return (sizes[1] - sizes[0]) / CONNECTIONS
+
+
+def memory(well: dict[str, str], hung: dict[str, str]) -> None:
+    for front in FRONTS:
+        request = (plain_request if front == "http/1.1" else fastcgi_request)("/")()
+        for words, addresses, answered in (("idle", well, True), ("busy", hung, False)):
+            config = CONFIG.format(front=front, member="http/1.1") + tables(addresses)
+            with daemon(1, config) as (listeners, pid):
+                grown = asyncio.run(held(listeners["main"], pid, request, answered))
+                print(f"{front} front: {grown / 1024:.1f} KiB for one {words} connection", flush=True)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=2.0)
+    options = parser.parse_args()
+    load = ["--seconds", str(options.seconds), "--connections", "16"]
+    rows: dict[tuple[str, str], list[dict[str, Any]]] = {(f, m): [] for f in FRONTS for m in FRONTS}
+    with (
+        members(2, "--members", "4", "--body", "200") as http,
+        members(4, "--members", "4", "--body", "200", "--fastcgi") as fcgi,
+        members(5, "--members", "4", "--hang") as hung,
+    ):
+        for _ in range(options.rounds):
+            for front, member in rows:
+                addresses = http if member == "http/1.1" else fcgi
+                with daemon(1, CONFIG.format(front=front, member=member) + tables(addresses)) as (
+                    listeners,
+                    pid,
+                ):
+                    speak = ["--fastcgi"] if front == "fastcgi" else []
+                    result = clients(3, listeners["main"], *load, *speak, pid=pid)
+                if set(result["statuses"]) != {"200"} or result["lost"]:
+                    raise SystemExit(f"{front} to {member}: not all were served: {result}")
+                rows[front, member].append(result)
+        first = rows[FRONTS[0], FRONTS[0]]
+        for (front, member), results in rows.items():
+            rate = [a["per_s"] / b["per_s"] for a, b in zip(results, first, strict=True)]
+            work = [b["cpu_us"] / a["cpu_us"] for a, b in zip(results, first, strict=True)]
+            print(
+                f"{front} to {member}: {median(r['per_s'] for r in results):.0f}/s at "
+                f"{median(r['cpu_us'] for r in results):.0f} us; ratio {median(rate):.2f} ({min(rate):.2f} to "
+                f"{max(rate):.2f}), by processor time {median(work):.2f}; wanted 0.8", flush=True,
+            )  # fmt: skip
+        memory(http, hung)
+
+
+if __name__ == "__main__":
+    main()
--- a/spokemast/cli/serve.py
+++ b/spokemast/cli/serve.py
@@ -19,6 +19,7 @@
 from spokemast.config.reader import read_address
 from spokemast.daemon.daemon import Daemon
 from spokemast.limits import Complaints, describe_context
+from standins.fastcgi import FastCgiFleet
 from standins.member import Fleet
 
 DEFAULT_ADDRESS = "127.0.0.1:8080"
@@ -68,6 +69,12 @@
     verb.add_argument(
         "-a", "--address", default=DEFAULT_ADDRESS, help="of the embedded default (%(default)s)"
     )
+    verb.add_argument(
+        "--demo",
+        choices=("http", "fastcgi"),
+        default="http",
+        help="what the embedded default's members speak",
+    )
     verb.set_defaults(run=run)
 
 
@@ -89,7 +96,7 @@
     async with AsyncExitStack() as stack:
         path = options.config
         if path is None:
-            path = await _embedded(stack, options.address)
+            path = await _embedded(stack, options.address, options.demo)
         daemon = Daemon(Complaints())
         stack.callback(daemon.close)
         daemon.apply(load(path))
@@ -129,12 +136,13 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _embedded(stack: AsyncExitStack, address: str) -> Path:
+async def _embedded(stack: AsyncExitStack, address: str, demo: str) -> Path:
     """Start the stand-in members, and write the configuration that names them."""
-    fleet = Fleet(DEFAULT_MEMBERS)
+    fleet = Fleet(DEFAULT_MEMBERS) if demo == "http" else FastCgiFleet(DEFAULT_MEMBERS)
     stack.push_async_callback(fleet.stop)
     await fleet.start()
     folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="micastand-")))
     path = folder / "micastand.toml"
-    path.write_text(DEFAULT.format(address=address) + fleet.tables())
+    protocol = 'protocol = "fastcgi"\n' if demo == "fastcgi" else ""
+    path.write_text(DEFAULT.format(address=address) + protocol + fleet.tables())
     return path
--- a/spokemast/fastcgi/cgi.py
+++ b/spokemast/fastcgi/cgi.py
@@ -6,12 +6,19 @@
 from __future__ import annotations
 
 import re
+from functools import lru_cache
 from typing import Iterable, Mapping, NamedTuple, Sequence
 
 #: Header block of an answer at most, in bytes; guards against one without end.
 BLOCK_MOST = 32 << 10
+#: Names whose form is remembered: more than any application's, and a bound whatever peers send.
+NAMES_MOST = 512
 #: Field names (RFC 9110, 5.1).
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+#: Two line ends in a row.
+BLOCK_END = re.compile(rb"\r?\n\r?\n")
+#: A line of a header block; each byte is tried once.
+LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)")
 #: What may stand in a field's value: no control characters but tabs.
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 STATUS = re.compile(rb"([1-5][0-9][0-9])(?: ([\t\x20-\x7e\x80-\xff]*))?")
@@ -37,12 +44,8 @@
 def find_end(data: bytes | bytearray) -> tuple[int, int] | None:
     """Where the header block ends and the body begins; None while it has not ended (RFC 3875, 6.2: either form of
     line end)."""
-    best: tuple[int, int] | None = None
-    for mark in (b"\r\n\r\n", b"\n\n", b"\n\r\n"):
-        at = data.find(mark, 0, BLOCK_MOST + 4)
-        if at >= 0 and (best is None or at < best[0]):
-            best = at, at + len(mark)
-    return best
+    match = BLOCK_END.search(data, 0, BLOCK_MOST + 4)
+    return (match.start(), match.end()) if match is not None else None
 
 
 def read_head(block: bytes) -> CgiHead:
@@ -53,10 +56,10 @@
     headers: dict[bytes, bytes] = {}
     status: bytes | None = None
     for line in block.replace(b"\r\n", b"\n").split(b"\n"):
-        name, colon, value = line.partition(b":")
-        value = value.strip(b" \t")
-        if not colon or not TOKEN.fullmatch(name) or not VALUE.fullmatch(value):
+        match = LINE.fullmatch(line)
+        if match is None:
             raise CgiError("a line of the header block is no header")
+        name, value = match[1], match[2].strip(b" \t")
         key = name.lower()
         if key in (b"status", b"content-length", b"transfer-encoding") and key in headers:
             raise CgiError(f"{key.decode()} twice")
@@ -110,26 +113,31 @@
     }  # fmt: skip
     for item in rest:
         name, colon, value = item.partition(b":")
-        if colon:
-            _add(params, name, value.strip())
-    host, _, port = params.get(b"HTTP_HOST", b"").rpartition(b":")
+        param = param_name(name) if colon else None
+        if param is None:
+            continue
+        value = value.strip()
+        if param in params:
+            value = params[param] + (b"; " if param == b"HTTP_COOKIE" else b", ") + value
+        params[param] = value
+    authority = params.get(b"HTTP_HOST", b"")
+    host, _, port = authority.rpartition(b":")
     known = host and port.isdigit()
-    params[b"SERVER_NAME"] = host if known else params.get(b"HTTP_HOST", b"")
-    params[b"SERVER_PORT"] = port if known else b"80"
+    params[b"SERVER_NAME"], params[b"SERVER_PORT"] = (host, port) if known else (authority, b"80")
     params.update(extra)
     return list(params.items())
 
 
-def _add(params: dict[bytes, bytes], name: bytes, value: bytes) -> None:
-    """A header as its param. One whose name has an underscore is left out: `X_User` and `X-User` become the same
-    param, and a client could pass the one off as the other."""
+@lru_cache(NAMES_MOST)
+def param_name(name: bytes) -> bytes | None:
+    """The param that a header becomes; None for none. One whose name has an underscore is left out: `X_User` and
+    `X-User` become the same param, and a client could pass the one off as the other."""
     key = name.lower()
     if key == b"content-type":
-        params[b"CONTENT_TYPE"] = value
-    elif key not in NOT_HTTP and b"_" not in name:
-        param = b"HTTP_" + name.upper().replace(b"-", b"_")
-        between = b"; " if key == b"cookie" else b", "
-        params[param] = params[param] + between + value if param in params else value
+        return b"CONTENT_TYPE"
+    if not key or key in NOT_HTTP or b"_" in key:
+        return None
+    return b"HTTP_" + name.upper().replace(b"-", b"_")
 
 
 class Asked(NamedTuple):
@@ -159,21 +167,24 @@
         raise CgiError("REQUEST_URI is missing or no target")
     headers = []
     for name, value in params.items():
-        header = _header(name)
+        header = header_name(name)
         if header is None:
             continue
-        if not TOKEN.fullmatch(header) or not VALUE.fullmatch(value):
+        if not header or not VALUE.fullmatch(value):
             raise CgiError(f"the param {name[:40]!r} is no header")
         headers.append((header, value))
     return Asked(method, target, headers, _body_length(params.get(b"CONTENT_LENGTH", b"")))
 
 
-def _header(name: bytes) -> bytes | None:
+@lru_cache(NAMES_MOST)
+def header_name(name: bytes) -> bytes | None:
+    """The header that a param was; None for one that was none, empty for one that can't have been."""
     if name == b"CONTENT_TYPE":
         return b"Content-Type"
-    if name.startswith(b"HTTP_") and len(name) > 5:
-        return b"-".join(part.capitalize() for part in name[5:].lower().split(b"_"))
-    return None
+    if not name.startswith(b"HTTP_") or len(name) == 5:
+        return None
+    header = b"-".join(part.capitalize() for part in name[5:].lower().split(b"_"))
+    return header if TOKEN.fullmatch(header) else b""
 
 
 def _body_length(value: bytes) -> int | None:
--- a/spokemast/fastcgi/records.py
+++ b/spokemast/fastcgi/records.py
@@ -72,22 +72,25 @@
 
     def feed(self, data: bytes) -> Iterator[Record]:
         """The records that are whole with these bytes; ProtocolError at the first that has another version."""
-        held = self._held
-        held += data
-        at = 0
+        if self._held:
+            self._held += data
+            data = bytes(self._held)
+            self._held.clear()
+        at, size = 0, len(data)
         try:
-            while len(held) - at >= HEADER.size:
-                version, kind, request, length, padding, _ = HEADER.unpack_from(held, at)
+            while size - at >= 8:
+                version, kind, request, length, padding, _ = HEADER.unpack_from(data, at)
                 if version != VERSION:
                     raise ProtocolError(f"version {version} instead of {VERSION}")
-                end = at + HEADER.size + length
-                if len(held) < end + padding:
+                begin = at + 8
+                end = begin + length
+                if size < end + padding:
                     break
-                content = bytes(held[at + HEADER.size : end])
                 at = end + padding
-                yield Record(kind, request, content)
+                yield Record(kind, request, data[begin:end])
         finally:
-            del held[:at]
+            if at < size:
+                self._held += data[at:]
 
     @property
     def held(self) -> int:
@@ -140,7 +143,16 @@
 
 
 def encode_pairs(pairs: Iterable[tuple[bytes, bytes]]) -> bytes:
-    return b"".join(_length(len(name)) + _length(len(value)) + name + value for name, value in pairs)
+    out = bytearray()
+    for name, value in pairs:
+        first, second = len(name), len(value)
+        if first < 128 and second < 128:  # as nearly all are
+            out += bytes((first, second))
+        else:
+            out += _length(first) + _length(second)
+        out += name
+        out += value
+    return bytes(out)
 
 
 def _read_length(data: bytes, at: int) -> tuple[int, int]:
@@ -157,14 +169,20 @@
 def read_pairs(data: bytes, most: int) -> list[tuple[bytes, bytes]]:
     """The pairs of a whole stream, `most` of them at most; ProtocolError where it is cut or holds more."""
     pairs: list[tuple[bytes, bytes]] = []
-    at = 0
-    while at < len(data):
-        name, at = _read_length(data, at)
-        value, at = _read_length(data, at)
-        if at + name + value > len(data):
+    at, size = 0, len(data)
+    while at < size:
+        if at + 1 < size and data[at] < 128 and data[at + 1] < 128:  # as nearly all are
+            name, value = data[at], data[at + 1]
+            at += 2
+        else:
+            name, at = _read_length(data, at)
+            value, at = _read_length(data, at)
+        middle = at + name
+        end = middle + value
+        if end > size:
             raise ProtocolError("name-value pairs end within a pair")
         if len(pairs) >= most:
             raise ProtocolError(f"more than {most} name-value pairs")
-        pairs.append((data[at : at + name], data[at + name : at + name + value]))
-        at += name + value
+        pairs.append((data[at:middle], data[middle:end]))
+        at = end
     return pairs
--- a/spokemast/fastcgi/webserver.py
+++ b/spokemast/fastcgi/webserver.py
@@ -35,8 +35,10 @@
 
     An application begins on its params: libfcgi hands a request over when their stream has ended, before STDIN. So
     what proves that it never ran is that the empty PARAMS record had not left, not that STDIN had not."""
-    head = encode_begin(request, keep) + encode_stream(Type.PARAMS, request, encode_pairs(params))
-    head += encode(Type.PARAMS, request)
+    head = b"".join(
+        (encode_begin(request, keep), encode_stream(Type.PARAMS, request, encode_pairs(params)),
+         encode(Type.PARAMS, request))
+    )  # fmt: skip
     return head + encode_stream(Type.STDIN, request, body) + encode(Type.STDIN, request), len(head)
 
 
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -13,6 +13,9 @@
 import httptools
 import uvloop
 
+from spokemast.fastcgi.records import Decoder, Type
+from spokemast.fastcgi.webserver import encode_request
+
 
 class Caller(asyncio.Protocol):
     """One connection; one request at a time."""
@@ -33,8 +36,11 @@
         self.transport.write(self.request())
 
     def on_message_complete(self) -> None:
+        self.answered(self.parser.get_status_code())
+
+    def answered(self, status: int) -> None:
         clients = self.clients
-        clients.statuses[self.parser.get_status_code()] += 1
+        clients.statuses[status] += 1
         clients.times.append(time.perf_counter() - self.began)
         if clients.stopped:
             return
@@ -54,11 +60,29 @@
         self.clients.lost += not self.clients.stopped
 
 
+class FcgiCaller(Caller):
+    """One connection of a web server; one request at a time, answers read record by record."""
+
+    def __init__(self, request: Callable[[], bytes], clients: Clients) -> None:
+        super().__init__(request, clients)
+        self.decoder = Decoder()
+        self.stdout = b""
+
+    def data_received(self, data: bytes) -> None:
+        for record in self.decoder.feed(data):
+            if record.type == Type.STDOUT:
+                self.stdout += record.content
+            elif record.type == Type.END_REQUEST:
+                status = int(self.stdout[8:11]) if self.stdout.startswith(b"Status: ") else 0
+                self.stdout = b""
+                self.answered(status)
+
+
 class Clients:
     """Several callers; `pause` seconds between an answer and the next request of a connection."""
 
-    def __init__(self, pause: float = 0.0) -> None:
-        self.pause = pause
+    def __init__(self, pause: float = 0.0, caller: type[Caller] = Caller) -> None:
+        self.pause, self.caller = pause, caller
         self.statuses: Counter[int] = Counter()
         self.times: list[float] = []
         self.lost = 0
@@ -71,7 +95,7 @@
         loop = asyncio.get_running_loop()
         callers = []
         for request in requests:
-            _, caller = await loop.create_connection(lambda r=request: Caller(r, self), *address)  # type: ignore[misc]
+            _, caller = await loop.create_connection(lambda r=request: self.caller(r, self), *address)  # type: ignore[misc]
             callers.append(caller)
         await asyncio.sleep(warm)
         self.statuses.clear()
@@ -113,6 +137,13 @@
     return lambda: data
 
 
+def fastcgi_request(path: str, method: str = "GET") -> Callable[[], bytes]:
+    pairs = [(b"REQUEST_METHOD", method.encode()), (b"REQUEST_URI", path.encode()), (b"HTTP_HOST", b"app.svc"),
+             (b"HTTP_ACCEPT", b"*/*"), (b"HTTP_USER_AGENT", b"stand-in"), (b"CONTENT_LENGTH", b"")]  # fmt: skip
+    data = encode_request(1, pairs, b"", True)[0]
+    return lambda: data
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(prog="standins.clients", description=__doc__)
     parser.add_argument("address")
@@ -121,15 +152,17 @@
     parser.add_argument("--warm", type=float, default=0.7)
     parser.add_argument("--pause", type=float, default=0.0)
     parser.add_argument("--platform", action="store_true")
+    parser.add_argument("--fastcgi", action="store_true")
     parser.add_argument("--path", default="/api?x=1")
     parser.add_argument("--method", default="GET")
     options = parser.parse_args()
     host, _, port = options.address.rpartition(":")
+    plain = fastcgi_request if options.fastcgi else plain_request
     requests = [
-        platform_request(n) if options.platform else plain_request(options.path, options.method)
+        platform_request(n) if options.platform else plain(options.path, options.method)
         for n in range(options.connections)
     ]
-    clients = Clients(options.pause)
+    clients = Clients(options.pause, FcgiCaller if options.fastcgi else Caller)
     print(json.dumps(uvloop.run(clients.run((host, int(port)), requests, options.seconds, options.warm))))
     sys.stdout.flush()
 
--- a/standins/fastcgi.py
+++ b/standins/fastcgi.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from dataclasses import dataclass, field
 from typing import Awaitable, Callable, cast
 
@@ -71,14 +72,22 @@
             elif isinstance(event, Data):
                 self.calls[event.request].body += event.data
             elif isinstance(event, Ended):
-                self.calls[event.request].whole.set()
-                self.application.ended(self.calls[event.request])
+                call = self.calls.pop(event.request)
+                call.whole.set()
+                self.application.ended(call)
             elif isinstance(event, Aborted):
-                self.calls[event.request].end()
+                self.end_aborted(event.request)
         if self.side.output:
             self.write(bytes(self.side.output))
             self.side.output.clear()
 
+    def end_aborted(self, number: int) -> None:
+        """As an application that gives up at once; a script that still answers speaks of an id that has ended."""
+        self.calls.pop(number, None)
+        entry = self.side.open.get(number)
+        if entry is not None:
+            self.write(self.side.end(number))
+
     def write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
@@ -100,6 +109,7 @@
     def __init__(self, name: str, *scripts: Script, early: bool = False, requests_most: int = 1) -> None:
         self.name, self.scripts, self.early, self.requests_most = name, list(scripts), early, requests_most
         self.calls: list[FcgiCall] = []  # handed to a script
+        self.calls_most = 100_000  # kept; the latest
         self.connections = 0
         self.open: set[FcgiConnection] = set()
         self.called = asyncio.Event()
@@ -138,6 +148,8 @@
     def _run(self, call: FcgiCall) -> None:
         script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
         self.calls.append(call)
+        if len(self.calls) > self.calls_most:
+            del self.calls[0]
         task = asyncio.get_running_loop().create_task(cast("asyncio._CoroutineLike[None]", script(call)))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -162,6 +174,41 @@
     return script
 
 
+def describing(name: str) -> Script:
+    """Answers every request with what it was."""
+
+    async def script(call: FcgiCall) -> None:
+        params = call.params
+        says = {"member": name, "method": params.get(b"REQUEST_METHOD", b"").decode("latin-1"),
+                "target": params.get(b"REQUEST_URI", b"").decode("latin-1")}  # fmt: skip
+        body = json.dumps(says).encode() + b"\n"
+        call.say(write_answer(200, b"Stand-in", [b"Content-Type: application/json\r\n"], body))
+
+    return script
+
+
+class FastCgiFleet:
+    """Several applications that start and stop together."""
+
+    def __init__(self, count: int, prefix: str = "m") -> None:
+        names = [f"{prefix}{number + 1}" for number in range(count)]
+        self.members = [Application(name, describing(name)) for name in names]
+        for member in self.members:
+            member.calls_most = 100
+
+    async def start(self) -> None:
+        for member in self.members:
+            await member.start()
+
+    async def stop(self) -> None:
+        for member in self.members:
+            await member.stop()
+
+    def tables(self) -> str:
+        """The members as tables of a configuration."""
+        return "".join(f'[[pool.member]]\nid = "{m.name}"\naddress = "{m.address}"\n' for m in self.members)
+
+
 @dataclass
 class FcgiAnswer:
     status: int
--- a/tests/test_combinations.py
+++ b/tests/test_combinations.py
@@ -14,6 +14,7 @@
 import peers
 import test_backends
 import test_clients
+from spokemast.upstreams import connections
 from translated import TALLY
 
 COMBINATIONS = [
@@ -101,6 +102,7 @@
 
 def main() -> None:
     """The table of the docs: `PYTHONPATH=.:tests python -m test_combinations`."""
+    connections.REST_S = 0.0  # as conftest.py has it
     for combination in COMBINATIONS:
         total: Counter[str] = Counter()
         for _, test, arguments in SCENES:
--- a/tests/test_fastcgi_codec.py
+++ b/tests/test_fastcgi_codec.py
@@ -366,6 +366,12 @@
     assert find_end(bytes(100_000) + b"\n\n") is None
 
 
+def test_a_header_block_of_spaces_costs_no_more_than_its_length() -> None:
+    """A pattern that could split the spaces in many ways would hold up every other request."""
+    with pytest.raises(CgiError):
+        read_head(b"A:" + b" \t" * 15_000 + b"\x00")
+
+
 def test_a_request_there_and_back() -> None:
     head = (
         b"POST /a/b?c=d HTTP/1.1\r\nHost: h:81\r\nX-Some-Thing: 1\r\nContent-Type: t\r\nContent-Length: 4\r\n"
