--- a/spokemast/config/types.py
+++ b/spokemast/config/types.py
@@ -112,6 +112,7 @@
 class FastCgiTable(Struct, frozen=True, kw_only=True):
     params: dict[str, str] = {}  # such as SCRIPT_FILENAME; they stand above what a request says
     keep: bool = True  # connections are kept where the application does
+    multiplex: bool = False  # ask for FCGI_MPXS_CONNS, and send several requests at once where it is 1
 
 
 class PoolTable(Struct, frozen=True, kw_only=True):
--- a/spokemast/daemon/pools.py
+++ b/spokemast/daemon/pools.py
@@ -20,6 +20,7 @@
 from spokemast.upstreams.dialect import Dialect
 from spokemast.upstreams.fastcgi import FastCgiConnection, application
 from spokemast.upstreams.http1 import Connection
+from spokemast.upstreams.multiplex import Trunk
 
 #: What clients hear of a request that failed because its last attempt took too long (RFC 9110, 15.6.5).
 GATEWAY_TIMEOUT = 504
@@ -51,7 +52,8 @@
     if table.protocol == "http/1.1":
         return Connection
     own = table.fastcgi or FastCgiTable()
-    return partial(FastCgiConnection, application=application(own.params, own.keep))
+    made = application(own.params, own.keep, own.multiplex)
+    return partial(Trunk if own.multiplex and own.keep else FastCgiConnection, application=made)
 
 
 class RunningPool:
--- a/spokemast/fastcgi/webserver.py
+++ b/spokemast/fastcgi/webserver.py
@@ -42,59 +42,82 @@
     return head + encode_stream(Type.STDIN, request, body) + encode(Type.STDIN, request), len(head)
 
 
+class Exchange:
+    """One request and what has come of its answer."""
+
+    __slots__ = ("number", "stdout", "stderr", "status", "end")
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.stdout, self.stderr = bytearray(), bytearray()
+        self.status = 0  # the application's own, of END_REQUEST
+        self.end: End | None = None
+
+    def take(self, record: Record) -> End | None:
+        """How the request ended, if this record of it ends it; ProtocolError for one that may not come."""
+        if record.type == Type.STDOUT:
+            self.stdout += record.content
+        elif record.type == Type.STDERR:
+            self.stderr += record.content[: max(0, STDERR_MOST - len(self.stderr))]
+        elif record.type == Type.END_REQUEST:
+            self.status, status = read_end(record.content)
+            self.end = self._ended(status)
+        else:
+            raise ProtocolError(f"a record of type {record.type} from an application")
+        return self.end
+
+    def _ended(self, status: int) -> End:
+        if status == Status.REQUEST_COMPLETE:
+            return End.ANSWERED if self.stdout else End.SILENT
+        if status in (Status.OVERLOADED, Status.CANT_MPX_CONN, Status.UNKNOWN_ROLE) and not self.stdout:
+            return End.NEVER_RAN
+        return End.BROKEN
+
+
 class WebServerSide:
-    """What one connection to an application says."""
+    """What a connection to an application says, on which one request is out at a time."""
 
     def __init__(self) -> None:
         self._decoder = Decoder()
-        self.request = 0  # the id being answered; 0 for none
-        self.stdout = bytearray()
-        self.stderr = bytearray()
-        self.status = 0  # the application's own, of END_REQUEST
-        self.end: End | None = None
+        self.exchange = Exchange(0)
         self.stray = False  # something came that belongs to no open request: the connection is not kept
-        self._last = 0
+
+    @property
+    def stdout(self) -> bytearray:
+        return self.exchange.stdout
+
+    @property
+    def stderr(self) -> bytearray:
+        return self.exchange.stderr
+
+    @property
+    def status(self) -> int:
+        return self.exchange.status
 
     def begin(self) -> int:
         """The id of the next request."""
-        self._last = self._last % IDS + 1
-        self.request = self._last
-        self.stdout, self.stderr = bytearray(), bytearray()
-        self.status, self.end = 0, None
-        return self.request
+        self.exchange = Exchange(self.exchange.number % IDS + 1)
+        return self.exchange.number
 
     def feed(self, data: bytes) -> End | None:
         """How the request ended, if these bytes end it."""
+        exchange = self.exchange
         try:
             for record in self._decoder.feed(data):
                 self._record(record)
         except ProtocolError:
             self.stray = True
-            if self.end is None:
-                self.end = End.BROKEN
-        if self._decoder.held and self.end is not None:
+            if exchange.end is None:
+                exchange.end = End.BROKEN
+        if self._decoder.held and exchange.end is not None:
             self.stray = True
-        return self.end
+        return exchange.end
 
     def _record(self, record: Record) -> None:
         if record.request == 0:
             if record.type not in (Type.GET_VALUES_RESULT, Type.UNKNOWN_TYPE):
                 raise ProtocolError(f"a record of type {record.type} with request id 0")
-        elif record.request != self.request or self.end is not None:
+        elif record.request != self.exchange.number or self.exchange.end is not None:
             self.stray = True
-        elif record.type == Type.STDOUT:
-            self.stdout += record.content
-        elif record.type == Type.STDERR:
-            self.stderr += record.content[: max(0, STDERR_MOST - len(self.stderr))]
-        elif record.type == Type.END_REQUEST:
-            self.status, status = read_end(record.content)
-            self.end = self._ended(status)
         else:
-            raise ProtocolError(f"a record of type {record.type} from an application")
-
-    def _ended(self, status: int) -> End:
-        if status == Status.REQUEST_COMPLETE:
-            return End.ANSWERED if self.stdout else End.SILENT
-        if status in (Status.OVERLOADED, Status.CANT_MPX_CONN, Status.UNKNOWN_ROLE) and not self.stdout:
-            return End.NEVER_RAN
-        return End.BROKEN
+            self.exchange.take(record)
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -59,6 +59,10 @@
     closed: bool
     idle_since: float  # monotonic
 
+    def has_room(self) -> bool:
+        """Whether it takes one more attempt beside those on it."""
+        return False
+
     def start(self, attempt: Attempt) -> None:
         """Write the attempt's request; its end is told to the owner."""
         raise NotImplementedError
@@ -123,11 +127,12 @@
 class Backend:
     """One backend's address and connections."""
 
-    __slots__ = ("life", "idle", "wanted", "gone", "open", "heard")
+    __slots__ = ("life", "idle", "shared", "wanted", "gone", "open", "heard")
 
     def __init__(self, life: Life) -> None:
         self.life = life
         self.idle: list[Upstream] = []  # the newest last
+        self.shared: list[Upstream] = []  # those that carry several attempts, in use or idle
         self.wanted = True  # listed as serving
         self.gone = False
         self.open = 0
@@ -176,7 +181,7 @@
         if backend is None:  # it went between the decision and now
             self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
             return
-        if (kept := self._kept(backend)) is not None:
+        if (kept := self._shared(backend) or self._kept(backend)) is not None:
             kept.start(attempt)
             return
         if self.open >= self.sockets and not self._close_one_idle():
@@ -193,6 +198,17 @@
         attempt.opening = asyncio.get_running_loop().create_task(self._connect(connection))
         attempt.opening.add_done_callback(partial(self._opened, connection, attempt))
 
+    def _shared(self, backend: Backend) -> Upstream | None:
+        """A connection that takes one more attempt beside those on it."""
+        for connection in backend.shared:
+            if connection.has_room():
+                if connection not in backend.idle:
+                    return connection
+                if connection.is_alive():
+                    backend.idle.remove(connection)
+                    return connection
+        return None
+
     def _kept(self, backend: Backend) -> Upstream | None:
         """The idle connection used last, of those that have rested."""
         rested = time.monotonic() - REST_S
@@ -249,8 +265,9 @@
         backend = connection.backend
         self.open -= 1
         backend.open -= 1
-        if connection in backend.idle:
-            backend.idle.remove(connection)
+        for those in (backend.idle, backend.shared):
+            if connection in those:
+                those.remove(connection)
 
     def close_idle(self, server: str) -> None:
         backend = self.table.get(server)
--- a/spokemast/upstreams/fastcgi.py
+++ b/spokemast/upstreams/fastcgi.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import socket
-from typing import Mapping, NamedTuple
+from typing import Mapping, NamedTuple, Union
 
 from spokemast.fastcgi.cgi import BLOCK_MOST, CgiError, CgiHead, find_end, header_of, read_head, to_params
 from spokemast.fastcgi.webserver import End, WebServerSide, encode_request
@@ -35,6 +35,7 @@
 
     params: Mapping[bytes, bytes]  # such as SCRIPT_FILENAME; they stand above what a request says
     keep: bool = True  # connections are kept
+    multiplex: bool = False  # ask whether an application takes several requests on a connection
 
 
 class FastCgiConnection(SocketUpstream):
@@ -54,14 +55,7 @@
     def start(self, attempt: Attempt) -> None:
         self.take(attempt)
         self.received = 0
-        request = attempt.request
-        body = bytes(request.body or b"")
-        timeout_ms = max(1, round(attempt.timeout * 1000))
-        head = request.head
-        if self.dialect.deadline_header is not None:
-            head += b"%b: %dm\r\n" % (self.dialect.deadline_header, timeout_ms)
-        params = to_params(head, len(body), self.application.params, _peer(head), timeout_ms)
-        data, begun = encode_request(self.side.begin(), params, body, self.application.keep)
+        data, begun = request_records(self.side.begin(), attempt, self.dialect, self.application)
         self.unproven = len(data) - begun
         self.write(data)
 
@@ -99,10 +93,9 @@
         self.fail(Result.RESET)
 
     def _finish(self, end: End) -> None:
-        if self.side.stderr:
-            self.pool.complain(
-                f"stderr of {self.attempt.server if self.attempt else ''}", bytes(self.side.stderr)
-            )
+        attempt = self.attempt
+        assert attempt is not None
+        note_stderr(self.pool, attempt, self.side.stderr)
         if end == End.NEVER_RAN:
             self._end(Result.FULL, None, None)
         elif end == End.SILENT:
@@ -110,52 +103,13 @@
         elif end == End.BROKEN:
             self._spoilt("no FastCGI")
         else:
+            said = bytes(self.side.stdout), self.side.status, attempt.request.bodiless
             try:
-                head, body = self._read()
+                result, report, answer = judge(self.pool, self.dialect, self.not_passed, *said)
             except CgiError as problem:
                 self._spoilt(problem)
                 return
-            self._answered(head, body)
-
-    def _read(self) -> tuple[CgiHead, bytes]:
-        """The answer on STDOUT; CgiError where it is none, or not whole."""
-        stdout = bytes(self.side.stdout)
-        found = find_end(stdout)
-        if found is None:
-            raise CgiError("a header block without end")
-        head, body = read_head(stdout[: found[0]]), stdout[found[1] :]
-        attempt = self.attempt
-        bodiless = head.status in BODILESS or (attempt is not None and attempt.request.bodiless)
-        if bodiless:
-            return head, b""
-        if head.length is not None and head.length != len(body):
-            raise CgiError(f"{len(body)} bytes where {head.length} are stated")
-        if len(body) > self.dialect.body_most:
-            raise CgiError("too large")
-        return head, body
-
-    def _answered(self, head: CgiHead, body: bytes) -> None:
-        refusal = self.dialect.refusal_header
-        result = self.dialect.result(head.status, head.headers.get(refusal) if refusal else None)
-        if self.side.status and head.length is None and result != Result.FULL:
-            result, answer = Result.ERROR, None
-        else:
-            lines = [line for line in head.lines if line.partition(b":")[0].lower() not in self.not_passed]
-            answer = Answer(lines, body, head.status, head.reason, head.length)
-        if result not in (Result.SERVED, Result.ERROR) or (self.dialect.platform and result == Result.ERROR):
-            answer = None
-        self._end(result, self._report(head), answer)
-
-    def _report(self, head: CgiHead) -> Mapping[str, float] | None:
-        name = self.dialect.report_header
-        value = head.headers.get(name) if name is not None else None
-        if not value:
-            return None
-        try:
-            return read_report(value, self.dialect.report_fields)
-        except ValueError as problem:
-            self.pool.complain("malformed load report", problem)
-            return None
+            self._end(result, report, answer)
 
     def _end(self, result: Result, report: Mapping[str, float] | None, answer: Answer | None) -> None:
         """The request has ended, and the connection may carry the next one."""
@@ -173,7 +127,70 @@
     def release(self) -> None:
         self.pool.budget.give(self.held)
         self.held = 0
-        self.side.stdout = bytearray()
+        self.side.stdout.clear()
+
+
+def note_stderr(pool: Backends, attempt: Attempt, text: bytes | bytearray) -> None:
+    if text:
+        pool.complain(f"stderr of {attempt.server}", bytes(text))
+
+
+Verdict = tuple[Result, Union[Mapping[str, float], None], Union[Answer, None]]
+
+
+def judge(pool: Backends, dialect: Dialect, not_passed: frozenset[bytes], stdout: bytes, status: int,
+          bodiless: bool) -> Verdict:  # fmt: skip
+    """What a whole STDOUT means, with the load report on it; CgiError where it is no answer, or not whole.
+
+    `status` is the application's own, of END_REQUEST; `bodiless`: the request was for a head alone."""
+    head, body = _read(stdout, dialect.body_most, bodiless)
+    refusal = dialect.refusal_header
+    result = dialect.result(head.status, head.headers.get(refusal) if refusal else None)
+    answer = None
+    if status and head.length is None and result != Result.FULL:
+        result = Result.ERROR
+    elif result == Result.SERVED or (result == Result.ERROR and not dialect.platform):
+        lines = [line for line in head.lines if line.partition(b":")[0].lower() not in not_passed]
+        answer = Answer(lines, body, head.status, head.reason, head.length)
+    return result, _report(pool, dialect, head), answer
+
+
+def _read(stdout: bytes, body_most: int, bodiless: bool) -> tuple[CgiHead, bytes]:
+    found = find_end(stdout)
+    if found is None:
+        raise CgiError("a header block without end")
+    head, body = read_head(stdout[: found[0]]), stdout[found[1] :]
+    if bodiless or head.status in BODILESS:
+        return head, b""
+    if head.length is not None and head.length != len(body):
+        raise CgiError(f"{len(body)} bytes where {head.length} are stated")
+    if len(body) > body_most:
+        raise CgiError("too large")
+    return head, body
+
+
+def _report(pool: Backends, dialect: Dialect, head: CgiHead) -> Mapping[str, float] | None:
+    value = head.headers.get(dialect.report_header) if dialect.report_header is not None else None
+    if not value:
+        return None
+    try:
+        return read_report(value, dialect.report_fields)
+    except ValueError as problem:
+        pool.complain("malformed load report", problem)
+        return None
+
+
+def request_records(
+    number: int, attempt: Attempt, dialect: Dialect, application: Application
+) -> tuple[bytes, int]:
+    """An attempt's request, and how many bytes of it must have left before it can have begun."""
+    request, head = attempt.request, attempt.request.head
+    timeout_ms = max(1, round(attempt.timeout * 1000))
+    if dialect.deadline_header is not None:
+        head += b"%b: %dm\r\n" % (dialect.deadline_header, timeout_ms)
+    body = bytes(request.body or b"")
+    params = to_params(head, len(body), application.params, _peer(head), timeout_ms)
+    return encode_request(number, params, body, application.keep)
 
 
 def _peer(head: bytes) -> bytes:
@@ -182,5 +199,5 @@
     return chain.rpartition(b",")[2].strip() if chain else b"127.0.0.1"
 
 
-def application(params: Mapping[str, str], keep: bool) -> Application:
-    return Application({name.encode(): value.encode() for name, value in params.items()}, keep)
+def application(params: Mapping[str, str], keep: bool, multiplex: bool) -> Application:
+    return Application({name.encode(): value.encode() for name, value in params.items()}, keep, multiplex)
