--- a/spokemast/fastcgi/records.py
+++ b/spokemast/fastcgi/records.py
@@ -20,6 +20,7 @@
 CHUNK = 65528
 #: Of what a decoder holds: one record that has not come to its end.
 HELD_MOST = HEADER.size + CONTENT_MOST + 255
+PADDING = [bytes(count) for count in range(8)]
 KEEP_CONN = 1  # flag of BEGIN_REQUEST
 
 
@@ -100,14 +101,17 @@
 
 def encode(kind: int, request: int, content: bytes = b"") -> bytes:
     """One record, padded to a multiple of 8 as section 3.3 recommends."""
-    if len(content) > CONTENT_MOST:
-        raise ValueError(f"{len(content)} bytes of content; a record holds {CONTENT_MOST} at most")
-    padding = -len(content) % 8
-    return HEADER.pack(VERSION, kind, request, len(content), padding, 0) + content + bytes(padding)
+    length = len(content)
+    if length > CONTENT_MOST:
+        raise ValueError(f"{length} bytes of content; a record holds {CONTENT_MOST} at most")
+    padding = -length % 8
+    return HEADER.pack(VERSION, kind, request, length, padding, 0) + content + PADDING[padding]
 
 
 def encode_stream(kind: int, request: int, data: bytes) -> bytes:
     """A stream of records without its end (an empty record); nothing for no data."""
+    if 0 < len(data) <= CHUNK:  # as nearly all are
+        return encode(kind, request, data)
     return b"".join(encode(kind, request, data[at : at + CHUNK]) for at in range(0, len(data), CHUNK))
 
 
@@ -138,21 +142,23 @@
 # Name-value pairs (section 3.4).
 
 
+#: Lengths of the short form.
+SHORT = [bytes((count,)) for count in range(128)]
+
+
 def _length(count: int) -> bytes:
     return bytes((count,)) if count < 128 else struct.pack("!I", count | 1 << 31)
 
 
 def encode_pairs(pairs: Iterable[tuple[bytes, bytes]]) -> bytes:
-    out = bytearray()
+    parts: list[bytes] = []
     for name, value in pairs:
         first, second = len(name), len(value)
         if first < 128 and second < 128:  # as nearly all are
-            out += bytes((first, second))
+            parts += (SHORT[first], SHORT[second], name, value)
         else:
-            out += _length(first) + _length(second)
-        out += name
-        out += value
-    return bytes(out)
+            parts += (_length(first), _length(second), name, value)
+    return b"".join(parts)
 
 
 def _read_length(data: bytes, at: int) -> tuple[int, int]:
--- a/spokemast/fronts/fastcgi.py
+++ b/spokemast/fronts/fastcgi.py
@@ -292,22 +292,8 @@
             request.release_body()
         self.requests.clear()
 
-    def abort(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
     def retire(self) -> bool:
-        """Close a connection with no open request, unless one waits in the kernel: that is ours already."""
-        if self.requests:
-            return False
-        try:
-            unread = bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            unread = False
-        if not unread:
-            self.listener.forget(self)
-            self.abort()
-        return not unread
+        return not self.requests and super().retire()
 
     def sweep(self, now: float) -> None:
         """Limits in time."""
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -330,23 +330,6 @@
             self._drop(self.waiting.popleft())
         self._release_body()
 
-    def abort(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
-    def retire(self) -> bool:
-        """Close a connection with no open request, unless one waits in the kernel: that is ours already.
-
-        Guards against requests lost by a proxy that is short of CPU and reads late."""
-        try:
-            unread = bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:  # nothing there, or the connection has broken
-            unread = False
-        if not unread:
-            self.listener.forget(self)
-            self.abort()
-        return not unread
-
     def sweep(self, now: float) -> None:
         """Limits in time."""
         waited = now - self.since
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -60,16 +60,29 @@
 class FrontConnection(asyncio.Protocol):
     """What a listener needs of a connection, whatever protocol it speaks."""
 
+    listener: Listener
+    sock: socket.socket
+    transport: asyncio.Transport | None
     overflow: bool  # past the limit: held to be turned away
     phase: Phase
     since: float  # monotonic, of the phase
 
     def retire(self) -> bool:
-        """Close it if no request is open on it; whether it was."""
-        raise NotImplementedError
+        """Close a connection with no open request, unless one waits in the kernel: that is ours already.
+
+        Guards against requests lost by a proxy that is short of CPU and reads late."""
+        try:
+            unread = bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:  # nothing there, or the connection has broken
+            unread = False
+        if not unread:
+            self.listener.forget(self)
+            self.abort()
+        return not unread
 
     def abort(self) -> None:
-        raise NotImplementedError
+        if self.transport is not None:
+            self.transport.abort()
 
     def sweep(self, now: float) -> None:
         raise NotImplementedError
