--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -456,6 +456,35 @@
     play(scene)
 
 
+def test_a_request_that_stalls_at_any_byte_is_ended_and_reaches_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With its params whole it is answered 408, before that the connection is closed."""
+    monkeypatch.setattr("spokemast.fronts.fastcgi.REQUEST_S", 0.0)
+
+    async def scene() -> None:
+        backend = ScriptedBackend("s", answering(HTTP_OK))
+        async with behind_fastcgi(tmp_path, backend) as (here, web):
+            data = web.request(1, "POST", "/", b"body")
+            params_end = data.index(encode(Type.PARAMS, 1)) + 8
+            listener = here.daemon.listeners["main"]
+            for cut in range(1, len(data)):
+                other = await WebServer.connect(listener.address)
+                await other.send(data[:cut])
+                await here.until(lambda: any(c.phase != 0 for c in listener.connections))
+                connection = next(c for c in listener.connections if c.phase != 0)
+                connection.sweep(connection.since + 1.0)
+                if cut >= params_end:
+                    assert (await other.read(1)).status == 408
+                else:
+                    assert await other.ended() == b""
+                other.close()
+                await here.until(lambda: all(c.phase == 0 for c in listener.connections))
+            assert not backend.calls and here.daemon.pools["p"].proxy.budget.held == 0
+
+    play(scene)
+
+
 BAD: dict[str, tuple[bytes, int]] = {
     "more on STDIN than stated": (encode_stream(Type.STDIN, 1, b"12345") + encode(Type.STDIN, 1), 400),
     "less on STDIN than stated": (encode_stream(Type.STDIN, 1, b"1") + encode(Type.STDIN, 1), 400),
