Measure FastCGI against members that keep up, and encode less for each request

The benchmark's FastCGI members shared one core and held the proxy up, whose core stood at 85 %: its figures were too low. They have two cores now. Params that are the same in every request are encoded once, lines of an answer are remembered with their form, events come in a list; the rows of the application side's docstring are a table. What both fronts did alike about unread answers is in FrontConnection, and a reload divides and compares once.

--- a/benchmarks/fastcgi.py
+++ b/benchmarks/fastcgi.py
@@ -9,8 +9,9 @@
 import argparse
 import asyncio
 from pathlib import Path
+from contextlib import ExitStack
 from statistics import median
-from typing import Any
+from typing import Any, Sequence
 
 from benchmarks.scene import clients, daemon, members, tables
 from standins.clients import fastcgi_request, plain_request
@@ -74,6 +75,16 @@
                 print(f"{front} front: {grown / 1024:.1f} KiB for one {words} connection", flush=True)
 
 
+def fleet(stack: ExitStack, cores: Sequence[int], *arguments: str) -> dict[str, str]:
+    """Members on several cores: stand-ins in Python take longer over a request of FastCGI than the proxy does."""
+    addresses: dict[str, str] = {}
+    for core in cores:
+        command = ("--members", "4", "--body", "200", *arguments)
+        for name, address in stack.enter_context(members(core, *command)).items():
+            addresses[f"{name}-{core}"] = address
+    return addresses
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=3)
@@ -81,11 +92,10 @@
     options = parser.parse_args()
     load = ["--seconds", str(options.seconds), "--connections", "16"]
     rows: dict[tuple[str, str], list[dict[str, Any]]] = {(f, m): [] for f in FRONTS for m in FRONTS}
-    with (
-        members(2, "--members", "4", "--body", "200") as http,
-        members(4, "--members", "4", "--body", "200", "--fastcgi") as fcgi,
-        members(5, "--members", "4", "--hang") as hung,
-    ):
+    with ExitStack() as stack:
+        http = fleet(stack, (2, 4))
+        fcgi = fleet(stack, (5, 6), "--fastcgi")
+        hung = stack.enter_context(members(7, "--members", "4", "--hang"))
         for _ in range(options.rounds):
             for front, member in rows:
                 addresses = http if member == "http/1.1" else fcgi
@@ -102,10 +112,12 @@
         for (front, member), results in rows.items():
             rate = [a["per_s"] / b["per_s"] for a, b in zip(results, first, strict=True)]
             work = [b["cpu_us"] / a["cpu_us"] for a, b in zip(results, first, strict=True)]
+            used = median(r["per_s"] * r["cpu_us"] / 1e4 for r in results)
             print(
                 f"{front} to {member}: {median(r['per_s'] for r in results):.0f}/s at "
-                f"{median(r['cpu_us'] for r in results):.0f} us; ratio {median(rate):.2f} ({min(rate):.2f} to "
-                f"{max(rate):.2f}), by processor time {median(work):.2f}; wanted 0.8", flush=True,
+                f"{median(r['cpu_us'] for r in results):.0f} us, its core {used:.0f} % in use; ratio "
+                f"{median(rate):.2f} ({min(rate):.2f} to {max(rate):.2f}), by processor time {median(work):.2f}; "
+                f"wanted 0.8", flush=True,
             )  # fmt: skip
         memory(http, hung)
 
--- a/spokemast/daemon/daemon.py
+++ b/spokemast/daemon/daemon.py
@@ -36,6 +36,10 @@
 END_BESIDE_S = 2.0
 
 
+#: What each listener and each pool may hold, by their names.
+Division = tuple[dict[str, Slots], dict[str, PoolShare]]
+
+
 def serve_of(table: ListenerTable) -> Serve:
     """What makes connections of clients."""
     if table.protocol == "http/1.1":
@@ -71,22 +75,23 @@
 
     def apply(self, plan: Plan) -> None:
         """Run under `plan` from now on. ConfigError or OSError, and nothing changed, if that can't be."""
-        sockets = self._bind(plan)
+        kept = self._kept(plan)
+        division = self._divide(plan)
+        sockets = self._bind(plan, kept)
         made: dict[str, RunningPool] = {}
         try:
-            self._make_pools(plan, made)
+            self._make_pools(plan, made, division[1])
         except Exception:
             for sock in sockets.values():
                 release(sock)
             for pool in made.values():
                 pool.close()
             raise
-        self._swap(plan, made, sockets)
+        self._swap(plan, made, sockets, kept, division)
 
-    def _bind(self, plan: Plan) -> dict[str, socket.socket]:
+    def _bind(self, plan: Plan, kept: Mapping[str, str]) -> dict[str, socket.socket]:
         """Sockets for the listeners that no running one has the address of."""
         sockets: dict[str, socket.socket] = {}
-        kept = self._kept(plan)
         try:
             for name, listener in plan.listeners.items():
                 if name not in kept:
@@ -112,15 +117,14 @@
                 kept[name] = by_address[address]
         return kept
 
-    def _make_pools(self, plan: Plan, made: dict[str, RunningPool]) -> None:
-        _, shares = self._divide(plan)
+    def _make_pools(self, plan: Plan, made: dict[str, RunningPool], shares: Mapping[str, PoolShare]) -> None:
         for name, pool in plan.pools.items():
             running = self.pools.get(name)
             if running is None or not running.plan.outlasts(pool):
                 seed = self._random.getrandbits(64)
                 made[name] = RunningPool(pool, shares[name], seed, self._ids, self.complain, plan.path.parent)
 
-    def _divide(self, plan: Plan) -> tuple[dict[str, Slots], dict[str, PoolShare]]:
+    def _divide(self, plan: Plan) -> Division:
         process = plan.file.process
         limits = Limits(process.memory / (1 << 20), process.descriptors)
         slots = divide_listeners(
@@ -135,9 +139,10 @@
         weights = {name: pool.table.limits.share for name, pool in plan.pools.items()}
         return slots, divide_pools(limits.buffered, limits.backend_sockets, weights, slots, reached)
 
-    def _swap(self, plan: Plan, made: dict[str, RunningPool], sockets: dict[str, socket.socket]) -> None:
+    def _swap(self, plan: Plan, made: Mapping[str, RunningPool], sockets: Mapping[str, socket.socket],
+              kept: Mapping[str, str], division: Division) -> None:  # fmt: skip
         """From here on nothing may fail."""
-        slots, shares = self._divide(plan)
+        slots, shares = division
         for name in list(self.pools):
             if name in made or name not in plan.pools:
                 self._retire_pool(self.pools.pop(name))
@@ -151,13 +156,16 @@
         self._turns = Turns(weights) if len(weights) > 1 else None
         for name, pool in self.pools.items():
             pool.resize(shares[name], self._turns)
-        self._swap_listeners(plan, sockets, slots)
+        self._swap_listeners(plan, sockets, kept, slots)
         self.plan = plan
 
     def _swap_listeners(
-        self, plan: Plan, sockets: Mapping[str, socket.socket], slots: Mapping[str, Slots]
+        self,
+        plan: Plan,
+        sockets: Mapping[str, socket.socket],
+        kept: Mapping[str, str],
+        slots: Mapping[str, Slots],
     ) -> None:
-        kept = self._kept(plan)
         running = {name: self.listeners.pop(old) for name, old in kept.items()}
         for listener in self.listeners.values():
             self._retire_listener(listener)
--- a/spokemast/fastcgi/application.py
+++ b/spokemast/fastcgi/application.py
@@ -1,16 +1,24 @@
 """The application's side of a connection (we are asked): records in, events out, records to send back. No I/O.
 
-Theory of operation. Each request id has a state: no entry (inactive), PARAMS, STDIN, WHOLE (all has come, the answer is
-owed) and LOST (given up by
-the web server). The table below says what each
-record does in each state. What no rule of the specification allows ends the reading: `confused` is set, nothing
-after it is read, and requests that are whole still get their answers.
+Theory of operation. Each request id has a state: none (inactive), PARAMS, STDIN, WHOLE (all has come, the answer is
+owed) or LOST (given up by the web server).
+
+| record | none, LOST | PARAMS | STDIN | WHOLE |
+| --- | --- | --- | --- | --- |
+| BEGIN_REQUEST | none: PARAMS; LOST: confused | confused | confused | confused |
+| PARAMS, empty one | idle | gathered, STDIN | confused | confused |
+| STDIN, empty one | idle | confused | Data, WHOLE | confused |
+| ABORT_REQUEST | idle | LOST | LOST | LOST |
+| others | idle | idle | idle | idle |
+
+`confused`: what no rule of the specification allows ends the reading; nothing after it is read, and requests that are
+whole still get their answers. `idle`: ignored, and counted.
 """
 
 from __future__ import annotations
 
 from enum import Enum, auto
-from typing import Iterator, NamedTuple, Union
+from typing import NamedTuple, Union
 
 from spokemast.fastcgi.records import (
     Decoder, ProtocolError, Record, Role, Status, Type, encode, encode_end, encode_pairs, read_begin, read_pairs,
@@ -87,34 +95,37 @@
         self.closing = False  # a request without KEEP_CONN has ended: close once nothing is open
         self._decoder = Decoder()
         self._idle_records = 0
+        self._events: list[Event] = []  # of the bytes being read
 
-    def feed(self, data: bytes) -> Iterator[Event]:
+    def feed(self, data: bytes) -> list[Event]:
         """What these bytes mean. Never raises for what a peer sent: see `confused`."""
-        if self.confused:
-            return
-        try:
-            for record in self._decoder.feed(data):
-                yield from self._record(record)
-        except ProtocolError as problem:
-            self.confused = str(problem)
-
-    def _record(self, record: Record) -> Iterator[Event]:
-        if record.request == 0:
+        self._events = []
+        if not self.confused:
+            try:
+                for record in self._decoder.feed(data):
+                    self._record(record)
+            except ProtocolError as problem:
+                self.confused = str(problem)
+        return self._events
+
+    def _record(self, record: Record) -> None:
+        kind, request, _ = record
+        if request == 0:
             self._manage(record)
             return
-        if record.type == Type.BEGIN_REQUEST:
-            yield from self._begin(record)
+        if kind == Type.BEGIN_REQUEST:
+            self._begin(record)
             return
-        entry = self.open.get(record.request)
-        if entry is None or entry.state == State.LOST:
+        entry = self.open.get(request)
+        if entry is None or entry.state is State.LOST:
             self._idle()
-        elif record.type == Type.PARAMS:
-            yield from self._params(record, entry)
-        elif record.type == Type.STDIN:
-            yield from self._stdin(record, entry)
-        elif record.type == Type.ABORT_REQUEST:
+        elif kind == Type.PARAMS:
+            self._params(record, entry)
+        elif kind == Type.STDIN:
+            self._stdin(record, entry)
+        elif kind == Type.ABORT_REQUEST:
             entry.state = State.LOST
-            yield Aborted(record.request)
+            self._events.append(Aborted(request))
         else:  # DATA is of filters, the others of applications; unknown ones are of no use here
             self._idle()
 
@@ -137,7 +148,7 @@
         else:
             raise ProtocolError(f"a record of type {record.type} with request id 0")
 
-    def _begin(self, record: Record) -> Iterator[Event]:
+    def _begin(self, record: Record) -> None:
         if record.request in self.open:
             raise ProtocolError(f"request {record.request} begun while it is open")
         role, keep = read_begin(record.content)
@@ -152,10 +163,10 @@
         self._idle()
         self.output += encode_end(record.request, status)
         self.closing = self.closing or not keep
-        yield Refused(record.request, status)
+        self._events.append(Refused(record.request, status))
 
-    def _params(self, record: Record, entry: _Open) -> Iterator[Event]:
-        if entry.state != State.PARAMS:
+    def _params(self, record: Record, entry: _Open) -> None:
+        if entry.state is not State.PARAMS:
             raise ProtocolError("PARAMS after their end")
         entry.params += record.content
         if len(entry.params) > PARAMS_MOST:
@@ -164,17 +175,17 @@
             pairs = read_pairs(bytes(entry.params), PAIRS_MOST)
             entry.params.clear()
             entry.state = State.STDIN
-            yield Begun(record.request, dict(pairs))
+            self._events.append(Begun(record.request, dict(pairs)))
 
-    def _stdin(self, record: Record, entry: _Open) -> Iterator[Event]:
-        if entry.state != State.STDIN:
+    def _stdin(self, record: Record, entry: _Open) -> None:
+        if entry.state is not State.STDIN:
             raise ProtocolError("STDIN before the params' end, or after its own")
         if record.content:
-            yield Data(record.request, record.content)
+            self._events.append(Data(record.request, record.content))
         else:
             entry.state = State.WHOLE
             self._idle_records = 0
-            yield Ended(record.request)
+            self._events.append(Ended(record.request))
 
     def is_within_record(self) -> bool:
         """Whether the bytes that came last are part of a record that has not ended."""
--- a/spokemast/fastcgi/cgi.py
+++ b/spokemast/fastcgi/cgi.py
@@ -7,12 +7,16 @@
 
 import re
 from functools import lru_cache
-from typing import Iterable, Mapping, NamedTuple, Sequence
+from typing import Mapping, NamedTuple, Sequence
 
 #: Header block of an answer at most, in bytes; guards against one without end.
 BLOCK_MOST = 32 << 10
 #: Names whose form is remembered: more than any application's, and a bound whatever peers send.
 NAMES_MOST = 512
+#: Bytes of a line of an answer that is remembered with its form, at most.
+USUAL_MOST = 128
+#: Headers of an answer that are for us, and that it may have once.
+SINGLE = frozenset((b"status", b"content-length", b"transfer-encoding"))
 #: Field names (RFC 9110, 5.1).
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 #: Two line ends in a row.
@@ -48,35 +52,45 @@
     return (match.start(), match.end()) if match is not None else None
 
 
-def read_head(block: bytes) -> CgiHead:
-    """The header block, without the empty line (RFC 3875, 6.3); CgiError where it is none.
+def read_head(block: bytes, not_passed: frozenset[bytes] = frozenset()) -> CgiHead:
+    """The header block, without the empty line (RFC 3875, 6.3); CgiError where it is none. `not_passed`: names of
+    headers, in lower case, that are noted and not passed on.
 
     Status stands above Location; with a Location alone a client is redirected by 302."""
     lines: list[bytes] = []
     headers: dict[bytes, bytes] = {}
-    status: bytes | None = None
     for line in block.replace(b"\r\n", b"\n").split(b"\n"):
-        match = LINE.fullmatch(line)
-        if match is None:
-            raise CgiError("a line of the header block is no header")
-        name, value = match[1], match[2].strip(b" \t")
-        key = name.lower()
-        if key in (b"status", b"content-length", b"transfer-encoding") and key in headers:
+        key, value, plain = _usual_line(line) if len(line) <= USUAL_MOST else _line(line)
+        if key in SINGLE and key in headers:
             raise CgiError(f"{key.decode()} twice")
         headers[key] = value
-        if key == b"status":
-            status = value
-        elif key != b"content-length":
-            lines.append(b"%b: %b\r\n" % (name, value))
+        if key not in SINGLE and key not in not_passed:
+            lines.append(plain)
     if b"transfer-encoding" in headers:
         raise CgiError("a transfer coding")  # RFC 3875, 6.3.4: an application must not send one
-    code, reason = _status(status, b"location" in headers)
+    status = headers.get(b"status")
+    if status is not None:
+        code, reason = _status(status)
+    else:
+        code, reason = (302, b"Found") if b"location" in headers else (200, b"OK")
     return CgiHead(code, reason, lines, headers, _length(headers.get(b"content-length")))
 
 
-def _status(value: bytes | None, moved: bool) -> tuple[int, bytes]:
-    if value is None:
-        return (302, b"Found") if moved else (200, b"OK")
+def _line(line: bytes) -> tuple[bytes, bytes, bytes]:
+    """Name in lower case, value, and the line as HTTP writes it."""
+    match = LINE.fullmatch(line)
+    if match is None:
+        raise CgiError("a line of the header block is no header")
+    name, value = match[1], match[2].strip(b" \t")
+    return name.lower(), value, b"%b: %b\r\n" % (name, value)
+
+
+#: An application says the same lines again and again.
+_usual_line = lru_cache(NAMES_MOST)(_line)
+
+
+@lru_cache(NAMES_MOST)
+def _status(value: bytes) -> tuple[int, bytes]:
     match = STATUS.fullmatch(value)
     if match is None or int(match[1]) < 200:
         raise CgiError(f"the status {value[:40]!r}")
@@ -94,26 +108,35 @@
 # Requests.
 
 
+def fixed_params(extra: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
+    """Params that are the same in every request: ours, and `extra` from the configuration (SCRIPT_FILENAME and
+    others), which stands above all."""
+    ours = {
+        b"GATEWAY_INTERFACE": b"CGI/1.1",
+        b"SERVER_SOFTWARE": b"micastand",
+        b"SERVER_PROTOCOL": b"HTTP/1.1",
+    }
+    return {**ours, **extra}
+
+
 def to_params(
-    head: bytes, length: int, extra: Mapping[bytes, bytes], peer: bytes, timeout_ms: int
+    head: bytes, length: int, fixed: Mapping[bytes, bytes], peer: bytes, timeout_ms: int
 ) -> list[tuple[bytes, bytes]]:
-    """Params for an application from a request's line and headers.
+    """Params for an application from a request's line and headers, but for those that are `fixed`.
 
-    `extra` is from the configuration (SCRIPT_FILENAME and others) and stands above all; `timeout_ms` becomes
-    REQUEST_TIMEOUT_MS, how long the proxy will wait."""
+    `timeout_ms` becomes REQUEST_TIMEOUT_MS, how long the proxy will wait."""
     line, *rest = head.split(b"\r\n")
     method, _, target_and_version = line.partition(b" ")
     target = target_and_version.rpartition(b" ")[0]
     path, _, query = target.partition(b"?")
     params = {
-        b"GATEWAY_INTERFACE": b"CGI/1.1", b"SERVER_SOFTWARE": b"micastand", b"SERVER_PROTOCOL": b"HTTP/1.1",
         b"REQUEST_METHOD": method, b"REQUEST_URI": target, b"QUERY_STRING": query, b"SCRIPT_NAME": path,
         b"DOCUMENT_URI": path, b"REMOTE_ADDR": peer, b"CONTENT_LENGTH": b"%d" % length if length else b"",
         b"REQUEST_TIMEOUT_MS": b"%d" % timeout_ms,
     }  # fmt: skip
     for item in rest:
-        name, colon, value = item.partition(b":")
-        param = param_name(name) if colon else None
+        name, _, value = item.partition(b":")
+        param = param_name(name)
         if param is None:
             continue
         value = value.strip()
@@ -124,7 +147,8 @@
     host, _, port = authority.rpartition(b":")
     known = host and port.isdigit()
     params[b"SERVER_NAME"], params[b"SERVER_PORT"] = (host, port) if known else (authority, b"80")
-    params.update(extra)
+    for name in fixed:
+        params.pop(name, None)
     return list(params.items())
 
 
@@ -199,12 +223,3 @@
     """An answer as an application writes it to STDOUT."""
     head = b"Status: %d %b\r\n%b" % (status, reason, b"".join(lines))
     return b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
-
-
-def header_of(lines: Iterable[bytes], name: bytes) -> bytes | None:
-    """The value of the first of these header lines that has the name, in lower case."""
-    for line in lines:
-        key, _, value = line.partition(b":")
-        if key.lower() == name:
-            return value.strip()
-    return None
--- a/spokemast/fastcgi/records.py
+++ b/spokemast/fastcgi/records.py
@@ -13,6 +13,8 @@
 VERSION = 1
 HEADER = struct.Struct("!BBHHBB")  # version, type, request id, length of content, length of padding, reserved
 BEGIN_BODY = struct.Struct("!HB5x")  # role, flags
+#: BEGIN_REQUEST whole, and the header of the PARAMS that follow.
+OPENING = struct.Struct("!BBHHBBHB5xBBHHBB")
 END_BODY = struct.Struct("!IB3x")  # application status, protocol status
 #: Content of one record at most (its length has 16 bits).
 CONTENT_MOST = 65535
@@ -119,6 +121,26 @@
     return encode(Type.BEGIN_REQUEST, request, BEGIN_BODY.pack(role, KEEP_CONN if keep else 0))
 
 
+def encode_opening(request: int, keep: bool, params: bytes) -> bytes:
+    """BEGIN_REQUEST, the PARAMS, and the empty record that ends them."""
+    length = len(params)
+    if length > CHUNK:
+        return (
+            encode_begin(request, keep)
+            + encode_stream(Type.PARAMS, request, params)
+            + encode(Type.PARAMS, request)
+        )
+    padding = -length % 8
+    begin = OPENING.pack(VERSION, Type.BEGIN_REQUEST, request, 8, 0, 0, Role.RESPONDER, KEEP_CONN if keep else 0,
+                         VERSION, Type.PARAMS, request, length, padding, 0)  # fmt: skip
+    return b"%b%b%b%b" % (
+        begin,
+        params,
+        PADDING[padding],
+        HEADER.pack(VERSION, Type.PARAMS, request, 0, 0, 0),
+    )
+
+
 def encode_end(request: int, status: int = Status.REQUEST_COMPLETE, application: int = 0) -> bytes:
     return encode(Type.END_REQUEST, request, END_BODY.pack(application, status))
 
@@ -141,7 +163,6 @@
 
 # Name-value pairs (section 3.4).
 
-
 #: Lengths of the short form.
 SHORT = [bytes((count,)) for count in range(128)]
 
--- a/spokemast/fastcgi/webserver.py
+++ b/spokemast/fastcgi/webserver.py
@@ -9,7 +9,7 @@
 from typing import Iterable
 
 from spokemast.fastcgi.records import (
-    Decoder, ProtocolError, Record, Status, Type, encode, encode_begin, encode_pairs, encode_stream, read_end,
+    Decoder, ProtocolError, Record, Status, Type, encode, encode_opening, encode_pairs, encode_stream, read_end,
 )  # fmt: skip
 
 #: Of what an application writes to STDERR, so many bytes of each request are kept for the log.
@@ -29,16 +29,14 @@
 
 
 def encode_request(
-    request: int, params: Iterable[tuple[bytes, bytes]], body: bytes, keep: bool
+    request: int, params: Iterable[tuple[bytes, bytes]], body: bytes, keep: bool, fixed: bytes = b""
 ) -> tuple[bytes, int]:
-    """A whole request, and how many bytes of it must have left before the application can have begun.
+    """A whole request, and how many bytes of it must have left before the application can have begun. `fixed`: params
+    that have been encoded before.
 
     An application begins on its params: libfcgi hands a request over when their stream has ended, before STDIN. So
     what proves that it never ran is that the empty PARAMS record had not left, not that STDIN had not."""
-    head = b"".join(
-        (encode_begin(request, keep), encode_stream(Type.PARAMS, request, encode_pairs(params)),
-         encode(Type.PARAMS, request))
-    )  # fmt: skip
+    head = encode_opening(request, keep, fixed + encode_pairs(params))
     return head + encode_stream(Type.STDIN, request, body) + encode(Type.STDIN, request), len(head)
 
 
--- a/spokemast/fronts/fastcgi.py
+++ b/spokemast/fronts/fastcgi.py
@@ -70,9 +70,6 @@
         self.since = time.monotonic()
         self.phase = Phase.IDLE
         self.asked = False  # a whole request has come
-        self.blocked = 0.0  # since when the client has not taken what was written
-        self.charged = 0
-        self.charged_to: Budget | None = None
         self.budget: Budget | None = None  # of the pool that the last request went to
         self.paused = False
 
@@ -250,16 +247,11 @@
 
     def pause_writing(self) -> None:
         """What the client does not take counts as buffered, and it is asked for nothing more."""
-        assert self.transport is not None
-        self.blocked = time.monotonic()
-        self.charged_to = self.budget
-        if self.charged_to is not None:
-            self.charged = self.transport.get_write_buffer_size()
-            self.charged_to.held += self.charged
+        self.charge(self.budget)
         self._read_on(False)
 
     def resume_writing(self) -> None:
-        self._uncharge()
+        self.uncharge()
         self._read_on(True)
 
     def _read_on(self, on: bool) -> None:
@@ -267,19 +259,13 @@
             self.paused = not on
             (self.transport.resume_reading if on else self.transport.pause_reading)()
 
-    def _uncharge(self) -> None:
-        self.blocked = 0.0
-        if self.charged_to is not None:
-            self.charged_to.give(self.charged)
-        self.charged, self.charged_to = 0, None
-
     def eof_received(self) -> None:
         """The client has gone away; the transport closes."""
         self._leave()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._leave()
-        self._uncharge()
+        self.uncharge()
         self.listener.left(self)
 
     def _leave(self) -> None:
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -17,7 +17,6 @@
 from spokemast.core.proxy import OpenRequest
 from spokemast.fronts.dialect import Ask, RejectError, Reply
 from spokemast.fronts.listener import FrontConnection, Listener, Phase
-from spokemast.limits import Budget
 
 #: Largest head of a request; guards against endless headers.
 HEAD_MOST = 16 << 10
@@ -62,9 +61,6 @@
         self.since = time.monotonic()  # of the phase
         self.phase: Phase = IDLE
         self.closing = False  # no further request is read
-        self.blocked = 0.0  # since when the client has not taken what was written
-        self.charged = 0
-        self.charged_to: Budget | None = None
         self.bodiless = False  # the request being served asks for a head alone
         self.close_after = False  # the request being served is the last
         self.paused = False  # reading
@@ -294,22 +290,11 @@
     # Flow control, and the end.
 
     def pause_writing(self) -> None:
-        """What the client does not take counts as buffered."""
-        assert self.transport is not None
-        self.blocked = time.monotonic()
-        if self.head.destination is not None:
-            self.charged_to = self.head.destination.budget
-            self.charged = self.transport.get_write_buffer_size()
-            self.charged_to.held += self.charged
+        destination = self.head.destination
+        self.charge(destination.budget if destination is not None else None)
 
     def resume_writing(self) -> None:
-        self._uncharge()
-
-    def _uncharge(self) -> None:
-        self.blocked = 0.0
-        if self.charged_to is not None:
-            self.charged_to.give(self.charged)
-        self.charged, self.charged_to = 0, None
+        self.uncharge()
 
     def eof_received(self) -> None:
         """The client has gone away; the transport closes."""
@@ -317,7 +302,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._leave()
-        self._uncharge()
+        self.uncharge()
         self.listener.left(self)
         self.parser = None  # they hold one another, and would stay until the collector comes by
 
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -16,7 +16,7 @@
 from typing import Protocol, Sequence
 
 from spokemast.fronts.dialect import Reader
-from spokemast.limits import Complaints
+from spokemast.limits import Budget, Complaints
 
 #: New connections taken in one go, so that those that are there get their turn.
 ACCEPT_BURST = 64
@@ -66,6 +66,9 @@
     overflow: bool  # past the limit: held to be turned away
     phase: Phase
     since: float  # monotonic, of the phase
+    blocked: float = 0.0  # monotonic, since when the client has not taken what was written
+    _charged: int = 0  # bytes, to the budget below
+    _charged_to: Budget | None = None
 
     def retire(self) -> bool:
         """Close a connection with no open request, unless one waits in the kernel: that is ours already.
@@ -84,6 +87,21 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def charge(self, budget: Budget | None) -> None:
+        """The client does not take what was written: that counts as buffered."""
+        assert self.transport is not None
+        self.blocked = time.monotonic()
+        if budget is not None:
+            self._charged = self.transport.get_write_buffer_size()
+            self._charged_to = budget
+            budget.held += self._charged
+
+    def uncharge(self) -> None:
+        self.blocked = 0.0
+        if self._charged_to is not None:
+            self._charged_to.give(self._charged)
+        self._charged, self._charged_to = 0, None
+
     def sweep(self, now: float) -> None:
         raise NotImplementedError
 
--- a/spokemast/upstreams/fastcgi.py
+++ b/spokemast/upstreams/fastcgi.py
@@ -16,7 +16,8 @@
 import socket
 from typing import Mapping, NamedTuple, Union
 
-from spokemast.fastcgi.cgi import BLOCK_MOST, CgiError, CgiHead, find_end, header_of, read_head, to_params
+from spokemast.fastcgi.cgi import BLOCK_MOST, CgiError, CgiHead, find_end, fixed_params, read_head, to_params
+from spokemast.fastcgi.records import encode_pairs
 from spokemast.fastcgi.webserver import End, WebServerSide, encode_request
 from spokemast.interface import Result
 from spokemast.upstreams.base import SocketUpstream
@@ -34,6 +35,7 @@
     """What the configuration says of a pool's applications."""
 
     params: Mapping[bytes, bytes]  # such as SCRIPT_FILENAME; they stand above what a request says
+    encoded: bytes  # the same, once for all requests
     keep: bool = True  # connections are kept
     multiplex: bool = False  # ask whether an application takes several requests on a connection
 
@@ -143,23 +145,24 @@
     """What a whole STDOUT means, with the load report on it; CgiError where it is no answer, or not whole.
 
     `status` is the application's own, of END_REQUEST; `bodiless`: the request was for a head alone."""
-    head, body = _read(stdout, dialect.body_most, bodiless)
+    head, body = _read(stdout, not_passed, dialect.body_most, bodiless)
     refusal = dialect.refusal_header
     result = dialect.result(head.status, head.headers.get(refusal) if refusal else None)
     answer = None
     if status and head.length is None and result != Result.FULL:
         result = Result.ERROR
     elif result == Result.SERVED or (result == Result.ERROR and not dialect.platform):
-        lines = [line for line in head.lines if line.partition(b":")[0].lower() not in not_passed]
-        answer = Answer(lines, body, head.status, head.reason, head.length)
+        answer = Answer(head.lines, body, head.status, head.reason, head.length)
     return result, _report(pool, dialect, head), answer
 
 
-def _read(stdout: bytes, body_most: int, bodiless: bool) -> tuple[CgiHead, bytes]:
+def _read(
+    stdout: bytes, not_passed: frozenset[bytes], body_most: int, bodiless: bool
+) -> tuple[CgiHead, bytes]:
     found = find_end(stdout)
     if found is None:
         raise CgiError("a header block without end")
-    head, body = read_head(stdout[: found[0]]), stdout[found[1] :]
+    head, body = read_head(stdout[: found[0]], not_passed), stdout[found[1] :]
     if bodiless or head.status in BODILESS:
         return head, b""
     if head.length is not None and head.length != len(body):
@@ -190,14 +193,16 @@
         head += b"%b: %dm\r\n" % (dialect.deadline_header, timeout_ms)
     body = bytes(request.body or b"")
     params = to_params(head, len(body), application.params, _peer(head), timeout_ms)
-    return encode_request(number, params, body, application.keep)
+    return encode_request(number, params, body, application.keep, application.encoded)
 
 
 def _peer(head: bytes) -> bytes:
     """The address of the client, as the front has stated it."""
-    chain = header_of(head.split(b"\r\n")[1:], b"x-forwarded-for")
+    at = head.lower().find(b"\r\nx-forwarded-for:")
+    chain = head[at + 18 :].partition(b"\r\n")[0] if at >= 0 else b""
     return chain.rpartition(b",")[2].strip() if chain else b"127.0.0.1"
 
 
 def application(params: Mapping[str, str], keep: bool, multiplex: bool) -> Application:
-    return Application({name.encode(): value.encode() for name, value in params.items()}, keep, multiplex)
+    fixed = fixed_params({name.encode(): value.encode() for name, value in params.items()})
+    return Application(fixed, encode_pairs(fixed.items()), keep, multiplex)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -24,7 +24,7 @@
 from spokemast.limits import Complaints, Limits
 from spokemast.members.watch import Discovery
 from spokemast.settings import read_deployment
-from spokemast.upstreams.fastcgi import Application, FastCgiConnection
+from spokemast.upstreams.fastcgi import FastCgiConnection, application
 from spokemast.upstreams.http1 import Connection
 from translated import TALLY, connect_fcgi, serve_fcgi, tally
 
@@ -313,7 +313,9 @@
     deployment = read_deployment(settings or SETTINGS)
     limits, complain = Limits(memory_mb, sockets), Complaints()
     connect = (
-        Connection if upstream == "http/1.1" else partial(FastCgiConnection, application=Application({}))
+        Connection
+        if upstream == "http/1.1"
+        else partial(FastCgiConnection, application=application({}, True, False))
     )
     proxy = RecordingProxy(deployment, 1, limits, complain, None, connect)
     discovery_of_proxy = proxy.source = Discovery(proxy, deployment, where, complain)
--- a/tests/test_fastcgi_codec.py
+++ b/tests/test_fastcgi_codec.py
@@ -12,7 +12,7 @@
 from spokemast.fastcgi import application as app
 from spokemast.fastcgi.application import Aborted, ApplicationSide, Begun, Data, Ended, Refused
 from spokemast.fastcgi.cgi import (
-    CgiError, find_end, from_params, read_head, to_params, write_answer,
+    CgiError, find_end, fixed_params, from_params, read_head, to_params, write_answer,
 )  # fmt: skip
 from spokemast.fastcgi.records import (
     CONTENT_MOST, HELD_MOST, Decoder, ProtocolError, Record, Role, Status, Type, encode, encode_begin, encode_end,
@@ -372,11 +372,19 @@
         read_head(b"A:" + b" \t" * 15_000 + b"\x00")
 
 
+def params_of(head: bytes, length: int) -> dict[bytes, bytes]:
+    """All that an application gets."""
+    fixed = fixed_params({b"SCRIPT_FILENAME": b"/app"})
+    asked = to_params(head, length, fixed, b"1.2.3.4", 900)
+    assert not fixed.keys() & dict(asked).keys()
+    return {**fixed, **dict(asked)}
+
+
 def test_a_request_there_and_back() -> None:
     head = (
         b"POST /a/b?c=d HTTP/1.1\r\nHost: h:81\r\nX-Some-Thing: 1\r\nContent-Type: t\r\nContent-Length: 4\r\n"
     )
-    params = dict(to_params(head, 4, {b"SCRIPT_FILENAME": b"/app"}, b"1.2.3.4", 900))
+    params = params_of(head, 4)
     assert params[b"REQUEST_METHOD"] == b"POST" and params[b"REQUEST_URI"] == b"/a/b?c=d"
     assert params[b"HTTP_X_SOME_THING"] == b"1" and params[b"CONTENT_TYPE"] == b"t"
     assert (params[b"SERVER_NAME"], params[b"SERVER_PORT"]) == (b"h", b"81")
@@ -389,7 +397,7 @@
 
 def test_clients_can_forge_no_param() -> None:
     head = b"GET / HTTP/1.1\r\nHost: h\r\nProxy: evil\r\nX_User: evil\r\nX-User: good\r\nScript-Filename: evil\r\n"
-    params = dict(to_params(head, 0, {b"SCRIPT_FILENAME": b"/app"}, b"1.2.3.4", 900))
+    params = params_of(head, 0)
     assert b"HTTP_PROXY" not in params and params[b"HTTP_X_USER"] == b"good"
     assert params[b"SCRIPT_FILENAME"] == b"/app" and params[b"CONTENT_LENGTH"] == b""
 
