--- /dev/null
+++ b/spokemast/admission/admission.py
@@ -0,0 +1,164 @@
+"""Who may connect: caps for each address and prefix, and a floor for known depots. No I/O, clock or random source.
+
+The listener tells what comes, goes and is seen; `connect` and `request` say what may be. Numbers of slots come in with
+each question, so one Admission outlasts a reload that divides them anew.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+from typing import NamedTuple, Sequence, Union
+
+from spokemast.admission.addresses import Entry, Table, prefix_of
+from spokemast.admission.rulings import ADMIT, ONCE, REFUSE, RETURN_S, SWAP, Ruling
+
+Network = Union[ipaddress.IPv4Network, ipaddress.IPv6Network]
+
+#: Part of the unused floor that is never lent, so that a known client finds a slot at once.
+FLOOR_KEPT = 0.25
+#: A prefix may hold so many times what one of its addresses may.
+PREFIX_TIMES = 4.0
+#: Marks for what a client does. One whole request that has its answer earns one.
+GOOD = 1.0
+#: A connection that was kept and not used again takes back what its one request has earned.
+WASTED = -1.0
+#: No request on a connection, or not the whole of one in its time.
+SILENT = -4.0
+#: What no server could read, or an answer that was not taken.
+GARBAGE = -8.0
+
+
+class Slots(NamedTuple):
+    """A listener's connections now."""
+
+    most: int
+    taken: int  # all of them
+    known: int  # of these, of known networks
+
+
+class Caps(NamedTuple):
+    """For an address of which nothing is known."""
+
+    connections: float = math.inf  # open at once
+    per_s: float = math.inf  # new ones
+    requests: float = math.inf  # open at once
+    growth: float = 16.0  # a trusted address may have so many times as much
+    entries: int = 16384  # addresses that are remembered
+
+
+class Admission:
+    """One listener's addresses and rules."""
+
+    def __init__(self, caps: Caps, known: Sequence[Network] = (), floor: float = 0.0,
+                 exempt: Sequence[Network] = ()) -> None:  # fmt: skip
+        """`floor`: share of the slots for addresses in `known`, which strangers can't take. `exempt`: networks of
+        fronts that speak for many clients; no caps hold for them."""
+        self.caps, self.floor = caps, floor
+        self.known, self.exempt = tuple(known), tuple(exempt)
+        self.addresses = Table(caps.entries)
+        self.prefixes = Table(max(16, caps.entries // 4))
+
+    def is_known(self, address: str) -> bool:
+        """Whether the floor is for this address."""
+        return bool(self.known) and is_in(address, self.known)
+
+    def is_free(self, address: str) -> bool:
+        """Whether no cap holds for this address: a depot's, a front's, or the peer of a Unix socket."""
+        return is_in(address, self.exempt) or self.is_known(address)
+
+    def connect(self, address: str, now: float, slots: Slots) -> Ruling:
+        """Whether a new connection may be. It holds nothing yet: `opened` follows."""
+        if self.is_known(address):
+            return Ruling(ADMIT)
+        if not self.is_free(address):
+            refused = self._over(address, now)
+            if refused is not None:
+                return refused
+        return self._within(slots)
+
+    def _within(self, slots: Slots) -> Ruling:
+        """Guards the floor. Its unused part is lent, but for FLOOR_KEPT: such connections end after one answer, and
+        those on which no request is open make room for a known client at once. Harm: while depots are away, strangers
+        past the rest of the slots pay for a handshake a request."""
+        floor = math.ceil(slots.most * self.floor)
+        unused = max(0, floor - slots.known)
+        free = slots.most - slots.taken
+        if not unused or free > unused:
+            return Ruling(ADMIT)
+        if free > math.ceil(unused * FLOOR_KEPT):
+            return Ruling(ONCE)
+        return Ruling(SWAP, "what is left is for known networks", RETURN_S)
+
+    def _over(self, address: str, now: float) -> Ruling | None:
+        """Guards against an address that takes the slots of all others; should also catch one prefix whose addresses
+        change. Harm: many honest clients behind one address, until they have shown themselves: each refused one is
+        told when to return, and each served one raises the cap."""
+        caps, prefix = self.caps, prefix_of(address)
+        rows = ((self.addresses.find(address, now), 1.0), (self.prefixes.find(prefix, now), PREFIX_TIMES))
+        for entry, times in rows:
+            factor = entry.factor(now, caps.growth) * times
+            if entry.open >= max(1.0, caps.connections * factor):
+                return Ruling(REFUSE, "too many connections from this address", RETURN_S)
+        for entry, times in rows:
+            rate = caps.per_s * entry.factor(now, caps.growth) * times
+            if rate < math.inf and not entry.take_room(now, rate):
+                return Ruling(REFUSE, "too many new connections from this address", RETURN_S)
+        return None
+
+    def request(self, address: str, now: float) -> bool:
+        """Whether one more request of this address may be open."""
+        if self.caps.requests == math.inf or self.is_free(address):
+            return True
+        rows = (
+            (self.addresses.find(address, now), 1.0),
+            (self.prefixes.find(prefix_of(address), now), PREFIX_TIMES),
+        )
+        return all(
+            entry.requests < max(1.0, self.caps.requests * entry.factor(now, self.caps.growth) * times)
+            for entry, times in rows
+        )
+
+    # What comes and goes.
+
+    def opened(self, address: str, now: float) -> None:
+        for entry in self._entries(address, now):
+            entry.open += 1
+
+    def closed(self, address: str, now: float) -> None:
+        for entry in self._entries(address, now):
+            entry.open -= 1
+
+    def began(self, address: str, now: float) -> None:
+        """A request is open."""
+        for entry in self._entries(address, now):
+            entry.requests += 1
+
+    def ended(self, address: str, now: float) -> None:
+        """And is no more."""
+        for entry in self._entries(address, now):
+            entry.requests -= 1
+
+    def _entries(self, address: str, now: float) -> tuple[Entry, Entry]:
+        """Both are there while anything of the address is held: held entries are not pushed out."""
+        return self.addresses.find(address, now), self.prefixes.find(prefix_of(address), now)
+
+    def mark(self, address: str, change: float, now: float) -> None:
+        """What a client of this address has done: GOOD, WASTED, SILENT or GARBAGE."""
+        prefix = prefix_of(address)
+        self.addresses.find(address, now).mark(change, now)
+        # A prefix earns and loses by its share: one address must not speak for all the others.
+        self.prefixes.find(prefix, now).mark(change / PREFIX_TIMES, now)
+        self.addresses.settle(address, now)
+        self.prefixes.settle(prefix, now)
+
+
+def is_in(address: str, networks: Sequence[Network]) -> bool:
+    if not networks:
+        return False
+    try:
+        found = ipaddress.ip_address(address.partition("%")[0])
+    except ValueError:
+        return False
+    mapped = getattr(found, "ipv4_mapped", None)
+    return any((mapped or found) in network for network in networks)
--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -57,6 +57,7 @@
 LATE_FROM = 0.6  # an attempt that takes more of the aim than this speaks for too much work on the fleet
 LATE_SHARE = 0.18  # share of those that is put up with: more than sick servers alone can cause
 SHED_S = 1.0  # seconds in which a proxy whose attempts all take too long comes to refuse a class
+BORN_S = 0.1  # of a proxy's life, before which its rate says little
 PATIENCE_NEAR = 0.03  # times left that differ by less than this share are of the same kind of try
 PATIENCE_KINDS = 8  # first tries, second ones after a refusal, after a time-out, the last
 PATIENCE_KEEP = 0.995  # some two hundred requests tell which kind is the most common
@@ -534,9 +535,9 @@
     def _flow(self) -> float:
         return self.flow * math.exp((self.flow_at - self.now) / RATE_S)
 
-    def _rate(self) -> float:
-        """Own sends a second of late; of a young proxy, over its life."""
-        return self._flow() / (RATE_S * (1 - math.exp(-max(1.0, self.now - self.born) / RATE_S)))
+    def _rate(self, least: float = 1.0) -> float:
+        """Own sends a second of late; of a young proxy, over its life, or `least` seconds if that is more."""
+        return self._flow() / (RATE_S * (1 - math.exp(-max(least, self.now - self.born) / RATE_S)))
 
     # What is learnt.
 
@@ -633,7 +634,9 @@
         if event.result in (Result.CANCELLED, Result.NOT_SENT, Result.NO_CONNECTION, Result.UNUSABLE):
             return
         late = event.result == Result.FULL or event.took > LATE_FROM * pending.cls.aim
-        rate = max(1.0, self._rate())
+        # Over its true life: the low figure of a first second would make each step too long, and a start at
+        # which all connections are new would count as overload for seconds.
+        rate = max(1.0, self._rate(BORN_S))
         step = (1 - LATE_SHARE if late else -LATE_SHARE) / (rate * SHED_S)
         top = float(len(self.settings.classes))
         self.shed_level = min(top, max(0.0, self.shed_level + step))
--- a/spokemast/config/check.py
+++ b/spokemast/config/check.py
@@ -12,7 +12,7 @@
 from spokemast.config.reader import (
     ConfigError, Problems, check_members, read_address, read_members_file,
 )  # fmt: skip
-from spokemast.config.types import ClassTable, ListenerTable, PoolTable, RouteTable
+from spokemast.config.types import AdmissionTable, ClassTable, ListenerTable, PoolTable, RouteTable
 from spokemast.routes import ConflictError, Routes, Rule, RuleError, check_rule
 
 #: Lists of a file, by the key that they stand under.
@@ -177,15 +177,28 @@
             problems.add(f"{at}.routes", f"there is no [[route]] named {name!r}; there are: {have}")
     if listener.routes == []:
         problems.add(f"{at}.routes", "names no route; leave the key out for all of them")
-    for network in listener.trusted:
-        try:
-            ipaddress.ip_network(network)
-        except ValueError:
-            problems.add(f"{at}.trusted", f"{network!r} is not a network, such as 10.0.0.0/8")
+    _check_admission(listener, at, problems)
     if listener.ready_path is not None and not listener.ready_path.startswith("/"):
         problems.add(f"{at}.ready_path", f"{listener.ready_path!r} is not a path, such as /ready")
 
 
+def _check_admission(listener: ListenerTable, at: str, problems: Problems) -> None:
+    own = listener.admission or AdmissionTable()
+    for key, networks in (
+        ("trusted", listener.trusted), ("proxy_protocol_from", listener.proxy_protocol_from),
+        ("admission.known", own.known), ("admission.exempt", own.exempt),
+    ):  # fmt: skip
+        for network in networks:
+            try:
+                ipaddress.ip_network(network)
+            except ValueError:
+                problems.add(f"{at}.{key}", f"{network!r} is not a network, such as 10.0.0.0/8")
+    if own.reserve and not own.known:
+        problems.add(f"{at}.admission.reserve", "is for the networks in known; name some, or take it out")
+    if own.known and not own.reserve:
+        problems.add(f"{at}.admission.known", "reserves nothing; give reserve, such as 0.25, or use exempt")
+
+
 def _check_overlap(listeners: Sequence[ListenerTable], problems: Problems) -> None:
     taken: list[tuple[str, int, str]] = []
     for listener in listeners:
--- a/spokemast/config/types.py
+++ b/spokemast/config/types.py
@@ -153,6 +153,19 @@
     sticky: StickyTable | None = None
 
 
+class AdmissionTable(Struct, frozen=True, kw_only=True):
+    """Caps hold for an address of which nothing is known; one that behaves earns `growth` times as much."""
+
+    connections_per_address: Count | None = None  # open at once; a /24 or /64 may have four times as many
+    connects_per_s: Positive | None = None  # new ones, of one address
+    requests_per_address: Count | None = None  # open at once
+    growth: Annotated[float, Meta(ge=1)] = 16.0
+    remembered: Annotated[int, Meta(ge=256, le=1 << 20)] = 16384  # addresses; some 300 bytes each
+    exempt: list[str] = []  # networks of fronts that speak for many clients
+    known: list[str] = []  # networks for which a part of the slots is reserved
+    reserve: Annotated[float, Meta(ge=0, le=0.9)] = 0.0  # that part
+
+
 class ListenerTable(Struct, frozen=True, kw_only=True):
     name: Name
     address: str
@@ -163,6 +176,10 @@
     ready_path: str | None = None  # answers 200 while the listener wants clients
     encoded_slashes: Literal["reject", "keep"] = "reject"
     share: Positive = 1.0  # of the descriptors for clients
+    admission: AdmissionTable | None = None
+    proxy_protocol_from: list[
+        str
+    ] = []  # networks that write a PROXY header, version 1 or 2, ahead of each connection
 
 
 class File(Struct, frozen=True, kw_only=True):
--- a/spokemast/daemon/daemon.py
+++ b/spokemast/daemon/daemon.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
+import math
 import random
+import resource
 import socket
 import time
 from functools import partial
@@ -15,14 +18,27 @@
 from pathlib import Path
 from typing import Mapping
 
-from spokemast.config.plan import Plan, load
+from spokemast.admission.admission import Admission, Caps
+from spokemast.config.plan import ListenerPlan, Plan, load
 from spokemast.config.reader import ConfigError, read_address
-from spokemast.config.types import ListenerTable
+from spokemast.config.types import AdmissionTable, ListenerTable
 from spokemast.core.proxy import Ids
 from spokemast.daemon.pools import RunningPool
 from spokemast.fronts.fastcgi import FastCgiFront
-from spokemast.fronts.http1 import REQUEST_S, ClientConnection
-from spokemast.fronts.listener import ACCEPT_BURST, BACKLOG, UNIX, Listener, Serve, bind, drain, release
+from spokemast.fronts.gate import Gate
+from spokemast.fronts.http1 import ClientConnection
+from spokemast.fronts.listener import (
+    ACCEPT_BURST,
+    BACKLOG,
+    REQUEST_S,
+    UNIX,
+    Listener,
+    Serve,
+    bind,
+    drain,
+    release,
+)
+from spokemast.fronts.spares import Spares
 from spokemast.fronts.ordinary import RoutedReader, RouteTarget
 from spokemast.limits import Complaints, Limits
 from spokemast.shares import WINDOW_S, PoolShare, Slots, Turns, divide_listeners, divide_pools
@@ -36,6 +52,8 @@
 END_BESIDE_S = 2.0
 
 
+#: Spare descriptors that a reload may use: the file, and files of members one after another.
+RELOAD_SPARES = 2
 #: What each listener and each pool may hold, by their names.
 Division = tuple[dict[str, Slots], dict[str, PoolShare]]
 
@@ -47,6 +65,24 @@
     return partial(FastCgiFront, requests_most=table.requests_at_once)
 
 
+def gate_of(table: ListenerTable, old: Gate | None) -> Gate | None:
+    """The listener's rules for addresses, if it has any. What is known of them outlasts a reload that changes none
+    of the caps."""
+    own = table.admission
+    if own is None and not table.proxy_protocol_from:
+        return None
+    own = own or AdmissionTable()
+    inf = math.inf
+    caps = Caps(own.connections_per_address or inf, own.connects_per_s or inf, own.requests_per_address or inf,
+                own.growth, own.remembered)  # fmt: skip
+    known, exempt, behind = (
+        [ipaddress.ip_network(text) for text in networks]
+        for networks in (own.known, own.exempt, table.proxy_protocol_from)
+    )
+    made = Gate(Admission(caps, known, own.reserve, exempt), behind)
+    return old if old is not None and old.is_like(made) else made
+
+
 class Daemon:
     """Listeners and pools of one configuration at a time."""
 
@@ -68,6 +104,8 @@
         self._window = self._loop.call_later(WINDOW_S, self._measure)
         self._measured = time.monotonic(), time.process_time()
         self._turns: Turns | None = None
+        self.spares = Spares()
+        self._descriptors = 0  # that the process may have, as last seen
         self._reloading: asyncio.Task[None] | None = None
         self._again = False  # another reload was asked for while one ran
 
@@ -126,7 +164,8 @@
 
     def _divide(self, plan: Plan) -> Division:
         process = plan.file.process
-        limits = Limits(process.memory / (1 << 20), process.descriptors)
+        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        limits = Limits(process.memory / (1 << 20), min(process.descriptors, allowed))
         slots = divide_listeners(
             limits.client_sockets, limits.overflow_sockets,
             {name: listener.table.share for name, listener in plan.listeners.items()},
@@ -156,6 +195,7 @@
         self._turns = Turns(weights) if len(weights) > 1 else None
         for name, pool in self.pools.items():
             pool.resize(shares[name], self._turns)
+            pool.proxy.backends.free_descriptor = self.spares.take
         self._swap_listeners(plan, sockets, kept, slots)
         self.plan = plan
 
@@ -178,8 +218,13 @@
             if name in sockets:
                 running[name] = Listener(reader, slots[name], self.complain, serve_of(listener_plan.table))
                 running[name].start(sockets[name])
-            running[name].reader = reader
-            running[name].most, running[name].overflow_most = slots[name]
+            self._set_up(running[name], listener_plan, reader, slots[name])
+
+    def _set_up(self, listener: Listener, plan: ListenerPlan, reader: RoutedReader, slots: Slots) -> None:
+        listener.reader, listener.spares = reader, self.spares
+        listener.speaks_http = plan.table.protocol == "http/1.1"
+        listener.most, listener.overflow_most = slots
+        listener.gate = gate_of(plan.table, listener.gate)  # connections that are there stay with the old one
 
     def _target(self, plan: Plan, name: str) -> RouteTarget:
         route = plan.routes[name]
@@ -207,6 +252,7 @@
     def _look_after(self) -> None:
         """Close what a reload took out, once nothing is open on it."""
         self._timer = self._loop.call_later(RETIRE_LOOK_S, self._look_after)
+        self._heed_limit()
         busy = []
         for listener in self.retiring_listeners:
             if listener.is_busy() or listener.is_flushing():
@@ -223,6 +269,25 @@
                 pool.close()
         self.retiring_pools = still
 
+    def _heed_limit(self) -> None:
+        """Guards against a limit of descriptors that is lowered while the process runs, or was lower than the file
+        says: slots and members' connections are divided anew within it, and what is idle past them is closed. Harm:
+        none to requests in flight; new clients are told to return."""
+        self.spares.refill()
+        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if allowed == self._descriptors or self.plan is None:
+            return
+        self._descriptors = allowed
+        slots, shares = self._divide(self.plan)
+        if allowed < self.plan.file.process.descriptors:
+            self.complain(
+                "limit of descriptors", f"{allowed}, and {self.plan.file.process.descriptors} are configured"
+            )
+        for name, listener in self.listeners.items():
+            listener.resize(*slots[name])
+        for name, pool in self.pools.items():
+            pool.resize(shares[name], self._turns)
+
     def _measure(self) -> None:
         """How much of the last window the processor was used."""
         self._window = self._loop.call_later(WINDOW_S, self._measure)
@@ -242,6 +307,8 @@
 
     async def _reload(self, path: Path) -> None:
         """Guards against a bad new file: whatever is wrong with it, what runs stays as it is."""
+        for _ in range(RELOAD_SPARES):  # reading must not fail because clients hold all descriptors
+            self.spares.take()
         try:
             self.apply(await self._loop.run_in_executor(None, load, path))
         except ConfigError as error:
@@ -254,6 +321,7 @@
             self.complain("new configuration taken", path)
         finally:
             self._reloading = None
+            self.spares.refill()
         if self._again:
             self._again = False
             self.reload()
@@ -270,6 +338,7 @@
         self.close()
 
     def close(self) -> None:
+        self.spares.close()
         self._timer.cancel()
         self._window.cancel()
         for listener in (*self.listeners.values(), *self.retiring_listeners):
--- a/spokemast/daemon/pools.py
+++ b/spokemast/daemon/pools.py
@@ -129,7 +129,7 @@
         proxy = self.proxy
         proxy.turns = turns
         proxy.open_most = share.open_most
-        proxy.backends.sockets = share.backend_sockets
+        proxy.backends.resize(share.backend_sockets)
         proxy.budget.resize(share.buffered)
 
     def retire(self) -> None:
--- a/spokemast/fronts/fastcgi.py
+++ b/spokemast/fronts/fastcgi.py
@@ -17,8 +17,8 @@
 from spokemast.fastcgi.cgi import CgiError, from_params, write_answer
 from spokemast.fastcgi.records import Status, Type, encode, encode_stream
 from spokemast.fronts.dialect import Ask, Head, RejectError, Reply
-from spokemast.fronts.http1 import BODILESS, IDLE_S, LINGER_S, READ_STALL_S, REASONS, REQUEST_S
-from spokemast.fronts.listener import FrontConnection, Listener, Phase
+from spokemast.fronts.http1 import BODILESS, LINGER_S, READ_STALL_S, REASONS
+from spokemast.fronts.listener import REQUEST_S, FrontConnection, Listener, Phase
 from spokemast.limits import Budget
 
 
@@ -47,6 +47,7 @@
                length: int | None = None, reason: bytes = b"") -> None:  # fmt: skip
         """`close` is of connections that can carry nothing after; here each request has its own records."""
         self.open = None
+        self.connection.request_over(status < 500 and not self.connection.blocked)
         self.connection.answered(
             self, status, reason or REASONS.get(status, b"No Reason"), lines, body, length
         )
@@ -69,7 +70,6 @@
         self.requests: dict[int, FcgiRequest] = {}  # begun and not answered
         self.since = time.monotonic()
         self.phase = Phase.IDLE
-        self.asked = False  # a whole request has come
         self.budget: Budget | None = None  # of the pool that the last request went to
         self.paused = False
 
@@ -80,15 +80,21 @@
     # Receiving.
 
     def data_received(self, data: bytes) -> None:
+        data = self.unwrap(data)
+        if not data:
+            return
         if self.phase == Phase.LINGER:
             return
         if self.phase == Phase.IDLE:
-            self.listener.idle.pop(self, None)
+            self.wake()
             self.phase = Phase.HEAD
             if self.asked:
                 self.since = time.monotonic()
+        garbled = bool(self.side.confused)
         for event in self.side.feed(data):
             self._react(event)
+        if self.side.confused and not garbled:
+            self.note_garbage()
         self._flush()
         self._after()
 
@@ -147,8 +153,7 @@
         if len(request.body or b"") != (request.length or 0):
             self._reject(request, 400, "less on STDIN than CONTENT_LENGTH states")
             return
-        self.asked = True
-        self.listener.strangers.pop(self, None)
+        self.note_request()
         try:
             item = request.head.reader.read(request.head, request.body, request)
         except RejectError as problem:
@@ -168,6 +173,8 @@
             status, why = 409, "this X-Txn has been used"
         elif not proxy.has_room():
             status, why = 503, "this pool has all it can hold"
+        elif not self.may_ask():
+            status, why = 503, "too many requests at once from this address"
         else:
             request.open = item.request
             left = max(0.0, item.deadline - time.monotonic())
@@ -187,6 +194,7 @@
         """The web server's client has gone away: the attempt is given up, and the id is free again."""
         taken, request.open = request.open, None
         if taken is not None:
+            self.request_over(False)
             taken.owner.withdraw(taken)
         request.release_body()
         self._end(request, b"")
@@ -214,7 +222,7 @@
                 Type.STDOUT, request.number
             )
         self.side.output += self.side.end(request.number, Status.REQUEST_COMPLETE)
-        if self.listener.draining:
+        if self.listener.draining or self.is_once():
             self.side.closing = True
 
     def _flush(self) -> None:
@@ -239,7 +247,7 @@
         elif self.phase == Phase.WHOLE:
             self.phase = Phase.IDLE
             self.since = time.monotonic()
-            self.listener.idle[self] = None
+            self.rest()
         elif self.phase == Phase.HEAD and not self.side.is_within_record():
             self.phase = Phase.IDLE
 
@@ -284,13 +292,15 @@
     def sweep(self, now: float) -> None:
         """Limits in time."""
         if self.blocked and now - self.blocked > READ_STALL_S:
+            self.note_garbage()
             self.abort()
         elif self.phase == Phase.LINGER:
             if now - self.since > LINGER_S and not self.blocked:
                 self.abort()
         elif self.phase == Phase.IDLE:
-            if now - self.since > (IDLE_S if self.asked and not self.overflow else REQUEST_S):
-                self.retire()
+            self.note_quiet(now)
+            if now - self.since > self.idle_most() and self.retire() and not self.asked:
+                self.note_silence()
         else:
             self._sweep_requests(now)
 
@@ -298,9 +308,20 @@
         """Guards against requests that never come whole, and against records and params that never end."""
         for request in list(self.requests.values()):
             if request.open is None and now - request.since > REQUEST_S:
+                self.note_silence()
                 self._reject(request, 408, "the request did not come to its end")
         if self.phase == Phase.HEAD and now - self.since > REQUEST_S:
+            self.note_silence()
             self.abort()
 
+    def refuse(self, words: bytes) -> None:
+        """No request has come, so none can be answered: closed once what comes is read."""
+        assert self.transport is not None
+        self.phase = Phase.LINGER
+        self.since = time.monotonic()
+        self.listener.forget(self)
+        self.listener.lingering[self] = None
+        self.transport.write_eof()
+
     def is_busy(self) -> bool:
         return self.phase != Phase.LINGER or bool(self.blocked)
--- /dev/null
+++ b/spokemast/fronts/gate.py
@@ -0,0 +1,115 @@
+"""Between a listener and its Admission: whose connection it is, what it holds, and what it has done.
+
+Only listeners that have rules of their own load this. The address is that of the connection's other end, or the one
+that a trusted front has written ahead (PROXY protocol). What a visit holds is given back in one place, `left`.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Sequence
+
+from spokemast.admission.admission import GARBAGE, GOOD, SILENT, WASTED, Admission, Network, Slots, is_in
+from spokemast.admission.proxyprotocol import ProxyHeader, ProxyHeaderError
+from spokemast.admission.rulings import ADMIT, REFUSE, Ruling
+
+
+class Visit:
+    """One connection, as its address counts it."""
+
+    __slots__ = ("gate", "address", "once", "counted", "known", "requests", "header")
+
+    def __init__(self, gate: Gate, address: str) -> None:
+        self.gate, self.address = gate, address
+        self.once = False  # ends after one answer
+        self.counted = False  # held by the address
+        self.known = False  # held by the floor
+        self.requests = 0  # that are open on it
+        self.header: ProxyHeader | None = None  # still to come
+
+
+class Gate:
+    """One listener's admission."""
+
+    def __init__(self, admission: Admission, behind: Sequence[Network] = ()) -> None:
+        """`behind`: sources that write a PROXY header ahead of each connection."""
+        self.admission, self.behind = admission, tuple(behind)
+        self.known = 0  # connections of known networks
+
+    def is_like(self, other: Gate) -> bool:
+        """Whether both have the same rules."""
+        mine, its = self.admission, other.admission
+        return (self.behind, mine.caps, mine.known, mine.floor, mine.exempt) == (
+            other.behind, its.caps, its.known, its.floor, its.exempt,
+        )  # fmt: skip
+
+    def arrive(self, peer: str, most: int, taken: int) -> tuple[Visit, Ruling]:
+        """A connection has come. One that still has to say whose it is gets in."""
+        visit = Visit(self, peer)
+        if is_in(peer, self.behind):
+            visit.header = ProxyHeader()
+            return visit, Ruling(ADMIT)
+        return visit, self.enter(visit, most, taken)
+
+    def enter(self, visit: Visit, most: int, taken: int) -> Ruling:
+        """Judge a connection whose address is certain; it counts unless it is refused."""
+        now = time.monotonic()
+        ruling = self.admission.connect(visit.address, now, Slots(most, taken, self.known))
+        if ruling.verdict != REFUSE:
+            visit.counted = True
+            visit.once = ruling.verdict != ADMIT
+            visit.known = self.admission.is_known(visit.address)
+            self.known += visit.known
+            self.admission.opened(visit.address, now)
+        return ruling
+
+    def unwrap(self, visit: Visit, data: bytes, most: int, taken: int) -> tuple[bytes, Ruling | None]:
+        """What comes after the PROXY header, and the ruling once it is whole. ProxyHeaderError where it is none."""
+        assert visit.header is not None
+        try:
+            rest = visit.header.feed(data)
+        except ProxyHeaderError:
+            self.admission.mark(visit.address, GARBAGE, time.monotonic())
+            raise
+        if not visit.header.done:
+            return b"", None
+        visit.address = visit.header.address or visit.address
+        visit.header = None
+        return rest, self.enter(visit, most, taken)
+
+    def may_ask(self, visit: Visit) -> bool:
+        """Whether one more request of this address may be open; it counts from here on."""
+        now = time.monotonic()
+        if not self.admission.request(visit.address, now):
+            return False
+        visit.requests += 1
+        self.admission.began(visit.address, now)
+        return True
+
+    def answered(self, visit: Visit, good: bool) -> None:
+        """A request is no more; `good`: it was whole and has its answer."""
+        now = time.monotonic()
+        visit.requests -= 1
+        self.admission.ended(visit.address, now)
+        if good:
+            self.admission.mark(visit.address, GOOD, now)
+
+    def wasted(self, visit: Visit) -> None:
+        self.admission.mark(visit.address, WASTED, time.monotonic())
+
+    def silent(self, visit: Visit) -> None:
+        self.admission.mark(visit.address, SILENT, time.monotonic())
+
+    def garbage(self, visit: Visit) -> None:
+        self.admission.mark(visit.address, GARBAGE, time.monotonic())
+
+    def left(self, visit: Visit) -> None:
+        """The connection has ended: the one place where all it holds is given back."""
+        now = time.monotonic()
+        while visit.requests:
+            visit.requests -= 1
+            self.admission.ended(visit.address, now)
+        if visit.counted:
+            visit.counted = False
+            self.known -= visit.known
+            self.admission.closed(visit.address, now)
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -10,20 +10,17 @@
 import socket
 import time
 from collections import deque
-from typing import Union, cast
+from typing import Sequence, Union, cast
 
 import httptools
 
+from spokemast.admission.rulings import RETURN_S
 from spokemast.core.proxy import OpenRequest
 from spokemast.fronts.dialect import Ask, RejectError, Reply
-from spokemast.fronts.listener import FrontConnection, Listener, Phase
+from spokemast.fronts.listener import REQUEST_S, FrontConnection, Listener, Phase
 
 #: Largest head of a request; guards against endless headers.
 HEAD_MOST = 16 << 10
-#: A request has this long to come whole, and a new connection to send one, counted from connecting. Guards
-#: against silence, heads and bodies without end, and whatever else does not become a request: bad clients are
-#: owed an answer or a close within 3 s. Harm: a good client slower than this must ask again.
-REQUEST_S = 2.5
 #: Requests that may wait on one connection behind the one being served; guards against pipelining floods.
 PIPELINE_MOST = 16
 #: An answer that the client does not take for this long is given up.
@@ -34,8 +31,6 @@
 #: What is read and thrown away on such a connection at most; guards against being kept busy by the rest of an
 #: upload that has been turned away.
 LINGER_MOST = 128 << 10
-#: A connection that has carried a request is closed when it has been idle for this long.
-IDLE_S = 10.0
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -43,6 +38,8 @@
     431: b"Request Header Fields Too Large", 501: b"Not Implemented", 502: b"Bad Gateway",
     503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
+#: How a refusal says when to return, in seconds (RFC 9110, 10.2.3).
+RETURN = (b"Retry-After: %d\r\n" % RETURN_S,)
 #: Answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
 BODILESS = frozenset((204, 304))
 
@@ -64,7 +61,6 @@
         self.bodiless = False  # the request being served asks for a head alone
         self.close_after = False  # the request being served is the last
         self.paused = False  # reading
-        self.asked = False  # a whole request has come
         self.discarded = 0  # bytes read after the last answer
         self._begin()
 
@@ -82,7 +78,7 @@
     def on_message_begin(self) -> None:
         self._begin()
         if self.phase == IDLE:
-            self.listener.idle.pop(self, None)
+            self.wake()
             if self.asked:
                 self.since = time.monotonic()
         self.phase = HEAD
@@ -140,12 +136,14 @@
             self._release_body()
         self.waiting.append(item)
         self.phase = WHOLE
-        self.asked = True
-        self.listener.strangers.pop(self, None)
+        self.note_request()
 
     # Receiving.
 
     def data_received(self, data: bytes) -> None:
+        data = self.unwrap(data)
+        if not data:
+            return
         if self.closing:
             self.discarded += len(data)
             if self.discarded > LINGER_MOST:
@@ -157,13 +155,7 @@
         except httptools.HttpParserUpgrade as problem:
             self._upgrade(data, problem)
         except httptools.HttpParserError as problem:
-            cause = problem.__context__
-            if isinstance(cause, RejectError):
-                self._reject(cause.status, cause.why)
-            elif isinstance(problem, httptools.HttpParserCallbackError) and cause is not None:
-                raise cause from None  # a defect of ours
-            else:
-                self._reject(400, "not HTTP/1.1")
+            self._unreadable(problem)
         else:
             if self.phase == HEAD:  # a name or value that does not end stays in the parser
                 self.head.size += len(data)
@@ -171,6 +163,15 @@
                     self._reject(431, "head too large")
         self._next()
 
+    def _unreadable(self, problem: httptools.HttpParserError) -> None:
+        cause = problem.__context__
+        if isinstance(cause, RejectError):
+            self._reject(cause.status, cause.why)
+        elif isinstance(problem, httptools.HttpParserCallbackError) and cause is not None:
+            raise cause from None  # a defect of ours
+        else:
+            self._reject(400, "not HTTP/1.1")
+
     def _upgrade(self, data: bytes, problem: httptools.HttpParserUpgrade) -> None:
         """The request asked for another protocol, and what follows might be in it."""
         if not self.head.reader.ignores_upgrade or self.head.method == b"CONNECT":
@@ -184,6 +185,8 @@
     def _reject(self, status: int, why: str) -> None:
         """Answered in its turn; nothing after it can be read."""
         self.closing = True
+        if status in (400, 431, 501):
+            self.note_garbage()
         self.listener.forget(self)
         self._release_body()
         self.waiting.append(Reply(status, why, True))
@@ -194,7 +197,7 @@
             item = self.waiting.popleft()
             self.close_after = item.close or self.listener.draining
             if isinstance(item, Reply):
-                self._write(item.status, [], item.why.encode() + b"\n")
+                self._write(item.status, [], item.why.encode() + b"\n", served=False)
                 self._after()
             elif self.overflow:
                 self._turn_away(item, 503, b"too many connections\n")
@@ -202,6 +205,8 @@
                 self._turn_away(item, 409, b"this X-Txn has been used\n")
             elif not item.proxy.has_room():
                 self._turn_away(item, 503, b"this pool has all it can hold\n", False)
+            elif not self.may_ask():
+                self._turn_away(item, 503, b"too many requests at once from this address\n", False, RETURN)
             else:
                 self.request = item.request
                 self.bodiless = item.request.bodiless
@@ -212,12 +217,13 @@
         if not self.closing:
             self._read_on(not self.waiting)
 
-    def _turn_away(self, item: Ask, status: int, why: bytes, close: bool = True) -> None:
+    def _turn_away(self, item: Ask, status: int, why: bytes, close: bool = True,
+                   lines: Sequence[bytes] = ()) -> None:  # fmt: skip
         """Answered before it was taken: it has not run."""
         item.proxy.drop(item.request)
         self.close_after = self.close_after or close
         self.bodiless = item.request.bodiless
-        self._write(status, [], why)
+        self._write(status, list(lines), why)
         self._after()
 
     def _read_on(self, on: bool) -> None:
@@ -238,12 +244,13 @@
         self.close_after = self.close_after or close
         self._write(status, lines, body, length, reason)
         self.request = None
+        self.request_over(status < 500 and not self.blocked)
         self._after()
 
     def _write(self, status: int, lines: list[bytes], body: bytes, length: int | None = None,
-               reason: bytes = b"") -> None:  # fmt: skip
+               reason: bytes = b"", served: bool = True) -> None:  # fmt: skip
         assert self.transport is not None
-        self.close_after = self.close_after or self.listener.draining
+        self.close_after = self.close_after or self._is_last(served)
         last = b"Connection: close\r\n" if self.close_after else b""
         framing = b"Content-Length: %d\r\n" % len(body)
         if self.bodiless or status in BODILESS:
@@ -258,6 +265,14 @@
         )
         self.bodiless = False
 
+    def _is_last(self, served: bool) -> bool:
+        """Whether this answer ends the connection. Never one behind which another request is being read."""
+        if self.listener.draining:
+            return True
+        if self.phase != WHOLE or self.waiting:
+            return False
+        return self.is_once() or not self.listener.pressure.keeps(self.asked, served)
+
     def _after(self) -> None:
         """The answer is written: close, or wait for the next request."""
         assert self.transport is not None
@@ -276,7 +291,7 @@
             asyncio.get_running_loop().call_soon(self._next)
         elif self.phase == WHOLE:
             self.phase = IDLE
-            self.listener.idle[self] = None
+            self.rest()
 
     def _drop(self, item: Ask | Reply) -> None:
         if isinstance(item, Ask):
@@ -319,6 +334,7 @@
         """Limits in time."""
         waited = now - self.since
         if self.blocked and now - self.blocked > READ_STALL_S:
+            self.note_garbage()
             self.abort()
         elif self.phase == LINGER:
             if waited > LINGER_S and not self.blocked:
@@ -326,10 +342,21 @@
         elif self.phase in (HEAD, BODY) and self.request is None:
             if waited > REQUEST_S:
                 self._expire()
-        elif self.phase == IDLE and waited > (IDLE_S if self.asked and not self.overflow else REQUEST_S):
-            self.retire()
+        elif self.phase == IDLE:
+            self.note_quiet(now)
+            if waited > self.idle_most() and self.retire() and not self.asked:
+                self.note_silence()
+
+    def refuse(self, words: bytes) -> None:
+        assert self.transport is not None
+        self.closing = True
+        self.listener.forget(self)
+        self.transport.write(words)
+        self.close_after = True
+        self._after()
 
     def _expire(self) -> None:
+        self.note_silence()
         self._reject(408, "the request did not come to its end")
         self._next()
 
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -13,13 +13,22 @@
 from contextlib import suppress
 from enum import IntEnum
 from itertools import islice
-from typing import Protocol, Sequence
+from typing import TYPE_CHECKING, Protocol, Sequence
 
+from spokemast.admission.rulings import REFUSE, RETURN_S, SWAP, Ruling
+from spokemast.admission.pressure import QUIET_S, STEPS, Pressure
 from spokemast.fronts.dialect import Reader
 from spokemast.limits import Budget, Complaints
 
-#: New connections taken in one go, so that those that are there get their turn.
-ACCEPT_BURST = 64
+if TYPE_CHECKING:  # loaded where a listener has rules of its own
+    from spokemast.fronts.gate import Gate, Visit
+    from spokemast.fronts.spares import Spares
+
+#: New connections taken in one go where nothing presses; what a drain takes of the kernel at a time.
+ACCEPT_BURST = STEPS[0].accepts
+#: A connection that has said nothing for this long is closed before all others to make room; until then its first
+#: bytes may be on their way, and one that has been answered and is idle makes room for it.
+SILENT_S = 0.1
 #: Idle connections that are looked at for one to close; more would cost too much where all are in use.
 EVICT_TRIES = 8
 #: Connections that the kernel may hold for us; a burst past it would be left hanging.
@@ -38,6 +47,10 @@
 FLUSH_S = 0.1
 #: Bytes read of a connection that is turned away on the spot.
 GLANCE_MOST = 16 << 10
+#: A request has this long to come whole, and a new connection to send one, counted from connecting. Guards
+#: against silence, heads and bodies without end, and whatever else does not become a request: bad clients are
+#: owed an answer or a close within 3 s. Harm: a good client slower than this must ask again.
+REQUEST_S = 2.5
 
 #: An address that begins so is the path of a Unix socket.
 UNIX = "unix:"
@@ -45,6 +58,10 @@
 LOCAL = "local"
 
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+#: The same, with the time after which to return.
+RETURN_LATER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class Phase(IntEnum):
@@ -64,7 +81,10 @@
     sock: socket.socket
     transport: asyncio.Transport | None
     overflow: bool  # past the limit: held to be turned away
+    visit: Visit | None = None  # where the listener has a gate
     phase: Phase
+    asked: int = 0  # whole requests that have come
+    quiet: bool = False  # it has been idle for so long that it counts as not used again
     since: float  # monotonic, of the phase
     blocked: float = 0.0  # monotonic, since when the client has not taken what was written
     _charged: int = 0  # bytes, to the budget below
@@ -102,12 +122,81 @@
             self._charged_to.give(self._charged)
         self._charged, self._charged_to = 0, None
 
+    # Admission.
+
+    def unwrap(self, data: bytes) -> bytes:
+        """What comes after the PROXY header, if one is still to come; a connection that may not be is ended."""
+        visit = self.visit
+        if visit is None or visit.header is None:
+            return data
+        return self.listener.unwrap(self, visit, data)
+
+    def may_ask(self) -> bool:
+        """Whether the address may have one more request open; it counts until `request_over`."""
+        return self.visit is None or self.visit.gate.may_ask(self.visit)
+
+    def request_over(self, good: bool) -> None:
+        """A request that counted is open no more; `good`: it was whole and has its answer."""
+        if self.visit is not None:
+            self.visit.gate.answered(self.visit, good)
+
+    def note_garbage(self) -> None:
+        """What came can't be read, or what was written is not taken."""
+        if self.visit is not None:
+            self.visit.gate.garbage(self.visit)
+
+    def note_silence(self) -> None:
+        """No whole request has come in its time."""
+        if self.visit is not None:
+            self.visit.gate.silent(self.visit)
+
+    def is_once(self) -> bool:
+        """Whether its slot is lent: the first answer ends it."""
+        return self.visit is not None and self.visit.once
+
+    def is_guarded(self) -> bool:
+        """Whether it is a known client's: nobody else may push it out."""
+        return self.visit is not None and self.visit.known
+
+    def note_request(self) -> None:
+        """A whole request has come."""
+        self.asked += 1
+        if self.asked == 1:
+            self.listener.strangers.pop(self, None)
+        elif self.asked == 2:
+            self.listener.pressure.reuse.note(True)
+
+    def rest(self) -> None:
+        """No request is open on it; the next may come."""
+        (self.listener.idle if self.asked < 2 else self.listener.proven)[self] = None
+
+    def wake(self) -> None:
+        """A request begins."""
+        self.listener.idle.pop(self, None)
+        self.listener.proven.pop(self, None)
+
+    def idle_most(self) -> float:
+        """Seconds that it may be idle, now."""
+        return self.listener.pressure.step.idle_s if self.asked and not self.overflow else REQUEST_S
+
+    def note_quiet(self, now: float) -> None:
+        """For the measure of reuse; idle after its first request."""
+        if not self.quiet and self.asked == 1 and now - self.since > QUIET_S:
+            self.quiet = True
+            self.listener.pressure.reuse.note(False)
+            if self.visit is not None:
+                self.visit.gate.wasted(self.visit)
+
     def sweep(self, now: float) -> None:
         raise NotImplementedError
 
     def is_busy(self) -> bool:
         raise NotImplementedError
 
+    def refuse(self, words: bytes) -> None:
+        """End it with these bytes, before anything of it has been read."""
+        raise NotImplementedError
+
 
 class Serve(Protocol):
     """Makes the protocol's side of a connection."""
@@ -126,9 +215,15 @@
         self.most, self.overflow_most = slots
         self.connections: set[FrontConnection] = set()
         self.overflowing = 0
-        # Those on which no request is open, the oldest first: no whole request has come, idle, answered.
+        self.pressure = Pressure()
+        self.gate: Gate | None = None  # rules for addresses
+        self.spares: Spares | None = None  # descriptors to refuse with when there are no others
+        self.speaks_http = True  # a refusal on the spot can be worded
+        # Those on which no request is open, the oldest first: no whole request has come; idle after the first one;
+        # idle after more; answered for the last time.
         self.strangers: dict[FrontConnection, None] = {}
         self.idle: dict[FrontConnection, None] = {}
+        self.proven: dict[FrontConnection, None] = {}
         self.lingering: dict[FrontConnection, None] = {}
         self._starting: set[asyncio.Task[None]] = set()
         self.draining = False
@@ -159,7 +254,7 @@
         """Take what has connected; False once nothing waits any more."""
         if self._sock is None:
             return False
-        for _ in range(ACCEPT_BURST):
+        for _ in range(self.pressure.step.accepts):
             try:
                 sock, address = self._sock.accept()
             except BlockingIOError:
@@ -167,11 +262,29 @@
             except OSError as problem:
                 self.complain("accept", problem)
                 self._evict()
+                self._refuse_with_spare()
                 self._rest()
                 return True
             self._admit(sock, address[0] if address else LOCAL)
         return True
 
+    def _refuse_with_spare(self) -> None:
+        """Guards against clients that hang in the kernel's queue while there is no descriptor for them: each is taken
+        on a spare one, told to return later, and closed. Harm: one that a descriptor would soon have been free for
+        must come back."""
+        if self.spares is None or self._sock is None:
+            return
+        for _ in range(self.pressure.step.accepts):
+            if not self.spares.take():
+                return
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:  # nobody waits any more, or somebody else has got the descriptor
+                self.spares.refill()
+                return
+            self._turn_away(sock, RETURN_S)
+            self.spares.refill()
+
     def _rest(self) -> None:
         """Guards against a listener that is always readable while there is no descriptor for what waits."""
         if self._sock is not None and not self.draining:
@@ -186,49 +299,110 @@
         """Past the limit idle connections make room; else the request is answered 503.
 
         Guards against connections left in the kernel's queue: their requests are ours already."""
-        overflow = False
-        if len(self.connections) + self._opening - self.overflowing >= self.most and not self._evict():
+        overflow, visit = False, None
+        if self.gate is not None:
+            visit, ruling = self.gate.arrive(peer, self.most, self.taken)
+            if not self._obeys(visit, ruling):
+                self._turn_away(sock, ruling.retry_after)
+                return
+        if self.taken >= self.most and not self._evict(visit):
             overflow = True
             self.complain("too many connections", len(self.connections))
             if self.overflowing >= self.overflow_most:
+                self._forget_visit(visit)
                 self._turn_away(sock)
                 return
             self.overflowing += 1
+        self._opening += 1
+        self._measure()
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._opening += 1
-        task = self._loop.create_task(self._start(sock, overflow, peer))
+        task = self._loop.create_task(self._start(sock, overflow, peer, visit))
         self._starting.add(task)  # the loop alone would not keep it
         task.add_done_callback(self._starting.discard)
 
-    async def _start(self, sock: socket.socket, overflow: bool, peer: str) -> None:
+    @property
+    def taken(self) -> int:
+        """Slots, with those of connections that are being opened."""
+        return len(self.connections) + self._opening - self.overflowing
+
+    def _obeys(self, visit: Visit, ruling: Ruling) -> bool:
+        """Carry a ruling out as far as it can be: False where the connection is refused."""
+        if ruling.verdict == SWAP and not self._evict(visit):
+            self._forget_visit(visit)
+        elif ruling.verdict != REFUSE:
+            return True
+        self.complain(f"refused: {ruling.why}", visit.address)
+        return False
+
+    def _forget_visit(self, visit: Visit | None) -> None:
+        if visit is not None:
+            visit.gate.left(visit)
+
+    def unwrap(self, connection: FrontConnection, visit: Visit, data: bytes) -> bytes:
+        """What comes after a connection's PROXY header; nothing where it is not whole, or the client is refused."""
         try:
-            await self._loop.connect_accepted_socket(lambda: self._serve(self, sock, overflow, peer), sock)
+            rest, ruling = visit.gate.unwrap(visit, data, self.most, self.taken)
+        except ValueError as problem:
+            self.complain(f"no PROXY header from {visit.address}", problem)
+            connection.abort()
+            return b""
+        if ruling is not None and not self._obeys(visit, ruling):
+            connection.refuse(RETURN_LATER % max(1, round(ruling.retry_after)) if self.speaks_http else b"")
+            return b""
+        return rest
+
+    async def _start(self, sock: socket.socket, overflow: bool, peer: str, visit: Visit | None) -> None:
+        def serve() -> FrontConnection:
+            connection = self._serve(self, sock, overflow, peer)
+            connection.visit = visit
+            return connection
+
+        try:
+            await self._loop.connect_accepted_socket(serve, sock)
         except OSError:
             sock.close()
+            self._forget_visit(visit)
             self._opening -= 1
             self.overflowing -= overflow
 
-    def _turn_away(self, sock: socket.socket) -> None:
-        """The last resort: answered 503 on the spot, and closed."""
+    def _turn_away(self, sock: socket.socket, retry_after: float = 0.0) -> None:
+        """The last resort: answered 503 on the spot, where clients speak HTTP, and closed."""
+        words = RETURN_LATER % max(1, round(retry_after)) if retry_after else TURNED_AWAY
         with sock:
             sock.setblocking(False)
             with suppress(OSError):
                 sock.recv(GLANCE_MOST)  # unread bytes would turn the close into a reset
             with suppress(OSError):
-                sock.send(TURNED_AWAY)
-
-    def _evict(self) -> bool:
-        """Close a connection on which no request is open: one that never sent any first, so that those who
-        connect and say nothing cost the others nothing; then the one that has been idle for longest."""
-        for pool in (self.strangers, self.idle, self.lingering):
-            for connection in list(islice(pool, EVICT_TRIES)):
+                sock.send(words if self.speaks_http else b"")
+                sock.shutdown(socket.SHUT_WR)
+
+    def _evict(self, visit: Visit | None = None) -> bool:
+        """Close a connection on which no request is open: one that has long said nothing first, so that those who
+        connect and say nothing cost the others nothing; then the one that has been idle for longest, of those that
+        were used once before those that were used again. Those of known clients make room for such alone (`visit`)."""
+        guards = visit is None or not visit.known
+        silent = time.monotonic() - SILENT_S
+        old = (c for c in islice(self.strangers, EVICT_TRIES) if c.since < silent)
+        for pool in (old, self.idle, self.strangers, self.proven, self.lingering):
+            tries = (c for c in pool if not (guards and c.is_guarded()))
+            for connection in list(islice(tries, EVICT_TRIES)):
                 if connection.retire():
                     self.connections.discard(connection)
                     return True
         return False
 
+    def _measure(self) -> None:
+        self.pressure.measure(self.taken, self.most)
+
+    def resize(self, most: int, overflow_most: int) -> None:
+        """Another number of slots; what is idle past it makes room."""
+        self.most, self.overflow_most = most, overflow_most
+        while self.taken > self.most and self._evict():
+            pass
+        self._measure()
+
     def joined(self, connection: FrontConnection) -> None:
         self._opening -= 1
         self.connections.add(connection)
@@ -237,13 +411,15 @@
 
     def forget(self, connection: FrontConnection) -> None:
         """It is not to be closed to make room."""
-        for pool in (self.strangers, self.idle, self.lingering):
+        for pool in (self.strangers, self.idle, self.proven, self.lingering):
             pool.pop(connection, None)
 
     def left(self, connection: FrontConnection) -> None:
         self.connections.discard(connection)
         self.forget(connection)
         self.overflowing -= connection.overflow
+        self._forget_visit(connection.visit)
+        self._measure()
 
     def _sweep(self) -> None:
         now = time.monotonic()
@@ -273,7 +449,7 @@
     def is_busy(self) -> bool:
         """Close what is idle; whether any connection is not, or is still being opened."""
         now = time.monotonic()
-        for connection in list(self.idle):
+        for connection in [*self.idle, *self.proven]:
             if now - connection.since > DRAIN_IDLE_S:
                 connection.retire()
         return bool(self._opening) or any(c.is_busy() for c in self.connections)
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 from functools import partial
-from typing import Mapping, NamedTuple, Protocol
+from typing import Callable, Mapping, NamedTuple, Protocol
 
 from spokemast.interface import Result
 from spokemast.limits import Budget, Complaints
@@ -153,6 +154,15 @@
         self.idle_s = idle_close * IDLE_SHARE
         self.table: dict[str, Backend] = {}
         self.open = 0
+        self.free_descriptor: Callable[[], bool] = lambda: (
+            False
+        )  # frees one on the spot where the system has none
+
+    def resize(self, sockets: int) -> None:
+        """Another number of descriptors; idle connections past it are closed."""
+        self.sockets = sockets
+        while self.open > sockets and self._close_one_idle():
+            pass
 
     def listed(self, server: str, life: Life, serving: bool) -> None:
         """Another address or start means that the old connections are of no use."""
@@ -188,16 +198,25 @@
             self.complain("no descriptor left for a backend", attempt.server)
             self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
             return
-        try:
-            sock = socket.socket(family(backend.life[0]), socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        except OSError as problem:
-            self.complain("no socket for a backend", problem)
+        sock = self._socket(backend)
+        if sock is None:
             self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
             return
         connection = self._make(backend, self, sock)
         attempt.opening = asyncio.get_running_loop().create_task(self._connect(connection))
         attempt.opening.add_done_callback(partial(self._opened, connection, attempt))
 
+    def _socket(self, backend: Backend) -> socket.socket | None:
+        """Guards requests in flight against a system that has no descriptor left: a spare one is theirs."""
+        for last in (False, True):
+            try:
+                return socket.socket(family(backend.life[0]), socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            except OSError as problem:
+                if last or problem.errno not in (errno.EMFILE, errno.ENFILE) or not self.free_descriptor():
+                    self.complain("no socket for a backend", problem)
+                    break
+        return None
+
     def _shared(self, backend: Backend) -> Upstream | None:
         """A connection that takes one more attempt beside those on it."""
         for connection in backend.shared:
--- /dev/null
+++ b/tests/test_addresses.py
@@ -0,0 +1,306 @@
+"""Addresses in bounded memory, caps that are earned and lost, and the floor for known networks."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import random
+import tracemalloc
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from spokemast.admission.addresses import (
+    BAD_FULL, FADE_S, GOOD_FULL, GOOD_KNOWN, LEAST_SHARE, Entry, Table, prefix_of,
+)  # fmt: skip
+from spokemast.admission.admission import (
+    FLOOR_KEPT, GARBAGE, GOOD, PREFIX_TIMES, SILENT, WASTED, Admission, Caps, Slots,
+)  # fmt: skip
+from spokemast.admission.rulings import ADMIT, ONCE, REFUSE, SWAP
+
+EVERY = settings(derandomize=True, max_examples=100, deadline=None)
+FREE = Slots(1000, 0, 0)
+DEPOTS = [ipaddress.ip_network("10.1.0.0/16"), ipaddress.ip_network("2001:db8::/32")]
+
+
+@pytest.mark.parametrize(
+    "address, prefix",
+    [
+        ("10.1.2.3", "10.1.2"),
+        ("10.1.2.200", "10.1.2"),
+        ("10.1.3.3", "10.1.3"),
+        ("::ffff:10.1.2.3", "10.1.2"),
+        ("2001:db8:1:2:3:4:5:6", "20010db800010002"),
+        ("2001:db8:1:2:ffff::", "20010db800010002"),
+        ("2001:db8:1:3::", "20010db800010003"),
+        ("fe80::1%eth0", "fe80000000000000"),
+        ("local", "local"),
+        ("unix:/run/x", "unix:/run/x"),
+        ("", ""),
+    ],
+)
+def test_prefixes(address: str, prefix: str) -> None:
+    assert prefix_of(address) == prefix
+
+
+# The table.
+
+
+def test_any_number_of_addresses_takes_no_more_memory_than_the_table_holds() -> None:
+    table = Table(1000)
+    for number in range(2000):
+        table.find(f"a{number}", 0.0)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(100_000):
+        table.find(f"b{number}", 0.0)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(table) == 1000 and table.forgotten == 101_000
+    assert after - before < 1 << 20
+
+
+def test_what_is_held_is_never_forgotten() -> None:
+    table = Table(10)
+    held = []
+    for number in range(50):
+        held.append(table.find(f"h{number}", 0.0))
+        held[-1].open = 1
+    for number in range(1000):
+        table.find(f"s{number}", 0.0)
+    assert all(table.find(f"h{number}", 0.0) is entry for number, entry in enumerate(held))
+    for entry in held:
+        entry.open = 0
+    for number in range(1000):
+        table.find(f"t{number}", 0.0)
+    assert len(table) == 10
+
+
+def test_strangers_by_the_million_push_out_nobody_who_has_earned_trust() -> None:
+    admission = Admission(Caps(connections=4, entries=256))
+    for number in range(50):
+        for _ in range(int(GOOD_KNOWN) + 5):
+            admission.mark(f"10.0.{number}.1", GOOD, 0.0)
+    for number in range(20_000):
+        admission.connect(f"11.{number >> 16}.{number >> 8 & 255}.{number & 255}", 0.0, FREE)
+    assert len(admission.addresses) <= 256
+    for number in range(50):
+        assert admission.addresses.find(f"10.0.{number}.1", 0.0).marks >= GOOD_KNOWN
+
+
+@EVERY
+@given(st.lists(st.tuples(st.integers(0, 40), st.sampled_from("oOcm")), max_size=300))
+def test_the_table_stays_within_its_bound_and_loses_nothing_that_is_held(
+    steps: list[tuple[int, str]],
+) -> None:
+    table, held = Table(16), dict[int, int]()
+    for key, step in steps:
+        entry = table.find(str(key), 0.0)
+        assert entry.open == held.get(key, 0)
+        if step == "o":
+            entry.open += 1
+            held[key] = held.get(key, 0) + 1
+        elif step == "c" and held.get(key):
+            entry.open -= 1
+            held[key] -= 1
+        elif step == "m":
+            entry.mark(GOOD_KNOWN, 0.0)
+            table.settle(str(key), 0.0)
+        assert len(table) <= 16 + sum(count > 0 for count in held.values()) + 1
+
+
+# Trust.
+
+
+def test_marks_fade_by_half() -> None:
+    entry = Entry(0.0)
+    entry.mark(100.0, 0.0)
+    assert entry.standing(FADE_S) == pytest.approx(50.0)
+    entry.mark(0.0, FADE_S)
+    assert entry.standing(2 * FADE_S) == pytest.approx(25.0)
+
+
+def test_marks_are_bounded_both_ways() -> None:
+    entry = Entry(0.0)
+    for _ in range(10_000):
+        entry.mark(GOOD, 0.0)
+    assert entry.standing(0.0) == GOOD_FULL and entry.factor(0.0, 16.0) == 16.0
+    for _ in range(10_000):
+        entry.mark(GARBAGE, 0.0)
+    assert entry.standing(0.0) == -2 * BAD_FULL and entry.factor(0.0, 16.0) == LEAST_SHARE
+
+
+@EVERY
+@given(st.lists(st.tuples(st.floats(-1e6, 1e6), st.floats(-10, 10)), max_size=50))
+def test_whatever_the_clock_does_marks_and_rooms_stay_in_bounds(steps: list[tuple[float, float]]) -> None:
+    entry = Entry(0.0)
+    for now, change in steps:
+        entry.mark(change, now)
+        entry.take_room(now, 3.0)
+        assert -2 * BAD_FULL <= entry.standing(now) <= GOOD_FULL
+        assert 0.0 <= entry.room <= 6.0 and LEAST_SHARE <= entry.factor(now, 4.0) <= 4.0
+
+
+def test_a_clock_that_steps_back_holds_nobody_up() -> None:
+    entry = Entry(1000.0)
+    while entry.take_room(1000.0, 2.0):
+        pass
+    assert not entry.take_room(0.0, 2.0)
+    assert entry.take_room(0.5, 2.0) and not entry.take_room(0.5, 2.0)
+
+
+# Caps.
+
+
+def fill(admission: Admission, address: str, now: float = 0.0, most: int = 10_000) -> int:
+    """How many connections of an address are let in."""
+    for count in range(most):
+        if admission.connect(address, now, FREE).verdict != ADMIT:
+            return count
+        admission.opened(address, now)
+    return most
+
+
+def test_one_address_gets_its_cap_and_is_told_when_to_return() -> None:
+    admission = Admission(Caps(connections=8))
+    assert fill(admission, "10.0.0.1") == 8
+    ruling = admission.connect("10.0.0.1", 0.0, FREE)
+    assert ruling.verdict == REFUSE and ruling.retry_after > 0 and "address" in ruling.why
+    assert fill(admission, "10.0.1.1") == 8
+    admission.closed("10.0.0.1", 0.0)
+    assert admission.connect("10.0.0.1", 0.0, FREE).verdict == ADMIT
+
+
+@pytest.mark.parametrize("form", ["10.0.0.{}", "2001:db8:0:1::{}"])
+def test_addresses_that_rotate_within_a_prefix_share_its_cap(form: str) -> None:
+    admission = Admission(Caps(connections=8))
+    assert sum(fill(admission, form.format(number)) for number in range(100)) == 8 * PREFIX_TIMES
+
+
+def test_new_connections_a_second() -> None:
+    admission = Admission(Caps(per_s=5.0))
+    assert fill(admission, "10.0.0.1") == 10
+    assert fill(admission, "10.0.0.1", 1.0) == 5
+    assert fill(admission, "10.0.0.1", 1.0) == 0
+    assert fill(admission, "10.0.0.1", 100.0) == 10
+
+
+def test_requests_open_at_once() -> None:
+    admission = Admission(Caps(requests=3))
+    for _ in range(3):
+        assert admission.request("10.0.0.1", 0.0)
+        admission.began("10.0.0.1", 0.0)
+    assert not admission.request("10.0.0.1", 0.0) and admission.request("10.0.9.1", 0.0)
+    admission.ended("10.0.0.1", 0.0)
+    assert admission.request("10.0.0.1", 0.0)
+
+
+def test_a_nat_with_honest_screens_earns_its_way_past_the_cap_of_a_flooder() -> None:
+    """400 screens behind one address, each with a connection of its own; beside it one that asks nothing."""
+    admission = Admission(Caps(connections=32, growth=16.0))
+    nat, flood, now = "10.0.0.1", "10.0.1.1", 0.0
+    assert fill(admission, flood) == 32
+    waiting, rounds = 400, 0
+    while waiting and rounds < 20:
+        rounds += 1
+        now += 1.0
+        let_in = fill(admission, nat, now, waiting)
+        waiting -= let_in
+        for _ in range(400 - waiting):  # each that is in asks once a second
+            admission.mark(nat, GOOD, now)
+    assert waiting == 0 and rounds <= 8
+    assert fill(admission, flood, now) == 0
+
+
+@pytest.mark.parametrize("bad", [SILENT, GARBAGE])
+def test_a_flooder_that_says_nothing_or_garbage_loses_most_of_its_cap_and_time_gives_it_back(
+    bad: float,
+) -> None:
+    admission = Admission(Caps(connections=32))
+    for _ in range(50):
+        admission.mark("10.0.0.1", bad, 0.0)
+    assert fill(admission, "10.0.0.1") == 32 * LEAST_SHARE
+    assert admission.addresses.find("10.0.0.1", 20 * FADE_S).factor(20 * FADE_S, 16.0) > 0.99
+
+
+def test_asking_once_and_staying_earns_nothing() -> None:
+    admission = Admission(Caps(connections=32))
+    for _ in range(500):
+        admission.mark("10.0.0.1", GOOD, 0.0)
+        admission.mark("10.0.0.1", WASTED, 0.0)
+    assert admission.addresses.find("10.0.0.1", 0.0).factor(0.0, 16.0) == pytest.approx(1.0)
+
+
+def test_no_cap_holds_for_fronts_known_networks_and_unix_sockets_by_choice() -> None:
+    exempt = [ipaddress.ip_network("192.168.0.0/24")]
+    admission = Admission(Caps(connections=1, per_s=0.1, requests=1), DEPOTS, 0.1, exempt)
+    assert fill(admission, "192.168.0.9", most=200) == 200
+    assert fill(admission, "::ffff:10.1.9.9", most=200) == 200
+    assert all(admission.request("10.1.9.9", 0.0) for _ in range(10))
+
+
+# The floor.
+
+
+def test_strangers_are_lent_the_unused_floor_but_for_what_is_kept() -> None:
+    admission = Admission(Caps(), DEPOTS, 0.4)
+    rulings = [admission.connect("9.9.9.9", 0.0, Slots(100, taken, 0)).verdict for taken in range(101)]
+    kept = math.ceil(40 * FLOOR_KEPT)
+    assert rulings[:60] == [ADMIT] * 60
+    assert rulings[60 : 100 - kept] == [ONCE] * (40 - kept)
+    assert rulings[100 - kept :] == [SWAP] * (kept + 1)
+
+
+def test_the_floor_is_for_known_networks_whatever_strangers_hold() -> None:
+    admission = Admission(Caps(connections=1), DEPOTS, 0.4)
+    for address in ("10.1.2.3", "2001:db8::7", "::ffff:10.1.0.1"):
+        assert admission.connect(address, 0.0, Slots(100, 100, 0)).verdict == ADMIT
+
+
+def test_a_floor_in_use_takes_no_more_from_strangers() -> None:
+    admission = Admission(Caps(), DEPOTS, 0.4)
+    assert admission.connect("9.9.9.9", 0.0, Slots(100, 99, 40)).verdict == ADMIT
+    assert admission.connect("9.9.9.9", 0.0, Slots(100, 99, 39)).verdict == SWAP
+
+
+@EVERY
+@given(st.integers(1, 500), st.floats(0.0, 0.9), st.lists(st.booleans(), max_size=800))
+def test_a_known_client_always_finds_a_slot_within_the_floor(
+    most: int, floor: float, arrivals: list[bool]
+) -> None:
+    """Nobody leaves, and lent slots can't be taken back: what is kept must do for the first known clients."""
+    admission = Admission(Caps(), DEPOTS, floor)
+    taken = known = 0
+    kept = math.ceil(math.ceil(most * floor) * FLOOR_KEPT)
+    for is_known in arrivals:
+        verdict = admission.connect(
+            "10.1.0.1" if is_known else "9.9.9.9", 0.0, Slots(most, taken, known)
+        ).verdict
+        if is_known:
+            assert verdict == ADMIT
+            assert taken < most or known >= kept
+        if verdict in (ADMIT, ONCE) and taken < most:
+            taken += 1
+            known += is_known
+
+
+def test_random_comings_and_goings_leave_no_count_behind() -> None:
+    randoms = random.Random(7)
+    admission = Admission(Caps(connections=5, requests=5, entries=256))
+    held: list[str] = []
+    for step in range(20_000):
+        address = f"10.0.{randoms.randrange(300)}.{randoms.randrange(4)}"
+        if randoms.random() < 0.5 and admission.connect(address, step / 10, FREE).verdict == ADMIT:
+            admission.opened(address, step / 10)
+            admission.began(address, step / 10)
+            held.append(address)
+        elif held:
+            gone = held.pop(randoms.randrange(len(held)))
+            admission.ended(gone, step / 10)
+            admission.closed(gone, step / 10)
+    for address in held:
+        admission.ended(address, 2000.0)
+        admission.closed(address, 2000.0)
+    for table in (admission.addresses, admission.prefixes):
+        assert all(not entry.held for rows in (table._strangers, table._known) for entry in rows.values())
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,6 +11,7 @@
 from spokemast.interface import Result, Withdrawn
 from spokemast.fronts.listener import drain as drain_all
 from spokemast.upstreams import connections as backend_module
+from spokemast.fronts import listener as listener_module
 from spokemast.fronts import http1 as server_module
 
 BAD: dict[str, tuple[bytes, int]] = {
@@ -185,7 +186,7 @@
 def test_a_connection_that_says_nothing_is_closed_and_one_that_has_asked_stays(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(server_module, "REQUEST_S", 0.0)
+    monkeypatch.setattr(listener_module, "REQUEST_S", 0.0)
 
     async def scene() -> None:
         async with world(ScriptedBackend("s", answering(OK))) as here:
@@ -207,11 +208,11 @@
             while not here.server.connections:
                 await asyncio.sleep(0)
             (connection,) = here.connections()
-            connection.since -= server_module.REQUEST_S - 0.001
+            connection.since -= listener_module.REQUEST_S - 0.001
             await client.send(b"GET /api")
             while connection.phase == server_module.IDLE:
                 await asyncio.sleep(0)
-            connection.sweep(connection.since + server_module.REQUEST_S + 0.001)
+            connection.sweep(connection.since + listener_module.REQUEST_S + 0.001)
             assert (await client.read())[0] == 408
 
     play(scene)
@@ -226,7 +227,7 @@
             while here.proxy.budget.held < 32_000:
                 await asyncio.sleep(0)
             (connection,) = here.connections()
-            connection.sweep(connection.since + server_module.REQUEST_S)
+            connection.sweep(connection.since + listener_module.REQUEST_S)
             await client.send(data[-32_000:])
             assert (await client.read())[0] == 200
 
@@ -326,7 +327,11 @@
     play(scene)
 
 
-def test_those_that_say_nothing_make_room_before_those_that_have_asked() -> None:
+def test_those_that_say_nothing_make_room_before_those_that_have_asked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(listener_module, "SILENT_S", 0.0)
+
     async def scene() -> None:
         async with world(ScriptedBackend("s", answering(OK)), sockets=128) as here:
             asked = await here.connect()
@@ -412,6 +417,7 @@
 def test_idle_connections_make_room_for_new_ones() -> None:
     async def scene() -> None:
         async with world(ScriptedBackend("s", answering(OK)), sockets=128) as here:
+            here.server.pressure.reuse.chance = 1.0  # of clients that come back: no answer closes
             idle = [await here.connect() for _ in range(here.server.most)]
             for client in idle:
                 assert (await client.ask(request()))[0] == 200
@@ -538,10 +544,12 @@
                     client.writer.close()
 
             await asyncio.gather(*[busy(number) for number in range(20)])
+            pool = here.proxy.backends
             while here.server.connections or here.proxy.open:
                 await asyncio.sleep(0)
-            pool = here.proxy.backends
-            assert pool.open == sum(len(b.idle) for b in pool.table.values()) <= 6 * backend_module.IDLE_MOST
+            while pool.open != (idle := sum(len(b.idle) for b in pool.table.values())):
+                await asyncio.sleep(0)  # one that was being opened is still to be given up
+            assert idle <= 6 * backend_module.IDLE_MOST
             assert here.proxy.budget.held == 0 and not here.server.idle
             assert not here.proxy.balancer.requests
             assert not any(s.out or s.giving for s in here.proxy.balancer.servers.values())
