--- a/spokemast/admission/addresses.py
+++ b/spokemast/admission/addresses.py
@@ -16,6 +16,8 @@
 
 #: Half of what an address has earned fades in this time, and half of what it has lost.
 FADE_S = 120.0
+#: Marks that come within this time of one another fade together: a power for each answer would be too dear.
+STILL_S = 1.0
 #: Good marks, one for a whole answer taken, for full trust.
 GOOD_FULL = 200.0
 #: Marks from which an address counts as trusted, and is kept apart from strangers.
@@ -50,9 +52,11 @@
 class Entry:
     """One address, or prefix."""
 
-    __slots__ = ("open", "requests", "marks", "marked_at", "room", "room_at")
+    __slots__ = ("key", "known", "open", "requests", "marks", "marked_at", "room", "room_at")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, key: str, now: float) -> None:
+        self.key = key
+        self.known = False  # has earned trust, and is kept apart from strangers
         self.open = 0  # connections
         self.requests = 0  # that are open
         self.marks = 0.0  # good less bad, at `marked_at`
@@ -67,8 +71,10 @@
 
     def mark(self, change: float, now: float) -> None:
         """Good for a positive `change`, bad for a negative one. Bounded both ways: nobody earns or loses for long."""
-        self.marks = min(GOOD_FULL, max(-2 * BAD_FULL, self.standing(now) + change))
-        self.marked_at = max(now, self.marked_at)
+        if not 0.0 <= now - self.marked_at < STILL_S:
+            self.marks = self.standing(now)
+            self.marked_at = max(now, self.marked_at)
+        self.marks = min(GOOD_FULL, max(-2 * BAD_FULL, self.marks + change))
 
     def factor(self, now: float, growth: float) -> float:
         """What a cap is multiplied by: from LEAST_SHARE for the worst over 1 for strangers to `growth`."""
@@ -117,20 +123,22 @@
         entry = self._strangers.get(key)
         if entry is None:
             self._shrink()  # first: the new one holds nothing yet
-            entry = self._strangers[key] = Entry(now)
+            entry = self._strangers[key] = Entry(key, now)
         else:
             self._strangers.move_to_end(key)
         return entry
 
-    def settle(self, key: str, now: float) -> None:
-        """Move the entry to where its marks belong."""
-        entry = self._strangers.get(key)
-        if entry is None or entry.standing(now) < GOOD_KNOWN:
+    def settle(self, entry: Entry, now: float) -> None:
+        """Keep an entry apart from strangers, if it has earned that. The oldest of those is a stranger again where
+        there are too many."""
+        if entry.known or entry.standing(now) < GOOD_KNOWN or self._strangers.get(entry.key) is not entry:
             return
-        del self._strangers[key]
-        self._known[key] = entry
+        del self._strangers[entry.key]
+        self._known[entry.key] = entry
+        entry.known = True
         if len(self._known) > self.known_most:
             oldest, back = self._known.popitem(last=False)
+            back.known = False
             self._strangers[oldest] = back
 
     def _shrink(self) -> None:
--- a/spokemast/admission/admission.py
+++ b/spokemast/admission/admission.py
@@ -10,15 +10,19 @@
 import math
 from typing import NamedTuple, Sequence, Union
 
-from spokemast.admission.addresses import Entry, Table, prefix_of
+from spokemast.admission.addresses import GOOD_KNOWN, Entry, Table, prefix_of
 from spokemast.admission.rulings import ADMIT, ONCE, REFUSE, RETURN_S, SWAP, Ruling
 
 Network = Union[ipaddress.IPv4Network, ipaddress.IPv6Network]
 
-#: Part of the unused floor that is never lent, so that a known client finds a slot at once.
-FLOOR_KEPT = 0.25
+#: Part of the unused floor that is never lent, so that a known client finds a slot at once. What is lent comes back
+#: when its answer is written, which can take as long as the slowest request.
+FLOOR_KEPT = 0.5
 #: A prefix may hold so many times what one of its addresses may.
 PREFIX_TIMES = 4.0
+TIMES = (1.0, PREFIX_TIMES)
+#: Entries of an address: its own and that of its prefix, or none.
+Rows = tuple[Entry, ...]
 #: Marks for what a client does. One whole request that has its answer earns one.
 GOOD = 1.0
 #: A connection that was kept and not used again takes back what its one request has earned.
@@ -94,63 +98,62 @@
         """Guards against an address that takes the slots of all others; should also catch one prefix whose addresses
         change. Harm: many honest clients behind one address, until they have shown themselves: each refused one is
         told when to return, and each served one raises the cap."""
-        caps, prefix = self.caps, prefix_of(address)
-        rows = ((self.addresses.find(address, now), 1.0), (self.prefixes.find(prefix, now), PREFIX_TIMES))
-        for entry, times in rows:
-            factor = entry.factor(now, caps.growth) * times
-            if entry.open >= max(1.0, caps.connections * factor):
+        caps, rows = self.caps, self.rows(address, now)
+        for entry, times in zip(rows, TIMES, strict=False):
+            if entry.open + 1 > max(1.0, caps.connections * entry.factor(now, caps.growth) * times):
                 return Ruling(REFUSE, "too many connections from this address", RETURN_S)
-        for entry, times in rows:
+        for entry, times in zip(rows, TIMES, strict=False):
             rate = caps.per_s * entry.factor(now, caps.growth) * times
             if rate < math.inf and not entry.take_room(now, rate):
                 return Ruling(REFUSE, "too many new connections from this address", RETURN_S)
         return None
 
-    def request(self, address: str, now: float) -> bool:
+    def request(self, rows: Rows, now: float) -> bool:
         """Whether one more request of this address may be open."""
-        if self.caps.requests == math.inf or self.is_free(address):
-            return True
-        rows = (
-            (self.addresses.find(address, now), 1.0),
-            (self.prefixes.find(prefix_of(address), now), PREFIX_TIMES),
-        )
-        return all(
-            entry.requests < max(1.0, self.caps.requests * entry.factor(now, self.caps.growth) * times)
-            for entry, times in rows
+        caps = self.caps
+        return caps.requests == math.inf or all(
+            entry.requests + 1 <= max(1.0, caps.requests * entry.factor(now, caps.growth) * times)
+            for entry, times in zip(rows, TIMES, strict=False)
         )
 
-    # What comes and goes.
+    # What comes and goes. `rows` are good while something of the address is held: held entries are not pushed out.
+
+    def rows(self, address: str, now: float) -> Rows:
+        """The address and its prefix; none for those that no cap holds for."""
+        if self.is_free(address):
+            return ()
+        return self.addresses.find(address, now), self.prefixes.find(prefix_of(address), now)
 
-    def opened(self, address: str, now: float) -> None:
-        for entry in self._entries(address, now):
-            entry.open += 1
+    def mark(self, rows: Rows, change: float, now: float) -> None:
+        """What a client of this address has done: GOOD, WASTED, SILENT or GARBAGE. A prefix earns and loses by its
+        share: one address must not speak for all the others."""
+        for entry, table, times in zip(rows, (self.addresses, self.prefixes), TIMES, strict=False):
+            entry.mark(change / times, now)
+            if entry.marks >= GOOD_KNOWN and not entry.known:
+                table.settle(entry, now)
 
-    def closed(self, address: str, now: float) -> None:
-        for entry in self._entries(address, now):
-            entry.open -= 1
 
-    def began(self, address: str, now: float) -> None:
-        """A request is open."""
-        for entry in self._entries(address, now):
-            entry.requests += 1
+def opened(rows: Rows) -> None:
+    """A connection."""
+    for entry in rows:
+        entry.open += 1
 
-    def ended(self, address: str, now: float) -> None:
-        """And is no more."""
-        for entry in self._entries(address, now):
-            entry.requests -= 1
 
-    def _entries(self, address: str, now: float) -> tuple[Entry, Entry]:
-        """Both are there while anything of the address is held: held entries are not pushed out."""
-        return self.addresses.find(address, now), self.prefixes.find(prefix_of(address), now)
+def closed(rows: Rows) -> None:
+    for entry in rows:
+        entry.open -= 1
+
+
+def began(rows: Rows) -> None:
+    """A request is open."""
+    for entry in rows:
+        entry.requests += 1
+
 
-    def mark(self, address: str, change: float, now: float) -> None:
-        """What a client of this address has done: GOOD, WASTED, SILENT or GARBAGE."""
-        prefix = prefix_of(address)
-        self.addresses.find(address, now).mark(change, now)
-        # A prefix earns and loses by its share: one address must not speak for all the others.
-        self.prefixes.find(prefix, now).mark(change / PREFIX_TIMES, now)
-        self.addresses.settle(address, now)
-        self.prefixes.settle(prefix, now)
+def ended(rows: Rows) -> None:
+    """And is no more."""
+    for entry in rows:
+        entry.requests -= 1
 
 
 def is_in(address: str, networks: Sequence[Network]) -> bool:
--- a/spokemast/fronts/gate.py
+++ b/spokemast/fronts/gate.py
@@ -9,7 +9,9 @@
 import time
 from typing import Sequence
 
-from spokemast.admission.admission import GARBAGE, GOOD, SILENT, WASTED, Admission, Network, Slots, is_in
+from spokemast.admission.admission import (
+    GARBAGE, GOOD, SILENT, WASTED, Admission, Network, Rows, Slots, began, closed, ended, is_in, opened,
+)  # fmt: skip
 from spokemast.admission.proxyprotocol import ProxyHeader, ProxyHeaderError
 from spokemast.admission.rulings import ADMIT, REFUSE, Ruling
 
@@ -17,10 +19,11 @@
 class Visit:
     """One connection, as its address counts it."""
 
-    __slots__ = ("gate", "address", "once", "counted", "known", "requests", "header")
+    __slots__ = ("gate", "address", "rows", "once", "counted", "known", "requests", "header")
 
     def __init__(self, gate: Gate, address: str) -> None:
         self.gate, self.address = gate, address
+        self.rows: Rows = ()  # of its address, while it counts
         self.once = False  # ends after one answer
         self.counted = False  # held by the address
         self.known = False  # held by the floor
@@ -60,7 +63,8 @@
             visit.once = ruling.verdict != ADMIT
             visit.known = self.admission.is_known(visit.address)
             self.known += visit.known
-            self.admission.opened(visit.address, now)
+            visit.rows = self.admission.rows(visit.address, now)
+            opened(visit.rows)
         return ruling
 
     def unwrap(self, visit: Visit, data: bytes, most: int, taken: int) -> tuple[bytes, Ruling | None]:
@@ -69,7 +73,8 @@
         try:
             rest = visit.header.feed(data)
         except ProxyHeaderError:
-            self.admission.mark(visit.address, GARBAGE, time.monotonic())
+            now = time.monotonic()
+            self.admission.mark(self.admission.rows(visit.address, now), GARBAGE, now)
             raise
         if not visit.header.done:
             return b"", None
@@ -79,37 +84,39 @@
 
     def may_ask(self, visit: Visit) -> bool:
         """Whether one more request of this address may be open; it counts from here on."""
-        now = time.monotonic()
-        if not self.admission.request(visit.address, now):
+        if not visit.rows:
+            return True
+        if not self.admission.request(visit.rows, time.monotonic()):
             return False
         visit.requests += 1
-        self.admission.began(visit.address, now)
+        began(visit.rows)
         return True
 
     def answered(self, visit: Visit, good: bool) -> None:
         """A request is no more; `good`: it was whole and has its answer."""
-        now = time.monotonic()
+        if not visit.rows:
+            return
         visit.requests -= 1
-        self.admission.ended(visit.address, now)
+        ended(visit.rows)
         if good:
-            self.admission.mark(visit.address, GOOD, now)
+            self.admission.mark(visit.rows, GOOD, time.monotonic())
 
     def wasted(self, visit: Visit) -> None:
-        self.admission.mark(visit.address, WASTED, time.monotonic())
+        self.admission.mark(visit.rows, WASTED, time.monotonic())
 
     def silent(self, visit: Visit) -> None:
-        self.admission.mark(visit.address, SILENT, time.monotonic())
+        self.admission.mark(visit.rows, SILENT, time.monotonic())
 
     def garbage(self, visit: Visit) -> None:
-        self.admission.mark(visit.address, GARBAGE, time.monotonic())
+        self.admission.mark(visit.rows, GARBAGE, time.monotonic())
 
     def left(self, visit: Visit) -> None:
         """The connection has ended: the one place where all it holds is given back."""
-        now = time.monotonic()
         while visit.requests:
             visit.requests -= 1
-            self.admission.ended(visit.address, now)
+            ended(visit.rows)
         if visit.counted:
             visit.counted = False
             self.known -= visit.known
-            self.admission.closed(visit.address, now)
+            closed(visit.rows)
+            visit.rows = ()
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -305,7 +305,7 @@
             if not self._obeys(visit, ruling):
                 self._turn_away(sock, ruling.retry_after)
                 return
-        if self.taken >= self.most and not self._evict(visit):
+        if self.taken >= self.most and not self._find_room(visit):
             overflow = True
             self.complain("too many connections", len(self.connections))
             if self.overflowing >= self.overflow_most:
@@ -322,6 +322,17 @@
         self._starting.add(task)  # the loop alone would not keep it
         task.add_done_callback(self._starting.discard)
 
+    def _find_room(self, visit: Visit | None) -> bool:
+        """Whether one more gets in where all slots are taken: somebody else's idle connection makes room. Known clients
+        also get in past the limit, on the descriptors that are there for turning others away, and then for one
+        another."""
+        if self._evict():
+            return True
+        if visit is None or not visit.known:
+            return False
+        past = max(0, self.taken - self.most) + self.overflowing
+        return past < self.overflow_most or self._evict(True)
+
     @property
     def taken(self) -> int:
         """Slots, with those of connections that are being opened."""
@@ -329,7 +340,7 @@
 
     def _obeys(self, visit: Visit, ruling: Ruling) -> bool:
         """Carry a ruling out as far as it can be: False where the connection is refused."""
-        if ruling.verdict == SWAP and not self._evict(visit):
+        if ruling.verdict == SWAP and not self._evict():
             self._forget_visit(visit)
         elif ruling.verdict != REFUSE:
             return True
@@ -378,15 +389,14 @@
                 sock.send(words if self.speaks_http else b"")
                 sock.shutdown(socket.SHUT_WR)
 
-    def _evict(self, visit: Visit | None = None) -> bool:
+    def _evict(self, known_too: bool = False) -> bool:
         """Close a connection on which no request is open: one that has long said nothing first, so that those who
         connect and say nothing cost the others nothing; then the one that has been idle for longest, of those that
-        were used once before those that were used again. Those of known clients make room for such alone (`visit`)."""
-        guards = visit is None or not visit.known
+        were used once before those that were used again. Known clients' are spared, or not (`known_too`)."""
         silent = time.monotonic() - SILENT_S
         old = (c for c in islice(self.strangers, EVICT_TRIES) if c.since < silent)
         for pool in (old, self.idle, self.strangers, self.proven, self.lingering):
-            tries = (c for c in pool if not (guards and c.is_guarded()))
+            tries = (c for c in pool if known_too or not c.is_guarded())
             for connection in list(islice(tries, EVICT_TRIES)):
                 if connection.retire():
                     self.connections.discard(connection)
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -15,7 +15,7 @@
     BAD_FULL, FADE_S, GOOD_FULL, GOOD_KNOWN, LEAST_SHARE, Entry, Table, prefix_of,
 )  # fmt: skip
 from spokemast.admission.admission import (
-    FLOOR_KEPT, GARBAGE, GOOD, PREFIX_TIMES, SILENT, WASTED, Admission, Caps, Slots,
+    FLOOR_KEPT, GARBAGE, GOOD, PREFIX_TIMES, SILENT, WASTED, Admission, Caps, Slots, began, closed, ended, opened,
 )  # fmt: skip
 from spokemast.admission.rulings import ADMIT, ONCE, REFUSE, SWAP
 
@@ -81,7 +81,7 @@
     admission = Admission(Caps(connections=4, entries=256))
     for number in range(50):
         for _ in range(int(GOOD_KNOWN) + 5):
-            admission.mark(f"10.0.{number}.1", GOOD, 0.0)
+            admission.mark(admission.rows(f"10.0.{number}.1", 0.0), GOOD, 0.0)
     for number in range(20_000):
         admission.connect(f"11.{number >> 16}.{number >> 8 & 255}.{number & 255}", 0.0, FREE)
     assert len(admission.addresses) <= 256
@@ -106,7 +106,7 @@
             held[key] -= 1
         elif step == "m":
             entry.mark(GOOD_KNOWN, 0.0)
-            table.settle(str(key), 0.0)
+            table.settle(entry, 0.0)
         assert len(table) <= 16 + sum(count > 0 for count in held.values()) + 1
 
 
@@ -114,7 +114,7 @@
 
 
 def test_marks_fade_by_half() -> None:
-    entry = Entry(0.0)
+    entry = Entry("a", 0.0)
     entry.mark(100.0, 0.0)
     assert entry.standing(FADE_S) == pytest.approx(50.0)
     entry.mark(0.0, FADE_S)
@@ -122,7 +122,7 @@
 
 
 def test_marks_are_bounded_both_ways() -> None:
-    entry = Entry(0.0)
+    entry = Entry("a", 0.0)
     for _ in range(10_000):
         entry.mark(GOOD, 0.0)
     assert entry.standing(0.0) == GOOD_FULL and entry.factor(0.0, 16.0) == 16.0
@@ -134,7 +134,7 @@
 @EVERY
 @given(st.lists(st.tuples(st.floats(-1e6, 1e6), st.floats(-10, 10)), max_size=50))
 def test_whatever_the_clock_does_marks_and_rooms_stay_in_bounds(steps: list[tuple[float, float]]) -> None:
-    entry = Entry(0.0)
+    entry = Entry("a", 0.0)
     for now, change in steps:
         entry.mark(change, now)
         entry.take_room(now, 3.0)
@@ -143,7 +143,7 @@
 
 
 def test_a_clock_that_steps_back_holds_nobody_up() -> None:
-    entry = Entry(1000.0)
+    entry = Entry("a", 1000.0)
     while entry.take_room(1000.0, 2.0):
         pass
     assert not entry.take_room(0.0, 2.0)
@@ -158,7 +158,7 @@
     for count in range(most):
         if admission.connect(address, now, FREE).verdict != ADMIT:
             return count
-        admission.opened(address, now)
+        opened(admission.rows(address, now))
     return most
 
 
@@ -168,7 +168,7 @@
     ruling = admission.connect("10.0.0.1", 0.0, FREE)
     assert ruling.verdict == REFUSE and ruling.retry_after > 0 and "address" in ruling.why
     assert fill(admission, "10.0.1.1") == 8
-    admission.closed("10.0.0.1", 0.0)
+    closed(admission.rows("10.0.0.1", 0.0))
     assert admission.connect("10.0.0.1", 0.0, FREE).verdict == ADMIT
 
 
@@ -188,12 +188,13 @@
 
 def test_requests_open_at_once() -> None:
     admission = Admission(Caps(requests=3))
+    rows, other = admission.rows("10.0.0.1", 0.0), admission.rows("10.0.9.1", 0.0)
     for _ in range(3):
-        assert admission.request("10.0.0.1", 0.0)
-        admission.began("10.0.0.1", 0.0)
-    assert not admission.request("10.0.0.1", 0.0) and admission.request("10.0.9.1", 0.0)
-    admission.ended("10.0.0.1", 0.0)
-    assert admission.request("10.0.0.1", 0.0)
+        assert admission.request(rows, 0.0)
+        began(rows)
+    assert not admission.request(rows, 0.0) and admission.request(other, 0.0)
+    ended(rows)
+    assert admission.request(rows, 0.0)
 
 
 def test_a_nat_with_honest_screens_earns_its_way_past_the_cap_of_a_flooder() -> None:
@@ -208,7 +209,7 @@
         let_in = fill(admission, nat, now, waiting)
         waiting -= let_in
         for _ in range(400 - waiting):  # each that is in asks once a second
-            admission.mark(nat, GOOD, now)
+            admission.mark(admission.rows(nat, now), GOOD, now)
     assert waiting == 0 and rounds <= 8
     assert fill(admission, flood, now) == 0
 
@@ -219,7 +220,7 @@
 ) -> None:
     admission = Admission(Caps(connections=32))
     for _ in range(50):
-        admission.mark("10.0.0.1", bad, 0.0)
+        admission.mark(admission.rows("10.0.0.1", 0.0), bad, 0.0)
     assert fill(admission, "10.0.0.1") == 32 * LEAST_SHARE
     assert admission.addresses.find("10.0.0.1", 20 * FADE_S).factor(20 * FADE_S, 16.0) > 0.99
 
@@ -227,8 +228,8 @@
 def test_asking_once_and_staying_earns_nothing() -> None:
     admission = Admission(Caps(connections=32))
     for _ in range(500):
-        admission.mark("10.0.0.1", GOOD, 0.0)
-        admission.mark("10.0.0.1", WASTED, 0.0)
+        admission.mark(admission.rows("10.0.0.1", 0.0), GOOD, 0.0)
+        admission.mark(admission.rows("10.0.0.1", 0.0), WASTED, 0.0)
     assert admission.addresses.find("10.0.0.1", 0.0).factor(0.0, 16.0) == pytest.approx(1.0)
 
 
@@ -237,7 +238,7 @@
     admission = Admission(Caps(connections=1, per_s=0.1, requests=1), DEPOTS, 0.1, exempt)
     assert fill(admission, "192.168.0.9", most=200) == 200
     assert fill(admission, "::ffff:10.1.9.9", most=200) == 200
-    assert all(admission.request("10.1.9.9", 0.0) for _ in range(10))
+    assert all(admission.request(admission.rows("10.1.9.9", 0.0), 0.0) for _ in range(10))
 
 
 # The floor.
@@ -292,15 +293,15 @@
     for step in range(20_000):
         address = f"10.0.{randoms.randrange(300)}.{randoms.randrange(4)}"
         if randoms.random() < 0.5 and admission.connect(address, step / 10, FREE).verdict == ADMIT:
-            admission.opened(address, step / 10)
-            admission.began(address, step / 10)
+            opened(admission.rows(address, step / 10))
+            began(admission.rows(address, step / 10))
             held.append(address)
         elif held:
             gone = held.pop(randoms.randrange(len(held)))
-            admission.ended(gone, step / 10)
-            admission.closed(gone, step / 10)
+            ended(admission.rows(gone, step / 10))
+            closed(admission.rows(gone, step / 10))
     for address in held:
-        admission.ended(address, 2000.0)
-        admission.closed(address, 2000.0)
+        ended(admission.rows(address, 2000.0))
+        closed(admission.rows(address, 2000.0))
     for table in (admission.addresses, admission.prefixes):
         assert all(not entry.held for rows in (table._strangers, table._known) for entry in rows.values())
