Measure admission, and take its cost off kept connections

What listener.py held of connections and of sockets has files of its own. Peers of Unix sockets have no address and no caps.

--- /dev/null
+++ b/benchmarks/admission.py
@@ -0,0 +1,180 @@
+"""What admission costs: `python -m benchmarks.admission`.
+
+Four measures, each within one run: connections a second on one core (each with one request and its answer) without
+rules, with caps, and with caps behind the PROXY protocol; requests a second on kept connections without rules and with
+caps; when a flood hears that it is refused, and what known clients get meanwhile; bytes for a million addresses seen,
+with the table's bound and without one that matters.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+import tracemalloc
+from statistics import median
+from typing import Any, cast
+
+from benchmarks.scene import clients, daemon, members, tables
+from spokemast.admission.admission import Admission, Caps, Slots
+
+CONFIG = """[process]
+descriptors = 4096
+[[class]]
+name = "track"
+aim = "2s"
+deadline = "4s"
+[[route]]
+name = "api"
+prefix = "/"
+pool = "p"
+class = "track"
+[[listener]]
+name = "main"
+address = "127.0.0.1:0"
+{rules}
+[[pool]]
+name = "p"
+"""
+CAPS = """[listener.admission]
+connections_per_address = 1000
+connects_per_s = 100000
+requests_per_address = 1000
+"""
+PROXY = 'proxy_protocol_from = ["127.0.0.0/8"]\n' + CAPS
+#: Addresses for the measure of memory.
+SEEN = 1_000_000
+
+
+def ratios(rows: dict[str, list[dict[str, Any]]], what: str) -> None:
+    first = rows["none"]
+    for name, results in rows.items():
+        rate = [a["per_s"] / b["per_s"] for a, b in zip(results, first, strict=True)]
+        work = [b["cpu_us"] / a["cpu_us"] for a, b in zip(results, first, strict=True)]
+        print(
+            f"{what}, rules {name}: {median(r['per_s'] for r in results):.0f}/s at "
+            f"{median(r['cpu_us'] for r in results):.0f} us; ratio {median(rate):.3f} ({min(rate):.3f} to "
+            f"{max(rate):.3f}), by processor time {median(work):.3f}", flush=True,
+        )  # fmt: skip
+
+
+def rounds(options: argparse.Namespace, addresses: dict[str, str], rules: dict[str, str], extra: dict[str, list[str]],
+           *load: str) -> dict[str, list[dict[str, Any]]]:  # fmt: skip
+    rows: dict[str, list[dict[str, Any]]] = {name: [] for name in rules}
+    for _ in range(options.rounds):
+        for name, text in rules.items():
+            with daemon(1, CONFIG.format(rules=text) + tables(addresses)) as (listeners, pid):
+                asked = [
+                    "--seconds",
+                    str(options.seconds),
+                    "--connections",
+                    "16",
+                    *load,
+                    *extra.get(name, []),
+                ]
+                result = clients(3, listeners["main"], *asked, pid=pid)
+            if set(result["statuses"]) != {"200"} or result["lost"]:
+                raise SystemExit(f"rules {name}: not all were served: {result}")
+            rows[name].append(result)
+    return rows
+
+
+FLOODED = """descriptors = 512
+[[listener]]
+name = "main"
+address = "127.0.0.1:0"
+[listener.admission]
+connections_per_address = 64
+known = ["127.1.0.0/16"]
+reserve = 0.25
+"""
+#: Connections of the flood, and how many of them at a time.
+FLOOD, WAVE = 3000, 400
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def told(host: str, port: int, source: str, data: bytes) -> tuple[int, float]:
+    """Status (0 for a close without one) and seconds from connecting until it came."""
+    began = time.perf_counter()
+    status = 0
+    try:
+        reader, writer = await asyncio.open_connection(host, port, local_addr=(source, 0))
+        writer.write(data)
+        line = await reader.readline()
+        status = int(line.split(b" ")[1]) if line else 0
+        writer.close()
+    except ConnectionError:
+        pass
+    return status, time.perf_counter() - began
+
+
+async def flooding(address: str) -> tuple[list[tuple[int, float]], list[tuple[int, float]]]:
+    """What the flood hears and what known clients do meanwhile."""
+    host, _, port = address.rpartition(":")
+    wave, flood = asyncio.Semaphore(WAVE), list[tuple[int, float]]()
+
+    async def one(number: int) -> None:
+        async with wave:
+            flood.append(await told(host, int(port), "127.2.0.1", b"" if number % 2 else REQUEST))
+
+    async def known() -> list[tuple[int, float]]:
+        answers = []
+        while len(flood) < FLOOD:
+            answers.append(await told(host, int(port), "127.1.0.1", REQUEST))
+        return answers
+
+    answers, *_ = await asyncio.gather(known(), *(one(number) for number in range(FLOOD)))
+    return flood, cast("list[tuple[int, float]]", answers)
+
+
+def flood(addresses: dict[str, str]) -> None:
+    config = CONFIG.format(rules="").replace("descriptors = 4096", FLOODED.partition("\n")[0])
+    config = config.replace(
+        '[[listener]]\nname = "main"\naddress = "127.0.0.1:0"\n', FLOODED.partition("\n")[2]
+    )
+    with daemon(1, config + tables(addresses)) as (listeners, _):
+        heard, answers = asyncio.run(flooding(listeners["main"]))
+    refused = [seconds for status, seconds in heard if status in (0, 503)]
+    times = sorted(seconds for _, seconds in answers)
+    served = sum(status == 200 for status, _ in answers)
+    print(
+        f"a flood of {FLOOD}, half of it silent: {len(refused)} refused, told after {max(refused):.2f} s at most; "
+        f"known clients meanwhile: {served} of {len(answers)} served, p50 {times[len(times) // 2] * 1e3:.0f} ms, "
+        f"most {times[-1] * 1e3:.0f} ms", flush=True,
+    )  # fmt: skip
+
+
+def memory(entries: int) -> None:
+    """Bytes after a million addresses, each in a /24 of its own for every 250."""
+    tracemalloc.start()
+    admission = Admission(Caps(connections=8, entries=entries))
+    for number in range(SEEN):
+        block, last = divmod(number, 250)
+        admission.connect(f"10.{block >> 8 & 255}.{block & 255}.{last}", number / 1000, Slots(1000, 0, 0))
+    held, most = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    rows = len(admission.addresses) + len(admission.prefixes)
+    print(
+        f"{SEEN} addresses seen, {entries} remembered: {held / 1e6:.1f} MB held ({most / 1e6:.1f} at most), "
+        f"{rows} entries, {held / rows:.0f} bytes each", flush=True,
+    )  # fmt: skip
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=2.0)
+    options = parser.parse_args()
+    with members(2, "--members", "4", "--body", "200") as addresses:
+        rules = {"none": "", "caps": CAPS, "caps and PROXY": PROXY}
+        fresh = rounds(options, addresses, rules, {"caps and PROXY": ["--proxy-header"]}, "--fresh")
+        ratios(fresh, "a connection for each request")
+        kept = rounds(options, addresses, {"none": "", "caps": CAPS}, {})
+        ratios(kept, "kept connections")
+        flood(addresses)
+    memory(16384)
+    memory(SEEN + 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/spokemast/admission/admission.py
+++ b/spokemast/admission/admission.py
@@ -69,17 +69,19 @@
 
     def is_free(self, address: str) -> bool:
         """Whether no cap holds for this address: a depot's, a front's, or the peer of a Unix socket."""
-        return is_in(address, self.exempt) or self.is_known(address)
+        return (
+            ("." not in address and ":" not in address)
+            or is_in(address, self.exempt)
+            or self.is_known(address)
+        )
 
-    def connect(self, address: str, now: float, slots: Slots) -> Ruling:
-        """Whether a new connection may be. It holds nothing yet: `opened` follows."""
+    def connect(self, address: str, now: float, slots: Slots, rows: Rows | None = None) -> Ruling:
+        """Whether a new connection may be. It holds nothing yet: `opened` follows. `rows`: of the address, where the
+        caller has them."""
         if self.is_known(address):
             return Ruling(ADMIT)
-        if not self.is_free(address):
-            refused = self._over(address, now)
-            if refused is not None:
-                return refused
-        return self._within(slots)
+        refused = self._over(self.rows(address, now) if rows is None else rows, now)
+        return self._within(slots) if refused is None else refused
 
     def _within(self, slots: Slots) -> Ruling:
         """Guards the floor. Its unused part is lent, but for FLOOR_KEPT: such connections end after one answer, and
@@ -94,18 +96,19 @@
             return Ruling(ONCE)
         return Ruling(SWAP, "what is left is for known networks", RETURN_S)
 
-    def _over(self, address: str, now: float) -> Ruling | None:
+    def _over(self, rows: Rows, now: float) -> Ruling | None:
         """Guards against an address that takes the slots of all others; should also catch one prefix whose addresses
         change. Harm: many honest clients behind one address, until they have shown themselves: each refused one is
         told when to return, and each served one raises the cap."""
-        caps, rows = self.caps, self.rows(address, now)
-        for entry, times in zip(rows, TIMES, strict=False):
-            if entry.open + 1 > max(1.0, caps.connections * entry.factor(now, caps.growth) * times):
+        caps = self.caps
+        factors = [entry.factor(now, caps.growth) * times for entry, times in zip(rows, TIMES, strict=False)]
+        for entry, factor in zip(rows, factors, strict=True):
+            if entry.open + 1 > max(1.0, caps.connections * factor):
                 return Ruling(REFUSE, "too many connections from this address", RETURN_S)
-        for entry, times in zip(rows, TIMES, strict=False):
-            rate = caps.per_s * entry.factor(now, caps.growth) * times
-            if rate < math.inf and not entry.take_room(now, rate):
-                return Ruling(REFUSE, "too many new connections from this address", RETURN_S)
+        if caps.per_s < math.inf:
+            for entry, factor in zip(rows, factors, strict=True):
+                if not entry.take_room(now, caps.per_s * factor):
+                    return Ruling(REFUSE, "too many new connections from this address", RETURN_S)
         return None
 
     def request(self, rows: Rows, now: float) -> bool:
--- a/spokemast/daemon/daemon.py
+++ b/spokemast/daemon/daemon.py
@@ -27,17 +27,9 @@
 from spokemast.fronts.fastcgi import FastCgiFront
 from spokemast.fronts.gate import Gate
 from spokemast.fronts.http1 import ClientConnection
-from spokemast.fronts.listener import (
-    ACCEPT_BURST,
-    BACKLOG,
-    REQUEST_S,
-    UNIX,
-    Listener,
-    Serve,
-    bind,
-    drain,
-    release,
-)
+from spokemast.fronts.connection import REQUEST_S
+from spokemast.fronts.listener import ACCEPT_BURST, Listener, Serve, drain
+from spokemast.fronts.sockets import BACKLOG, UNIX, bind, release
 from spokemast.fronts.spares import Spares
 from spokemast.fronts.ordinary import RoutedReader, RouteTarget
 from spokemast.limits import Complaints, Limits
--- /dev/null
+++ b/spokemast/fronts/connection.py
@@ -0,0 +1,158 @@
+"""What a listener needs of a client's connection, whatever protocol it speaks: its phase, and what it counts for.
+
+What may live here: nothing that reads or writes a byte of a protocol; that is the protocol's file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+from spokemast.admission.pressure import QUIET_S
+from spokemast.limits import Budget
+
+if TYPE_CHECKING:
+    from spokemast.fronts.gate import Visit
+    from spokemast.fronts.listener import Listener
+
+#: A request has this long to come whole, and a new connection to send one, counted from connecting. Guards
+#: against silence, heads and bodies without end, and whatever else does not become a request: bad clients are
+#: owed an answer or a close within 3 s. Harm: a good client slower than this must ask again.
+REQUEST_S = 2.5
+
+
+class Phase(IntEnum):
+    """Of reading a connection."""
+
+    IDLE = 0
+    HEAD = 1
+    BODY = 2
+    WHOLE = 3
+    LINGER = 4  # the last answer is written
+
+
+class FrontConnection(asyncio.Protocol):
+    """What a listener needs of a connection, whatever protocol it speaks."""
+
+    listener: Listener
+    sock: socket.socket
+    transport: asyncio.Transport | None
+    overflow: bool  # past the limit: held to be turned away
+    visit: Visit | None = None  # where the listener has a gate
+    phase: Phase
+    asked: int = 0  # whole requests that have come
+    quiet: bool = False  # it has been idle for so long that it counts as not used again
+    since: float  # monotonic, of the phase
+    blocked: float = 0.0  # monotonic, since when the client has not taken what was written
+    _charged: int = 0  # bytes, to the budget below
+    _charged_to: Budget | None = None
+
+    def retire(self) -> bool:
+        """Close a connection with no open request, unless one waits in the kernel: that is ours already.
+
+        Guards against requests lost by a proxy that is short of CPU and reads late."""
+        try:
+            unread = bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:  # nothing there, or the connection has broken
+            unread = False
+        if not unread:
+            self.listener.forget(self)
+            self.abort()
+        return not unread
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def charge(self, budget: Budget | None) -> None:
+        """The client does not take what was written: that counts as buffered."""
+        assert self.transport is not None
+        self.blocked = time.monotonic()
+        if budget is not None:
+            self._charged = self.transport.get_write_buffer_size()
+            self._charged_to = budget
+            budget.held += self._charged
+
+    def uncharge(self) -> None:
+        self.blocked = 0.0
+        if self._charged_to is not None:
+            self._charged_to.give(self._charged)
+        self._charged, self._charged_to = 0, None
+
+    # Admission.
+
+    def unwrap(self, data: bytes) -> bytes:
+        """What comes after the PROXY header, if one is still to come; a connection that may not be is ended."""
+        visit = self.visit
+        if visit is None or visit.header is None:
+            return data
+        return self.listener.unwrap(self, visit, data)
+
+    def may_ask(self) -> bool:
+        """Whether the address may have one more request open; it counts until `request_over`."""
+        return self.visit is None or self.visit.gate.may_ask(self.visit)
+
+    def request_over(self, good: bool) -> None:
+        """A request that counted is open no more; `good`: it was whole and has its answer."""
+        if self.visit is not None:
+            self.visit.gate.answered(self.visit, good)
+
+    def note_garbage(self) -> None:
+        """What came can't be read, or what was written is not taken."""
+        if self.visit is not None:
+            self.visit.gate.garbage(self.visit)
+
+    def note_silence(self) -> None:
+        """No whole request has come in its time."""
+        if self.visit is not None:
+            self.visit.gate.silent(self.visit)
+
+    def is_once(self) -> bool:
+        """Whether its slot is lent: the first answer ends it."""
+        return self.visit is not None and self.visit.once
+
+    def is_guarded(self) -> bool:
+        """Whether it is a known client's: nobody else may push it out."""
+        return self.visit is not None and self.visit.known
+
+    def note_request(self) -> None:
+        """A whole request has come."""
+        self.asked += 1
+        if self.asked == 1:
+            self.listener.strangers.pop(self, None)
+        elif self.asked == 2:
+            self.listener.pressure.reuse.note(True)
+
+    def rest(self) -> None:
+        """No request is open on it; the next may come."""
+        (self.listener.idle if self.asked < 2 else self.listener.proven)[self] = None
+
+    def wake(self) -> None:
+        """A request begins."""
+        self.listener.idle.pop(self, None)
+        self.listener.proven.pop(self, None)
+
+    def idle_most(self) -> float:
+        """Seconds that it may be idle, now."""
+        return self.listener.pressure.step.idle_s if self.asked and not self.overflow else REQUEST_S
+
+    def note_quiet(self, now: float) -> None:
+        """For the measure of reuse; idle after its first request."""
+        if not self.quiet and self.asked == 1 and now - self.since > QUIET_S:
+            self.quiet = True
+            self.listener.pressure.reuse.note(False)
+            if self.visit is not None:
+                self.visit.gate.wasted(self.visit)
+
+    def sweep(self, now: float) -> None:
+        raise NotImplementedError
+
+    def is_busy(self) -> bool:
+        raise NotImplementedError
+
+    def refuse(self, words: bytes) -> None:
+        """End it with these bytes, before anything of it has been read."""
+        raise NotImplementedError
--- a/spokemast/fronts/fastcgi.py
+++ b/spokemast/fronts/fastcgi.py
@@ -18,7 +18,8 @@
 from spokemast.fastcgi.records import Status, Type, encode, encode_stream
 from spokemast.fronts.dialect import Ask, Head, RejectError, Reply
 from spokemast.fronts.http1 import BODILESS, LINGER_S, READ_STALL_S, REASONS
-from spokemast.fronts.listener import REQUEST_S, FrontConnection, Listener, Phase
+from spokemast.fronts.connection import REQUEST_S, FrontConnection, Phase
+from spokemast.fronts.listener import Listener
 from spokemast.limits import Budget
 
 
--- a/spokemast/fronts/gate.py
+++ b/spokemast/fronts/gate.py
@@ -10,16 +10,31 @@
 from typing import Sequence
 
 from spokemast.admission.admission import (
-    GARBAGE, GOOD, SILENT, WASTED, Admission, Network, Rows, Slots, began, closed, ended, is_in, opened,
+    GARBAGE, GOOD, SILENT, WASTED, Admission, Network, Rows, Slots, closed, ended, is_in, opened,
 )  # fmt: skip
+from spokemast.admission.addresses import LEAST_SHARE
 from spokemast.admission.proxyprotocol import ProxyHeader, ProxyHeaderError
 from spokemast.admission.rulings import ADMIT, REFUSE, Ruling
 
+#: Answers on one connection that its address is credited with at once.
+CREDIT = 16
+
 
 class Visit:
     """One connection, as its address counts it."""
 
-    __slots__ = ("gate", "address", "rows", "once", "counted", "known", "requests", "header")
+    __slots__ = (
+        "gate",
+        "address",
+        "rows",
+        "once",
+        "counted",
+        "known",
+        "requests",
+        "good",
+        "credited",
+        "header",
+    )
 
     def __init__(self, gate: Gate, address: str) -> None:
         self.gate, self.address = gate, address
@@ -28,6 +43,8 @@
         self.counted = False  # held by the address
         self.known = False  # held by the floor
         self.requests = 0  # that are open on it
+        self.good = 0  # answers that its address has not been credited with
+        self.credited = False  # it has been with one
         self.header: ProxyHeader | None = None  # still to come
 
 
@@ -38,6 +55,8 @@
         """`behind`: sources that write a PROXY header ahead of each connection."""
         self.admission, self.behind = admission, tuple(behind)
         self.known = 0  # connections of known networks
+        # So many requests may be open of any address and prefix, whatever they have done: nothing is to be worked out.
+        self._sure = admission.caps.requests * LEAST_SHARE
 
     def is_like(self, other: Gate) -> bool:
         """Whether both have the same rules."""
@@ -57,14 +76,15 @@
     def enter(self, visit: Visit, most: int, taken: int) -> Ruling:
         """Judge a connection whose address is certain; it counts unless it is refused."""
         now = time.monotonic()
-        ruling = self.admission.connect(visit.address, now, Slots(most, taken, self.known))
+        rows = self.admission.rows(visit.address, now)
+        ruling = self.admission.connect(visit.address, now, Slots(most, taken, self.known), rows)
         if ruling.verdict != REFUSE:
             visit.counted = True
             visit.once = ruling.verdict != ADMIT
             visit.known = self.admission.is_known(visit.address)
             self.known += visit.known
-            visit.rows = self.admission.rows(visit.address, now)
-            opened(visit.rows)
+            visit.rows = rows
+            opened(rows)
         return ruling
 
     def unwrap(self, visit: Visit, data: bytes, most: int, taken: int) -> tuple[bytes, Ruling | None]:
@@ -86,10 +106,13 @@
         """Whether one more request of this address may be open; it counts from here on."""
         if not visit.rows:
             return True
-        if not self.admission.request(visit.rows, time.monotonic()):
-            return False
+        own, prefix = visit.rows
+        if own.requests + 1 > self._sure or prefix.requests + 1 > self._sure:
+            if not self.admission.request(visit.rows, time.monotonic()):
+                return False
         visit.requests += 1
-        began(visit.rows)
+        own.requests += 1
+        prefix.requests += 1
         return True
 
     def answered(self, visit: Visit, good: bool) -> None:
@@ -98,8 +121,15 @@
             return
         visit.requests -= 1
         ended(visit.rows)
-        if good:
-            self.admission.mark(visit.rows, GOOD, time.monotonic())
+        visit.good += good
+        if visit.good >= CREDIT or not visit.credited:
+            self._credit(visit)
+
+    def _credit(self, visit: Visit) -> None:
+        """The first answer counts at once, so that a crowd behind one address gets in; the others by the dozen."""
+        if visit.good:
+            self.admission.mark(visit.rows, GOOD * visit.good, time.monotonic())
+            visit.good, visit.credited = 0, True
 
     def wasted(self, visit: Visit) -> None:
         self.admission.mark(visit.rows, WASTED, time.monotonic())
@@ -112,6 +142,7 @@
 
     def left(self, visit: Visit) -> None:
         """The connection has ended: the one place where all it holds is given back."""
+        self._credit(visit)
         while visit.requests:
             visit.requests -= 1
             ended(visit.rows)
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -17,7 +17,8 @@
 from spokemast.admission.rulings import RETURN_S
 from spokemast.core.proxy import OpenRequest
 from spokemast.fronts.dialect import Ask, RejectError, Reply
-from spokemast.fronts.listener import REQUEST_S, FrontConnection, Listener, Phase
+from spokemast.fronts.connection import REQUEST_S, FrontConnection, Phase
+from spokemast.fronts.listener import Listener
 
 #: Largest head of a request; guards against endless headers.
 HEAD_MOST = 16 << 10
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -6,19 +6,18 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import socket
-import stat
 import time
 from contextlib import suppress
-from enum import IntEnum
 from itertools import islice
 from typing import TYPE_CHECKING, Protocol, Sequence
 
 from spokemast.admission.rulings import REFUSE, RETURN_S, SWAP, Ruling
-from spokemast.admission.pressure import QUIET_S, STEPS, Pressure
+from spokemast.admission.pressure import STEPS, Pressure
+from spokemast.fronts.connection import FrontConnection, Phase
 from spokemast.fronts.dialect import Reader
-from spokemast.limits import Budget, Complaints
+from spokemast.fronts.sockets import LOCAL, UNIX, bind, release
+from spokemast.limits import Complaints
 
 if TYPE_CHECKING:  # loaded where a listener has rules of its own
     from spokemast.fronts.gate import Gate, Visit
@@ -31,8 +30,6 @@
 SILENT_S = 0.1
 #: Idle connections that are looked at for one to close; more would cost too much where all are in use.
 EVICT_TRIES = 8
-#: Connections that the kernel may hold for us; a burst past it would be left hanging.
-BACKLOG = 1024
 #: How long nothing is accepted after the kernel had no descriptor to give; trying on would take all the CPU.
 ACCEPT_REST_S = 0.05
 #: How often limits in time are looked at.
@@ -47,15 +44,6 @@
 FLUSH_S = 0.1
 #: Bytes read of a connection that is turned away on the spot.
 GLANCE_MOST = 16 << 10
-#: A request has this long to come whole, and a new connection to send one, counted from connecting. Guards
-#: against silence, heads and bodies without end, and whatever else does not become a request: bad clients are
-#: owed an answer or a close within 3 s. Harm: a good client slower than this must ask again.
-REQUEST_S = 2.5
-
-#: An address that begins so is the path of a Unix socket.
-UNIX = "unix:"
-#: Peer of a connection that came by one.
-LOCAL = "local"
 
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 #: The same, with the time after which to return.
@@ -64,140 +52,6 @@
 )
 
 
-class Phase(IntEnum):
-    """Of reading a connection."""
-
-    IDLE = 0
-    HEAD = 1
-    BODY = 2
-    WHOLE = 3
-    LINGER = 4  # the last answer is written
-
-
-class FrontConnection(asyncio.Protocol):
-    """What a listener needs of a connection, whatever protocol it speaks."""
-
-    listener: Listener
-    sock: socket.socket
-    transport: asyncio.Transport | None
-    overflow: bool  # past the limit: held to be turned away
-    visit: Visit | None = None  # where the listener has a gate
-    phase: Phase
-    asked: int = 0  # whole requests that have come
-    quiet: bool = False  # it has been idle for so long that it counts as not used again
-    since: float  # monotonic, of the phase
-    blocked: float = 0.0  # monotonic, since when the client has not taken what was written
-    _charged: int = 0  # bytes, to the budget below
-    _charged_to: Budget | None = None
-
-    def retire(self) -> bool:
-        """Close a connection with no open request, unless one waits in the kernel: that is ours already.
-
-        Guards against requests lost by a proxy that is short of CPU and reads late."""
-        try:
-            unread = bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:  # nothing there, or the connection has broken
-            unread = False
-        if not unread:
-            self.listener.forget(self)
-            self.abort()
-        return not unread
-
-    def abort(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
-    def charge(self, budget: Budget | None) -> None:
-        """The client does not take what was written: that counts as buffered."""
-        assert self.transport is not None
-        self.blocked = time.monotonic()
-        if budget is not None:
-            self._charged = self.transport.get_write_buffer_size()
-            self._charged_to = budget
-            budget.held += self._charged
-
-    def uncharge(self) -> None:
-        self.blocked = 0.0
-        if self._charged_to is not None:
-            self._charged_to.give(self._charged)
-        self._charged, self._charged_to = 0, None
-
-    # Admission.
-
-    def unwrap(self, data: bytes) -> bytes:
-        """What comes after the PROXY header, if one is still to come; a connection that may not be is ended."""
-        visit = self.visit
-        if visit is None or visit.header is None:
-            return data
-        return self.listener.unwrap(self, visit, data)
-
-    def may_ask(self) -> bool:
-        """Whether the address may have one more request open; it counts until `request_over`."""
-        return self.visit is None or self.visit.gate.may_ask(self.visit)
-
-    def request_over(self, good: bool) -> None:
-        """A request that counted is open no more; `good`: it was whole and has its answer."""
-        if self.visit is not None:
-            self.visit.gate.answered(self.visit, good)
-
-    def note_garbage(self) -> None:
-        """What came can't be read, or what was written is not taken."""
-        if self.visit is not None:
-            self.visit.gate.garbage(self.visit)
-
-    def note_silence(self) -> None:
-        """No whole request has come in its time."""
-        if self.visit is not None:
-            self.visit.gate.silent(self.visit)
-
-    def is_once(self) -> bool:
-        """Whether its slot is lent: the first answer ends it."""
-        return self.visit is not None and self.visit.once
-
-    def is_guarded(self) -> bool:
-        """Whether it is a known client's: nobody else may push it out."""
-        return self.visit is not None and self.visit.known
-
-    def note_request(self) -> None:
-        """A whole request has come."""
-        self.asked += 1
-        if self.asked == 1:
-            self.listener.strangers.pop(self, None)
-        elif self.asked == 2:
-            self.listener.pressure.reuse.note(True)
-
-    def rest(self) -> None:
-        """No request is open on it; the next may come."""
-        (self.listener.idle if self.asked < 2 else self.listener.proven)[self] = None
-
-    def wake(self) -> None:
-        """A request begins."""
-        self.listener.idle.pop(self, None)
-        self.listener.proven.pop(self, None)
-
-    def idle_most(self) -> float:
-        """Seconds that it may be idle, now."""
-        return self.listener.pressure.step.idle_s if self.asked and not self.overflow else REQUEST_S
-
-    def note_quiet(self, now: float) -> None:
-        """For the measure of reuse; idle after its first request."""
-        if not self.quiet and self.asked == 1 and now - self.since > QUIET_S:
-            self.quiet = True
-            self.listener.pressure.reuse.note(False)
-            if self.visit is not None:
-                self.visit.gate.wasted(self.visit)
-
-    def sweep(self, now: float) -> None:
-        raise NotImplementedError
-
-    def is_busy(self) -> bool:
-        raise NotImplementedError
-
-    def refuse(self, words: bytes) -> None:
-        """End it with these bytes, before anything of it has been read."""
-        raise NotImplementedError
-
-
 class Serve(Protocol):
     """Makes the protocol's side of a connection."""
 
@@ -476,46 +330,6 @@
             connection.abort()
 
 
-def bind(address: tuple[str, int]) -> socket.socket:
-    """A socket that listens; OSError where the address can't be had. `unix:` and a path is a Unix socket."""
-    path = address[0].removeprefix(UNIX) if address[0].startswith(UNIX) else None
-    sock = socket.socket(socket.AF_INET if path is None else socket.AF_UNIX, socket.SOCK_STREAM)
-    try:
-        if path is None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        else:
-            _clear(path)
-        sock.bind(address if path is None else path)
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    sock.setblocking(False)
-    return sock
-
-
-def _clear(path: str) -> None:
-    """Remove the socket that a process left when it died; one on which somebody listens stays, and so does whatever
-    is no socket: bind then says so."""
-    with suppress(OSError):
-        if not stat.S_ISSOCK(os.stat(path).st_mode):
-            return
-        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
-            try:
-                probe.connect(path)
-            except ConnectionRefusedError:
-                os.unlink(path)
-
-
-def release(sock: socket.socket) -> None:
-    """Close a listening socket; a Unix one leaves no file."""
-    name = sock.getsockname()
-    sock.close()
-    if isinstance(name, str):
-        with suppress(OSError):
-            os.unlink(name)
-
-
 async def drain(listeners: Sequence[Listener], longest: float, most: float = DRAIN_MOST_S) -> None:
     """After SIGTERM: serve for a while, then close what is idle and answer what is held.
 
--- a/spokemast/fronts/ordinary.py
+++ b/spokemast/fronts/ordinary.py
@@ -15,7 +15,7 @@
 from spokemast.core.proxy import OpenRequest, Proxy
 from spokemast.fronts.dialect import Ask, ClientSide, Destination, Head, RejectError, Reply
 from spokemast.fronts.platform import PlatformReader, pass_on
-from spokemast.fronts.listener import LOCAL
+from spokemast.fronts.sockets import LOCAL
 from spokemast.limits import Budget
 from spokemast.routes import Rule
 from spokemast.targets import Target, TargetError, read_target
--- /dev/null
+++ b/spokemast/fronts/sockets.py
@@ -0,0 +1,55 @@
+"""Listening sockets, of TCP and Unix: bound, and released."""
+
+from __future__ import annotations
+
+import os
+import socket
+import stat
+from contextlib import suppress
+
+#: Connections that the kernel may hold for us; a burst past it would be left hanging.
+BACKLOG = 1024
+#: An address that begins so is the path of a Unix socket.
+UNIX = "unix:"
+#: Peer of a connection that came by one.
+LOCAL = "local"
+
+
+def bind(address: tuple[str, int]) -> socket.socket:
+    """A socket that listens; OSError where the address can't be had. `unix:` and a path is a Unix socket."""
+    path = address[0].removeprefix(UNIX) if address[0].startswith(UNIX) else None
+    sock = socket.socket(socket.AF_INET if path is None else socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        if path is None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        else:
+            _clear(path)
+        sock.bind(address if path is None else path)
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+def _clear(path: str) -> None:
+    """Remove the socket that a process left when it died; one on which somebody listens stays, and so does whatever
+    is no socket: bind then says so."""
+    with suppress(OSError):
+        if not stat.S_ISSOCK(os.stat(path).st_mode):
+            return
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+            try:
+                probe.connect(path)
+            except ConnectionRefusedError:
+                os.unlink(path)
+
+
+def release(sock: socket.socket) -> None:
+    """Close a listening socket; a Unix one leaves no file."""
+    name = sock.getsockname()
+    sock.close()
+    if isinstance(name, str):
+        with suppress(OSError):
+            os.unlink(name)
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -60,6 +60,20 @@
         self.clients.lost += not self.clients.stopped
 
 
+class FreshCaller(Caller):
+    """A new connection for each request."""
+
+    def _again(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+        if not self.clients.stopped:
+            self.clients.open(self.request)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.clients.lost += self.transport is not None and not self.clients.stopped
+
+
 class FcgiCaller(Caller):
     """One connection of a web server; one request at a time, answers read record by record."""
 
@@ -87,16 +101,23 @@
         self.times: list[float] = []
         self.lost = 0
         self.stopped = False
+        self.address = ("", 0)
+        self.opening: set[asyncio.Task[object]] = set()
+
+    def open(self, request: Callable[[], bytes]) -> None:
+        """One more connection."""
+        made = asyncio.get_running_loop().create_connection(lambda: self.caller(request, self), *self.address)
+        task: asyncio.Task[object] = asyncio.get_running_loop().create_task(made)
+        self.opening.add(task)
+        task.add_done_callback(self.opening.discard)
 
     async def run(
         self, address: tuple[str, int], requests: list[Callable[[], bytes]], seconds: float, warm: float
     ) -> dict[str, object]:
         """Ask for `warm` seconds and then for `seconds` that count."""
-        loop = asyncio.get_running_loop()
-        callers = []
+        self.address = address
         for request in requests:
-            _, caller = await loop.create_connection(lambda r=request: self.caller(r, self), *address)  # type: ignore[misc]
-            callers.append(caller)
+            self.open(request)
         await asyncio.sleep(warm)
         self.statuses.clear()
         self.times.clear()
@@ -137,6 +158,11 @@
     return lambda: data
 
 
+def behind_front(request: Callable[[], bytes]) -> Callable[[], bytes]:
+    """The request as a front sends it that hides where it came from; for connections that carry one alone."""
+    return lambda: b"PROXY TCP4 203.0.113.9 127.0.0.1 40000 80\r\n" + request()
+
+
 def fastcgi_request(path: str, method: str = "GET") -> Callable[[], bytes]:
     pairs = [(b"REQUEST_METHOD", method.encode()), (b"REQUEST_URI", path.encode()), (b"HTTP_HOST", b"app.svc"),
              (b"HTTP_ACCEPT", b"*/*"), (b"HTTP_USER_AGENT", b"stand-in"), (b"CONTENT_LENGTH", b"")]  # fmt: skip
@@ -153,6 +179,8 @@
     parser.add_argument("--pause", type=float, default=0.0)
     parser.add_argument("--platform", action="store_true")
     parser.add_argument("--fastcgi", action="store_true")
+    parser.add_argument("--fresh", action="store_true", help="a new connection for each request")
+    parser.add_argument("--proxy-header", action="store_true", help="a PROXY header ahead of each request")
     parser.add_argument("--path", default="/api?x=1")
     parser.add_argument("--method", default="GET")
     options = parser.parse_args()
@@ -162,7 +190,11 @@
         platform_request(n) if options.platform else plain(options.path, options.method)
         for n in range(options.connections)
     ]
-    clients = Clients(options.pause, FcgiCaller if options.fastcgi else Caller)
+    if options.proxy_header:
+        requests = [behind_front(request) for request in requests]
+    clients = Clients(
+        options.pause, FcgiCaller if options.fastcgi else FreshCaller if options.fresh else Caller
+    )
     print(json.dumps(uvloop.run(clients.run((host, int(port)), requests, options.seconds, options.warm))))
     sys.stdout.flush()
 
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -238,6 +238,7 @@
     admission = Admission(Caps(connections=1, per_s=0.1, requests=1), DEPOTS, 0.1, exempt)
     assert fill(admission, "192.168.0.9", most=200) == 200
     assert fill(admission, "::ffff:10.1.9.9", most=200) == 200
+    assert fill(admission, "local", most=200) == 200
     assert all(admission.request(admission.rows("10.1.9.9", 0.0), 0.0) for _ in range(10))
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,6 +11,7 @@
 from spokemast.interface import Result, Withdrawn
 from spokemast.fronts.listener import drain as drain_all
 from spokemast.upstreams import connections as backend_module
+from spokemast.fronts import connection as connection_module
 from spokemast.fronts import listener as listener_module
 from spokemast.fronts import http1 as server_module
 
@@ -186,7 +187,7 @@
 def test_a_connection_that_says_nothing_is_closed_and_one_that_has_asked_stays(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(listener_module, "REQUEST_S", 0.0)
+    monkeypatch.setattr(connection_module, "REQUEST_S", 0.0)
 
     async def scene() -> None:
         async with world(ScriptedBackend("s", answering(OK))) as here:
@@ -208,11 +209,11 @@
             while not here.server.connections:
                 await asyncio.sleep(0)
             (connection,) = here.connections()
-            connection.since -= listener_module.REQUEST_S - 0.001
+            connection.since -= connection_module.REQUEST_S - 0.001
             await client.send(b"GET /api")
             while connection.phase == server_module.IDLE:
                 await asyncio.sleep(0)
-            connection.sweep(connection.since + listener_module.REQUEST_S + 0.001)
+            connection.sweep(connection.since + connection_module.REQUEST_S + 0.001)
             assert (await client.read())[0] == 408
 
     play(scene)
@@ -227,7 +228,7 @@
             while here.proxy.budget.held < 32_000:
                 await asyncio.sleep(0)
             (connection,) = here.connections()
-            connection.sweep(connection.since + listener_module.REQUEST_S)
+            connection.sweep(connection.since + connection_module.REQUEST_S)
             await client.send(data[-32_000:])
             assert (await client.read())[0] == 200
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -246,3 +246,38 @@
             assert read_members_file(path) == good, end
         except ConfigError:
             pass
+
+
+ADMISSION = "[listener.admission]\n"
+
+
+@pytest.mark.parametrize(
+    "lines, key, words",
+    [
+        ("connections_per_address = 0", "connections_per_address", ">= 1"),
+        ("connects_per_s = 0", "connects_per_s", "> 0"),
+        ("growth = 0.5", "growth", ">= 1"),
+        ("remembered = 10", "remembered", ">= 256"),
+        ("reserve = 0.95", "reserve", "<= 0.9"),
+        ("reserve = 0.2", "admission.reserve", "name some"),
+        ('known = ["10.0.0.0/8"]', "admission.known", "give reserve"),
+        ('known = ["10.0.0.0/33"]\nreserve = 0.1', "admission.known", "not a network"),
+        ('exempt = ["depot"]', "admission.exempt", "not a network"),
+        ("per_address = 3", "per_address", "per_address"),
+    ],
+)
+def test_what_is_wrong_with_admission_is_said(tmp_path: Path, lines: str, key: str, words: str) -> None:
+    found = problems(tmp_path, GOOD + ADMISSION + lines + "\n")
+    assert any(key in f"{at} {text}" and words in text for at, text in found), found
+
+
+def test_sources_of_proxy_headers_are_networks(tmp_path: Path) -> None:
+    (at, text), *_ = problems(tmp_path, GOOD + 'proxy_protocol_from = ["front"]\n')
+    assert "proxy_protocol_from" in at and "not a network" in text
+
+
+def test_rules_of_admission_are_read(tmp_path: Path) -> None:
+    text = GOOD + 'proxy_protocol_from = ["10.9.0.0/24"]\n' + ADMISSION
+    plan = read(tmp_path, text + 'connections_per_address = 64\nknown = ["10.1.0.0/16"]\nreserve = 0.25\n')
+    own = plan.listeners["main"].table.admission
+    assert own is not None and (own.connections_per_address, own.reserve, own.growth) == (64, 0.25, 16.0)
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any, AsyncIterator, cast
 
@@ -21,7 +22,7 @@
 
 from daemons import LISTENER, Ground, ground, pool, requests_to, route
 from peers import PATIENCE, Call, Client, ScriptedBackend, answering, play, read_message
-from spokemast.admission.admission import FLOOR_KEPT
+from spokemast.admission.admission import FLOOR_KEPT, GARBAGE, SILENT
 from spokemast.fronts.gate import Gate
 from spokemast.fronts.spares import Spares
 from standins.fastcgi import WebServer
@@ -155,7 +156,7 @@
 
 
 def test_a_flood_of_silence_loses_its_cap(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("spokemast.fronts.listener.REQUEST_S", 0.0)
+    monkeypatch.setattr("spokemast.fronts.connection.REQUEST_S", 0.0)
 
     async def scene() -> None:
         member = ScriptedBackend("s", answering(GOOD))
@@ -586,3 +587,71 @@
         await member.stop()
 
     play(scene)
+
+
+def test_what_clients_do_counts_for_their_address(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Garbage, half a request, and an answer that is not taken."""
+
+    async def scene() -> None:
+        large = b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + bytes(900_000)
+        member = ScriptedBackend("s", answering(large))
+        rules = LISTENER + admission(connections_per_address=8)
+        async with ground(
+            tmp_path, [member], lambda: rules + route("all", "a") + pool("a", [member])
+        ) as here:
+            listener = here.daemon.listeners["main"]
+            address, table = listener.address, gate(here).admission.addresses
+            assert (await once(address, "127.11.0.1", b"no request at all\r\n\r\n"))[0] == 400
+            assert table.find("127.11.0.1", 0.0).marks == GARBAGE
+
+            half = await connect(address, "127.12.0.1")
+            await half.send(requests_to()[:-4])
+            await here.until(lambda: any(c.phase == 1 for c in listener.connections))
+            (connection,) = (c for c in listener.connections if c.phase == 1)
+            connection.sweep(connection.since + 100.0)
+            assert (await half.read())[0] == 408
+            assert table.find("127.12.0.1", 0.0).marks == SILENT
+
+            reader = await connect(address, "127.13.0.1")
+            reader.writer.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, 4096
+            )
+            cast(asyncio.ReadTransport, reader.writer.transport).pause_reading()
+            await reader.send(requests_to() * 8)
+            await here.until(lambda: any(c.blocked for c in listener.connections))
+            (stalled,) = (c for c in listener.connections if c.blocked)
+            stalled.sweep(stalled.blocked + 100.0)
+            assert table.find("127.13.0.1", 0.0).marks <= GARBAGE + 8
+            await here.until(lambda: stalled not in listener.connections)
+            for client in (half, reader):
+                client.writer.close()
+
+    play(scene)
+
+
+def has_read(connection: Any, count: int) -> bool:
+    """Whether so much of a PROXY header has come."""
+    return len(connection.visit.header._held) == count
+
+
+def test_a_proxy_header_that_stalls_is_silence_and_holds_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        member = ScriptedBackend("s", answering(GOOD))
+        rules = LISTENER + 'proxy_protocol_from = ["127.4.0.0/16"]\n' + admission(connections_per_address=2)
+        async with ground(
+            tmp_path, [member], lambda: rules + route("all", "a") + pool("a", [member])
+        ) as here:
+            listener = here.daemon.listeners["main"]
+            for cut in range(1, len(line("203.0.113.9"))):
+                client = await connect(listener.address, "127.4.0.1")
+                await client.send(line("203.0.113.9")[:cut])
+                await here.until(lambda: len(listener.connections) == 1)
+                (connection,) = listener.connections
+                await here.until(partial(has_read, connection, cut))
+                connection.sweep(connection.since + 100.0)
+                assert await client.ended() == b""
+                client.writer.close()
+                await here.until(lambda: not listener.connections)
+            assert held_of(here, "203.0.113.9") == 0 and not member.calls
+
+    play(scene)
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -156,3 +156,19 @@
             assert sock.recv(100).startswith(b"HTTP/1.1 503")
         for sock in socks:
             sock.close()
+
+
+def test_the_platform_loads_no_rules_for_addresses() -> None:
+    words = "import sys, spokemast.__main__; print(*(m for m in sys.modules if m.startswith('spokemast.')))"
+    said = subprocess.run(
+        [sys.executable, "-c", words], capture_output=True, text=True, check=True
+    ).stdout.split()
+    assert "spokemast.admission.pressure" in said
+    for name in (
+        "admission.admission",
+        "admission.addresses",
+        "admission.proxyprotocol",
+        "fronts.gate",
+        "fronts.spares",
+    ):
+        assert f"spokemast.{name}" not in said
