--- a/spokemast/__main__.py
+++ b/spokemast/__main__.py
@@ -2,39 +2,26 @@
 
 from __future__ import annotations
 
-import asyncio
 import gc
 import os
-import signal
 import sys
-from typing import Any, NamedTuple, NoReturn
+from typing import Any, Mapping, NoReturn
 
 import orjson
 import uvloop
 
-from spokemast.core.proxy import Proxy
-from spokemast.fronts.http1 import ClientConnection
-from spokemast.fronts.listener import Listener, drain
-from spokemast.fronts.platform import PlatformReader
-from spokemast.limits import Complaints, Limits, describe_context
+from spokemast.fronts.listener import drain
+from spokemast.limits import Complaints, Limits
+from spokemast.management import names
 from spokemast.members.watch import Discovery
-from spokemast.settings import Deployment, read_deployment
+from spokemast.node import Configuration, Node
+from spokemast.settings import read_deployment
 
 #: New objects between two collections. What the proxy drops has no cycles, so few are needed, and each
 #: one holds up all requests.
 GC_OBJECTS = 50_000
 
 
-class Configuration(NamedTuple):
-    deployment: Deployment
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
-    seed: int
-    limits: Limits
-    known: Any
-    told: Any  # the limits as the deployment words them, for the log
-
-
 def _address(text: Any, key: str) -> tuple[str, int]:
     host, _, port = str(text).rpartition(":")
     if not host or not port.isdigit() or int(port) > 65535:
@@ -42,7 +29,13 @@
     return host, int(port)
 
 
-def read_configuration(path: str) -> Configuration:
+def _descriptor(text: str) -> int:
+    if not text.isdigit():
+        raise ValueError(f"{names.ACCEPT_VARIABLE}: {text!r} is not the number of a descriptor")
+    return int(text)
+
+
+def read_configuration(path: str, environment: Mapping[str, str] = os.environ) -> Configuration:
     with open(path, "rb") as file:
         box = orjson.loads(file.read())
     if not isinstance(box, dict):
@@ -51,14 +44,22 @@
         if key not in box:
             raise ValueError(f"{key}: missing")
     limits = box.get("limits", {})
+    management = environment.get(names.MANAGEMENT_VARIABLE) or box.get(names.MANAGEMENT_KEY)
+    descriptor = environment.get(names.ACCEPT_VARIABLE)
     return Configuration(
         read_deployment(box["settings"]),
         _address(box["listen"], "listen"),
         _address(box["discovery"], "discovery"),
         int(str(box.get("seed", "0")), 16),
-        Limits(float(limits.get("memory_mb", 128)), int(limits.get("sockets", 1024))),
+        Limits(
+            float(limits.get("memory_mb", 128)),
+            int(limits.get("sockets", 1024)),
+            names.MANAGEMENT_SOCKETS if management else 0,
+        ),
         box.get("known"),
         limits,
+        _address(management, "management") if management else None,
+        _descriptor(descriptor) if descriptor else None,
     )
 
 
@@ -91,26 +92,29 @@
 
 async def serve(configuration: Configuration, path: str) -> None:
     complain = Complaints()
-    deployment, limits = configuration.deployment, configuration.limits
-    proxy = Proxy(deployment, configuration.seed, limits, complain)
-    discovery = Discovery(proxy, deployment, configuration.discovery, complain)
-    proxy.source = discovery
-    slots = limits.client_sockets, limits.overflow_sockets
-    listener = Listener(PlatformReader(proxy, deployment), slots, complain, ClientConnection)
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: complain("defect", describe_context(context)))
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, Reloader(path, configuration, discovery, complain))
-    discovery.start(configuration.known)
-    host, port = listener.listen(configuration.listen)
-    sys.stderr.write(f"spokemast: listening on {host}:{port}, limits {configuration.told}\n")
+    node = Node(configuration, complain)
+    upgrade = None
+    if configuration.management is not None or configuration.accept_fd is not None:
+        from spokemast.handover.operated import Operated  # loaded where it is configured
+
+        upgrade = Operated(node, os.environ)
+    node.take_signals(Reloader(path, configuration, node.discovery, complain))
+    node.discovery.start(configuration.known)
+    if upgrade is None:
+        node.accept()
+    else:
+        upgrade.start()
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_OBJECTS)
-    await stopping.wait()
-    await drain([listener], max(c.give_up for c in deployment.settings.classes))
+    await node.stopping.wait()
+    longest = max(c.give_up for c in configuration.deployment.settings.classes)
+    if upgrade is None:
+        await drain([node.listener], longest)
+        return
+    upgrade.end()
+    await drain([node.listener], longest, succeeded=upgrade.succeeded())
+    upgrade.close()
 
 
 def _stop(reason: str) -> NoReturn:
--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -16,7 +16,7 @@
 from typing import Callable, Mapping, Sequence
 
 from spokemast.interface import (
-    NEVER_RAN, Action, Cancel, CloseIdle, Effect, Event, Fail, FirstByte, Log, Outcome, PeerMessage,
+    NEVER_RAN, Action, Cancel, CloseIdle, Cordon, Effect, Event, Fail, FirstByte, Log, Outcome, PeerMessage,
     ProbeResult, Refuse, Request, RequestClass, Result, Scope, Send, ServerEntry, ServerList, ServerState,
     SetTimer, Settings, TimerFired, Watch, Withdrawn,
 )  # fmt: skip
@@ -71,6 +71,7 @@
 ASK_AGAIN_EACH_S = (
     0.25  # the last is this for each proxy at most: a few may ask often, many would ask in vain
 )
+RETURN_S = 1.0  # a server that was taken out and put back gets a request this often until it answers
 LIST_TOKEN = 0  # timers: 0 asks for the list, a request's id + 1 looks at that request
 
 
@@ -79,10 +80,11 @@
 
     __slots__ = ("id", "zone", "cell", "weight", "size", "kind", "state", "started", "out", "giving",
                  "util", "util_at", "errors", "errors_at", "by_class", "answered", "cold_next", "rank",
-                 "used", "woken", "failed")  # fmt: skip
+                 "used", "woken", "failed", "barred")  # fmt: skip
 
-    def __init__(self, entry: ServerEntry) -> None:
+    def __init__(self, entry: ServerEntry, barred: bool = False) -> None:
         self.id = entry.server
+        self.barred = barred  # taken out by an operator
         self.out: dict[tuple[int, int], float] = {}  # attempts in flight, oldest first: time sent
         self.giving: set[tuple[int, int]] = set()  # attempts whose answers have begun
         self.size = 1.0  # weight relative to the mean
@@ -224,7 +226,10 @@
         self.tenant_room = [0.0] * len(settings.tenants)
         self.tenant_at = [0.0] * len(settings.tenants)
         self.failed_calls = 0
+        self.cordoned: dict[str, float] = {}  # servers taken out by hand, and since when
+        self.returned: dict[str, float] = {}  # put back, unanswered so far, and when each is due a request
         self.react: dict[type, Callable[..., None]] = {
+            Cordon: self._on_cordon,
             Outcome: self._on_outcome, Request: self._on_request, TimerFired: self._on_timer,
             Withdrawn: self._on_withdrawn, ServerList: self._on_list, FirstByte: self._on_first_byte,
             ProbeResult: self._on_probe, PeerMessage: lambda event: None,
@@ -400,8 +405,10 @@
 
     def _may_take(self, server: Server) -> bool:
         """Drains kept, and no cold server pushed over."""
-        return server.state == ServerState.READY and (
-            self.now >= server.cold_next or self.now >= self._began(server) + self.rules.cold_time
+        return (
+            server.state == ServerState.READY
+            and not server.barred
+            and (self.now >= server.cold_next or self.now >= self._began(server) + self.rules.cold_time)
         )
 
     def _began(self, server: Server) -> float:
@@ -441,7 +448,7 @@
         passed over, one that drains too unless the settings let it keep its sessions. Harm: sessions crowd
         a server that the draw would spare."""
         server = self.servers.get(pending.member) if pending.member is not None else None
-        if server is None or pending.attempts:
+        if server is None or pending.attempts or server.barred:
             return None
         if server.state == ServerState.DRAINING:
             return server if self.settings.sticky_drains and self._responds(server) else None
@@ -449,12 +456,26 @@
 
     def _choose(self, pool: Pool, pending: Pending) -> Server | None:
         """A server of the first set that has a usable one; where none has, whichever the rules permit."""
+        if self.returned and not pending.attempts and (back := self._returning()) is not None:
+            return back
         tried, number = [a.server for a in pending.attempts], pending.number
         for those in pool.sets:
             if any(self._usable(s) and s not in tried for s in those.servers):
                 return self._two(those, tried, number) or self._of_few(those, tried, number)
         return self._two(pool, tried, number) or self._unfiltered(pool, tried, number)
 
+    def _returning(self) -> Server | None:
+        """Exception: a server that operators have put back gets a first attempt of its own once a second
+        until it answers; the ramp and the pace of a cold start together could leave it without any for long.
+
+        Harm: where it does not run, that request finds out, and goes again."""
+        for name, due in self.returned.items():
+            server = self.servers.get(name)
+            if server is not None and self.now >= due and self._may_take(server):
+                self.returned[name] = self.now + RETURN_S
+                return server
+        return None
+
     def _usable(self, server: Server) -> bool:
         """Whether a set has to be passed over for want of this one; load does not count."""
         return self._may_take(server) and self._responds(server)
@@ -559,6 +580,8 @@
             return
         share = self._faded(server.errors, server.errors_at)
         server.failed = 0 if result == Result.SERVED else server.failed + 1
+        if result == Result.SERVED and self.returned:
+            self.returned.pop(server.id, None)
         failure = slowness if result == Result.SERVED else 1.0
         self.errors_usual += SPEED_STEP * (failure - self.errors_usual)
         share += ERROR_STEP * (failure - share)
@@ -670,17 +693,51 @@
     def _list_entry(self, entry: ServerEntry) -> None:
         server = self.servers.get(entry.server)
         if server is None:
-            server = self.servers[entry.server] = Server(entry)
+            server = self.servers[entry.server] = Server(entry, entry.server in self.cordoned)
         else:
             server.listed(entry)
 
+    def _on_cordon(self, event: Cordon) -> None:
+        """Drains kept: what operators take out gets nothing until they put it back, whatever lists say.
+
+        One that is put back counts as cold: it may have been restarted meanwhile, and the list be late to
+        say so. Where the list has said so already, that start counts."""
+        name = event.server
+        server = self.servers.get(name)
+        if event.out:
+            self.cordoned.setdefault(name, self.now)
+            self.returned.pop(name, None)
+            self.actions.append(CloseIdle(name))
+        elif name in self.cordoned:
+            since = self.cordoned.pop(name)
+            if server is not None:
+                self.returned[name] = self.now
+                server.cold_next = -math.inf
+                if server.started < since:
+                    server.woken = self.now
+        if server is not None:
+            server.barred = event.out
+            self._lay_out()
+
+    def avoids(self, name: str) -> bool:
+        """Whether a server would be passed over now: by hand, by state, silent, or failing past the filter.
+
+        Load, a cold start's pace and the ramp do not count: they put off a request, not the server."""
+        server = self.servers.get(name)
+        if server is None or server.barred or server.state != ServerState.READY:
+            return True
+        if not self._responds(server):
+            return True
+        return self._faded(server.errors, server.errors_at) > max(ERROR_LIMIT, self.errors_usual + ERROR_OVER)
+
     def _lay_out(self) -> None:
-        """The pools that draws are made from; only list events change them."""
+        """The pools that draws are made from; only lists and operators change them."""
         for name in [
             s.id for s in self.servers.values() if s.state == ServerState.GONE and not (s.out or s.giving)
         ]:
             del self.servers[name]
-        self.ready = [s for s in self.servers.values() if s.state == ServerState.READY]
+            self.returned.pop(name, None)
+        self.ready = [s for s in self.servers.values() if s.state == ServerState.READY and not s.barred]
         mean = sum(s.weight for s in self.ready) / max(1, len(self.ready))
         self.total_size = float(len(self.ready))
         # Exception: after a deploy or the return of a lost zone most of the fleet is young. Held back for
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -10,10 +10,12 @@
 import time
 from collections import deque
 from functools import partial
-from typing import Any, Callable, Mapping, Protocol, cast
+from typing import TYPE_CHECKING, Any, Callable, Mapping, Protocol, cast
 
 from spokemast import interface as api
 from spokemast.choice import Balancer
+from spokemast.core.requests import Ids, OpenRequest
+from spokemast.figures import REFUSALS, End, Figures, end_of
 from spokemast.interface import Result
 from spokemast.members.lists import Entry, Source
 from spokemast.limits import Budget, Complaints, Share, describe
@@ -22,22 +24,13 @@
 from spokemast.upstreams.dialect import Dialect
 from spokemast.upstreams.http1 import Connection
 
+if TYPE_CHECKING:  # loaded where operators can mark members
+    from spokemast.members.marks import Marks
 
 #: A request that the module has not answered this long after its client's time is up is failed here.
 OVERDUE_S = 0.03
-#: Ids of requests that backends could not use are kept, the latest ones.
-UNUSABLE_MOST = 2000
 #: How often limits in time are looked at.
 SWEEP_S = 0.25
-#: Statuses that tell a client that trying again is harmless.
-REFUSALS = frozenset((429, 503))
-
-
-class Client(Protocol):
-    """What a request needs of the connection that it came on."""
-
-    def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False,
-               length: int | None = None, reason: bytes = b"") -> None: ...  # fmt: skip
 
 
 class Gate(Protocol):
@@ -46,56 +39,6 @@
     def admit(self, pool: str) -> bool: ...
 
 
-class OpenRequest:
-    """A request that has been taken, until it is answered and all its attempts have ended."""
-
-    __slots__ = ("id", "client", "txn", "head", "body", "attempts", "live", "done", "unusable", "timer",
-                 "owner", "bodiless", "timed_out", "error")  # fmt: skip
-
-    def __init__(self, client: Client, txn: int, head: bytes, body: bytearray | None,
-                 bodiless: bool = False) -> None:  # fmt: skip
-        self.id = 0
-        self.owner: Proxy  # who has taken it
-        self.bodiless = bodiless  # asks for a head alone
-        self.client = client
-        self.txn = txn  # a hash of its X-Txn: of one size, whatever clients send
-        self.unusable = False  # so says a backend
-        self.timed_out = False  # its last attempt has
-        self.error: Answer | None = None  # the last that a backend made of its failure
-        self.timer: asyncio.TimerHandle | None = None
-        self.head, self.body = head, body  # as a backend gets them, all but X-Remaining
-        self.attempts: list[Attempt] = []
-        self.live = 0  # attempts that have not ended
-        self.done = False
-
-
-class Ids:
-    """Ids that clients gave to requests: of what is open, and of what backends could not use.
-
-    Guards against answers that go to the wrong client, and against bad clients who ask the same again:
-    ids are new with every request. Harm: none to clients that keep to that. 0 is no id."""
-
-    def __init__(self) -> None:
-        self.open: set[int] = set()
-        self.unusable: dict[int, None] = {}  # the oldest first
-
-    def is_known(self, txn: int) -> bool:
-        return txn in self.open or txn in self.unusable
-
-    def opened(self, txn: int) -> None:
-        if txn:
-            self.open.add(txn)
-
-    def ended(self, txn: int) -> None:
-        self.open.discard(txn)
-
-    def found_unusable(self, txn: int) -> None:
-        if txn:
-            self.unusable[txn] = None
-        if len(self.unusable) > UNUSABLE_MOST:
-            del self.unusable[next(iter(self.unusable))]
-
-
 class Proxy:
     """One pool's open requests, their attempts and timers; the only caller of the module."""
 
@@ -121,6 +64,9 @@
         self.open_most = limits.open_most
         self.turns: Gate | None = None  # where several pools share the processor
         self.name = ""  # by which they know this one
+        self.figures = Figures(len(deployment.settings.classes))
+        self.marks: Marks | None = None  # what operators say of members, where they can
+        self.fresh = False  # a list has come since the start, or a change to one
         self.closed = False
         dialect = dialect or Dialect(report_fields=deployment.settings.report_fields)
         make = partial(connect, dialect=dialect, not_passed=dialect.not_passed())
@@ -186,7 +132,8 @@
              hint: float | None, retry: bool, member: str | None = None) -> None:  # fmt: skip
         """`left`: seconds until the client gives up. `member`: where a sticky session wants it to go."""
         self._last_id += 1
-        request.id = self._last_id
+        request.id, request.cls = self._last_id, cls
+        self.figures.open += 1
         request.owner = self
         self.open[request.id] = request
         self.ids.opened(request.txn)
@@ -203,6 +150,20 @@
             return False
         return self.turns is None or self.turns.admit(self.name)
 
+    def resize(self, limits: Share) -> None:
+        """Other limits from now on; what is idle past them goes."""
+        self.budget.resize(limits.buffered)
+        self.backends.resize(limits.backend_sockets)
+        self.open_most = limits.open_most
+
+    def tries(self) -> list[int]:
+        """Attempts written whole, for each class: those that have ended, and those still out."""
+        tries = list(self.figures.tries)
+        for request in self.open.values():
+            for attempt in request.attempts if request.live else ():
+                tries[request.cls] += not attempt.ended and attempt.is_written()
+        return tries
+
     def is_known(self, request: OpenRequest) -> bool:
         return self.ids.is_known(request.txn)
 
@@ -215,9 +176,14 @@
     def withdraw(self, request: OpenRequest) -> None:
         """The client has gone away."""
         if not request.done:
-            self._finish_request(request)
+            self._finish_request(request, End.FAILED)
             self.post(api.Withdrawn(request.id))
 
+    def turned_away(self, request: OpenRequest, cls: int, status: int) -> None:
+        """A whole request that the front answers with an error: it was not taken, and has not run."""
+        self.drop(request)
+        self.figures.count(cls, end_of(status))
+
     def end_all(self) -> None:
         """The process ends: what is still held has failed."""
         for request in list(self.open.values()):
@@ -226,7 +192,7 @@
     def _abandon(self, request: OpenRequest) -> None:
         """Fail a request without the module's word; it is told, and cancels what is still out."""
         if not request.done:
-            self._finish_request(request)
+            self._finish_request(request, End.FAILED)
             request.client.answer(502, [], b"")
             self.post(api.Withdrawn(request.id))
 
@@ -238,9 +204,11 @@
             self.complain("overdue request failed", request.id)
             self._abandon(request)
 
-    def _finish_request(self, request: OpenRequest) -> None:
+    def _finish_request(self, request: OpenRequest, end: End) -> None:
         """The one place where a request ends. The caller gives the answer, where one is due."""
         request.done = True
+        self.figures.open -= 1
+        self.figures.count(request.cls, end)
         if request.timer is not None:
             request.timer.cancel()
             request.timer = None
@@ -268,6 +236,7 @@
             attempt.timer = None
         request = cast(OpenRequest, attempt.request)
         request.live -= 1
+        self.figures.tries[request.cls] += attempt.is_written()
         request.timed_out = result == Result.TIMEOUT
         if result == Result.UNUSABLE:
             request.unusable = True
@@ -279,7 +248,7 @@
                 self._release(request)
         elif result == Result.SERVED:
             assert answer is not None
-            self._finish_request(request)
+            self._finish_request(request, End.PASSED)
             request.client.answer(
                 answer.status, answer.lines, answer.body, False, answer.length, answer.reason
             )
@@ -329,7 +298,7 @@
     def _refuse(self, action: api.Refuse) -> None:
         request = self.open[action.request]
         if not request.done:
-            self._finish_request(request)
+            self._finish_request(request, End.DROPPED)
             lines = [b"Retry-After: %.3f\r\n" % action.retry_after] if action.retry_after else []
             request.client.answer(503, lines, b"")
 
@@ -337,7 +306,7 @@
         request = self.open[action.request]
         error = request.error
         if not request.done:
-            self._finish_request(request)
+            self._finish_request(request, End.FAILED)
             if request.unusable:
                 request.client.answer(400, [], b"", close=True)
             elif error is not None and not request.timed_out:
@@ -354,11 +323,20 @@
         if self.source is not None:
             self.source.watch(action.on)
 
-    # The list.
+    # The list, and what operators say of members.
+
+    def cordon(self, server: str, out: bool) -> None:
+        """Leave this member out, or use it again; also one that is not listed now."""
+        self.post(api.Cordon(server, out))
+
+    def skipped(self) -> int:
+        """Listed members that get nothing now, by the module's choice, by hand or by their state."""
+        return sum(self.balancer.avoids(server) for server in self.listed)
 
     def take_list(self, entries: list[Entry], whole: bool, stale: bool = False) -> None:
         """A list, or a change: addresses are for the connections, the rest for the module."""
         named = set()
+        self.fresh = self.fresh or not stale
         for entry, address in entries:
             if entry.state == api.ServerState.GONE:
                 self.backends.gone(entry.server)
@@ -374,6 +352,8 @@
             self.listed = named
         else:
             self.listed |= named
+        if self.marks is not None:
+            self.marks.listed(named)
         self.post(api.ServerList(tuple(entry for entry, _ in entries), whole, False, stale))
 
     def _sweep(self) -> None:
--- /dev/null
+++ b/spokemast/core/requests.py
@@ -0,0 +1,75 @@
+"""An open request, and the ids that clients gave: what `core` holds of each until it has ended.
+
+No socket and no clock: who takes a request, answers it and ends it is core/proxy.py.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from spokemast.upstreams.connections import Answer, Attempt
+
+if TYPE_CHECKING:
+    from spokemast.core.proxy import Proxy
+
+#: Ids of requests that backends could not use are kept, the latest ones.
+UNUSABLE_MOST = 2000
+
+
+class Client(Protocol):
+    """What a request needs of the connection that it came on."""
+
+    def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False,
+               length: int | None = None, reason: bytes = b"") -> None: ...  # fmt: skip
+
+
+class OpenRequest:
+    """A request that has been taken, until it is answered and all its attempts have ended."""
+
+    __slots__ = ("id", "cls", "client", "txn", "head", "body", "attempts", "live", "done", "unusable", "timer",
+                 "owner", "bodiless", "timed_out", "error")  # fmt: skip
+
+    def __init__(self, client: Client, txn: int, head: bytes, body: bytearray | None,
+                 bodiless: bool = False) -> None:  # fmt: skip
+        self.id = 0
+        self.cls = 0  # number of its class
+        self.owner: Proxy  # who has taken it
+        self.bodiless = bodiless  # asks for a head alone
+        self.client = client
+        self.txn = txn  # a hash of its X-Txn: of one size, whatever clients send
+        self.unusable = False  # so says a backend
+        self.timed_out = False  # its last attempt has
+        self.error: Answer | None = None  # the last that a backend made of its failure
+        self.timer: asyncio.TimerHandle | None = None
+        self.head, self.body = head, body  # as a backend gets them, all but X-Remaining
+        self.attempts: list[Attempt] = []
+        self.live = 0  # attempts that have not ended
+        self.done = False
+
+
+class Ids:
+    """Ids that clients gave to requests: of what is open, and of what backends could not use.
+
+    Guards against answers that go to the wrong client, and against bad clients who ask the same again:
+    ids are new with every request. Harm: none to clients that keep to that. 0 is no id."""
+
+    def __init__(self) -> None:
+        self.open: set[int] = set()
+        self.unusable: dict[int, None] = {}  # the oldest first
+
+    def is_known(self, txn: int) -> bool:
+        return txn in self.open or txn in self.unusable
+
+    def opened(self, txn: int) -> None:
+        if txn:
+            self.open.add(txn)
+
+    def ended(self, txn: int) -> None:
+        self.open.discard(txn)
+
+    def found_unusable(self, txn: int) -> None:
+        if txn:
+            self.unusable[txn] = None
+        if len(self.unusable) > UNUSABLE_MOST:
+            del self.unusable[next(iter(self.unusable))]
--- a/spokemast/daemon/daemon.py
+++ b/spokemast/daemon/daemon.py
@@ -22,7 +22,7 @@
 from spokemast.config.plan import ListenerPlan, Plan, load
 from spokemast.config.reader import ConfigError, Problem, read_address
 from spokemast.config.types import AdmissionTable, ListenerTable
-from spokemast.core.proxy import Ids
+from spokemast.core.requests import Ids
 from spokemast.daemon.pools import RunningPool
 from spokemast.fronts.fastcgi import FastCgiFront
 from spokemast.fronts.gate import Gate
--- a/spokemast/daemon/pools.py
+++ b/spokemast/daemon/pools.py
@@ -9,7 +9,8 @@
 from spokemast.config.plan import PoolPlan
 from spokemast.config.reader import read_address
 from spokemast.config.types import FastCgiTable
-from spokemast.core.proxy import Ids, Proxy
+from spokemast.core.proxy import Proxy
+from spokemast.core.requests import Ids
 from spokemast.fronts.platform import PlatformReader
 from spokemast.limits import Complaints
 from spokemast.members.listed import ListedMembers, MembersFile
@@ -128,9 +129,7 @@
         """Another part of the process; what is held over it is kept until it ends."""
         proxy = self.proxy
         proxy.turns = turns
-        proxy.open_most = share.open_most
-        proxy.backends.resize(share.backend_sockets)
-        proxy.budget.resize(share.buffered)
+        proxy.resize(share)
 
     def retire(self) -> None:
         """No route leads here any more: members get nothing new but what is on its way, and no connection is
--- a/spokemast/fronts/dialect.py
+++ b/spokemast/fronts/dialect.py
@@ -7,7 +7,8 @@
 
 from typing import Iterable, NamedTuple, Protocol, Union
 
-from spokemast.core.proxy import OpenRequest, Proxy
+from spokemast.core.proxy import Proxy
+from spokemast.core.requests import OpenRequest
 from spokemast.limits import Budget
 
 
--- a/spokemast/fronts/fastcgi.py
+++ b/spokemast/fronts/fastcgi.py
@@ -12,7 +12,7 @@
 import time
 from typing import cast
 
-from spokemast.core.proxy import OpenRequest
+from spokemast.core.requests import OpenRequest
 from spokemast.fastcgi.application import Aborted, ApplicationSide, Begun, Data, Ended, Event
 from spokemast.fastcgi.cgi import CgiError, from_params, write_answer
 from spokemast.fastcgi.records import Status, Type, encode, encode_stream
@@ -183,7 +183,7 @@
                 item.request, item.cls, left, item.tenant, item.key, item.hint, item.retry, item.member
             )
             return
-        proxy.drop(item.request)
+        proxy.turned_away(item.request, item.cls, status)
         self._reject(request, status, why)
 
     def _reject(self, request: FcgiRequest, status: int, why: str) -> None:
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -15,7 +15,7 @@
 import httptools
 
 from spokemast.admission.rulings import RETURN_S
-from spokemast.core.proxy import OpenRequest
+from spokemast.core.requests import OpenRequest
 from spokemast.fronts.dialect import Ask, RejectError, Reply
 from spokemast.fronts.connection import REQUEST_S, FrontConnection, Phase
 from spokemast.fronts.listener import Listener
@@ -221,7 +221,7 @@
     def _turn_away(self, item: Ask, status: int, why: bytes, close: bool = True,
                    lines: Sequence[bytes] = ()) -> None:  # fmt: skip
         """Answered before it was taken: it has not run."""
-        item.proxy.drop(item.request)
+        item.proxy.turned_away(item.request, item.cls, status)
         self.close_after = self.close_after or close
         self.bodiless = item.request.bodiless
         self._write(status, list(lines), why)
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -40,6 +40,10 @@
 DRAIN_IDLE_S = 0.2
 #: What is held after SIGTERM gets at most the longest deadline, but SIGKILL may come 3.7 s after it.
 DRAIN_MOST_S = 3.4
+#: While another process takes the new clients, idle connections may stay until this long before the end,
+LAST_S = 0.4
+#: unless they have been idle for so long that hardly anybody will ask again on them, in seconds.
+KEPT_S = 2.0
 #: The last answers get this long to leave our buffers.
 FLUSH_S = 0.1
 #: Bytes read of a connection that is turned away on the spot.
@@ -97,6 +101,11 @@
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
         return self.address
 
+    @property
+    def accepting(self) -> bool:
+        """Whether new clients are taken."""
+        return self._sock is not None and not self.draining
+
     @property
     def address(self) -> tuple[str, int]:
         """Where it listens; of a Unix socket `unix:` and the path, and 0."""
@@ -310,11 +319,11 @@
             release(self._sock)
             self._sock = None
 
-    def is_busy(self) -> bool:
-        """Close what is idle; whether any connection is not, or is still being opened."""
+    def is_busy(self, idle_s: float = DRAIN_IDLE_S) -> bool:
+        """Close what has been idle for `idle_s`; whether any connection has not, or is still being opened."""
         now = time.monotonic()
         for connection in [*self.idle, *self.proven]:
-            if now - connection.since > DRAIN_IDLE_S:
+            if now - connection.since > idle_s:
                 connection.retire()
         return bool(self._opening) or any(c.is_busy() for c in self.connections)
 
@@ -330,21 +339,22 @@
             connection.abort()
 
 
-async def drain(listeners: Sequence[Listener], longest: float, most: float = DRAIN_MOST_S) -> None:
+async def drain(listeners: Sequence[Listener], longest: float, most: float = DRAIN_MOST_S,
+                succeeded: bool = False) -> None:  # fmt: skip
     """After SIGTERM: serve for a while, then close what is idle and answer what is held.
 
-    `longest`: seconds that a request may take at most; `most`: that all of it may take."""
+    `longest`: seconds that a request may take at most; `most`: that all of it may take; `succeeded`: another process
+    accepts on the same sockets."""
     began = time.monotonic()
-    for listener in listeners:
-        listener.retire()
-    await asyncio.sleep(DRAIN_OPEN_S)
-    for listener in listeners:
-        listener.hush()
     end = began + min(most, longest + DRAIN_OPEN_S)
     for listener in listeners:
-        while listener.accept() and time.monotonic() < end:  # what the kernel holds is ours
-            await asyncio.sleep(0)
-        listener.close()
+        listener.retire()
+    if succeeded:
+        for listener in listeners:
+            listener.close()
+        await _let_go(listeners, end - LAST_S)
+    else:
+        await _stop_accepting(listeners, end)
     while any([listener.is_busy() for listener in listeners]) and time.monotonic() < end:
         await asyncio.sleep(0.01)
     for listener in listeners:
@@ -356,3 +366,21 @@
         await asyncio.sleep(0.01)
     for listener in listeners:
         listener.stop()
+
+
+async def _stop_accepting(listeners: Sequence[Listener], end: float) -> None:
+    """Nobody else accepts: go on for a while, then take what the kernel holds, for it is ours."""
+    await asyncio.sleep(DRAIN_OPEN_S)
+    for listener in listeners:
+        listener.hush()
+    for listener in listeners:
+        while listener.accept() and time.monotonic() < end:
+            await asyncio.sleep(0)
+        listener.close()
+
+
+async def _let_go(listeners: Sequence[Listener], until: float) -> None:
+    """Clients' connections end with an answer each, as long as there is time: closing an idle one under its client
+    costs a request whenever the two cross. Harm: a process that ends some seconds later than it could."""
+    while time.monotonic() < until and any(listener.is_busy(KEPT_S) for listener in listeners):
+        await asyncio.sleep(0.02)
--- a/spokemast/fronts/ordinary.py
+++ b/spokemast/fronts/ordinary.py
@@ -12,7 +12,8 @@
 
 from spokemast.config.plan import ByMethod, ListenerPlan, Network
 from spokemast.config.types import StickyTable
-from spokemast.core.proxy import OpenRequest, Proxy
+from spokemast.core.proxy import Proxy
+from spokemast.core.requests import OpenRequest
 from spokemast.fronts.dialect import Ask, ClientSide, Destination, Head, RejectError, Reply
 from spokemast.fronts.platform import PlatformReader, pass_on
 from spokemast.fronts.sockets import LOCAL
--- a/spokemast/fronts/platform.py
+++ b/spokemast/fronts/platform.py
@@ -9,7 +9,8 @@
 import time
 from typing import Iterable
 
-from spokemast.core.proxy import OpenRequest, Proxy
+from spokemast.core.proxy import Proxy
+from spokemast.core.requests import OpenRequest
 from spokemast.fronts.dialect import Ask, ClientSide, Head, RejectError, Reply
 from spokemast.interface import Effect
 from spokemast.limits import BODY_MOST
--- /dev/null
+++ b/spokemast/handover/operated.py
@@ -0,0 +1,131 @@
+"""What the platform's `run` does where operators reach it: management, marks, and upgrades.
+
+Loaded only there. Files and sockets are their owners' (shared.py, management/server.py); what a process may do beside
+another one is decided in phases.py, and this carries it out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Mapping
+
+from spokemast.handover.phases import ACCEPTING, Phase, Seen, phase, share
+from spokemast.handover.shared import Life, MarksFile
+from spokemast.limits import Limits
+from spokemast.management import names
+from spokemast.management.platform import WORDS, Operations
+from spokemast.management.calls import Desk
+from spokemast.management.server import ManagementServer
+from spokemast.members.marks import Marks
+from spokemast.node import Node
+
+#: How often the folder is looked at: what the other process says counts within this.
+LOOK_S = 0.1
+
+
+class Operated:
+    """Owns the management address, the marks, and this process's place among those of one proxy."""
+
+    def __init__(self, node: Node, environment: Mapping[str, str]) -> None:
+        """OSError where the operators' address can't be had."""
+        configuration = node.configuration
+        self.node, self.complain = node, node.complain
+        self._began = time.monotonic()
+        self._loop = asyncio.get_running_loop()
+        self._file: MarksFile | None = None
+        self._life: Life | None = None
+        self._elders: frozenset[str] = frozenset()
+        self._open_folder(environment.get(names.FOLDER_VARIABLE), configuration.accept_fd is not None)
+        save = self._file.save if self._file is not None else None
+        self.marks = Marks(node.proxy, save, time.time)
+        node.proxy.marks = self.marks
+        if self._file is not None:
+            self.marks.follow(self._file.read() or {})
+        self.phase, self._share = Phase.ALONE, configuration.limits.sockets
+        self._processes = 1
+        self.server: ManagementServer | None = None
+        if configuration.management is not None:
+            operations = Operations(node.proxy, configuration.deployment.classes, self.marks, self.serves)
+            self.server = ManagementServer(Desk(WORDS, operations), self.complain)
+            self.server.listen(configuration.management)
+
+    def start(self) -> None:
+        """Take clients, unless an older process takes them for now; OSError where the address can't be had."""
+        self._look()
+        if self.phase in ACCEPTING and not self.node.listener.accepting:
+            self.node.accept()
+        self._timer = self._loop.call_later(LOOK_S, self._tick)
+
+    def _open_folder(self, folder: str | None, shared: bool) -> None:
+        """Guards against a folder that takes no file: the process then runs as if it were alone."""
+        if not folder:
+            return
+        self._file = MarksFile(Path(folder), self.complain)
+        if shared:
+            try:
+                self._life = Life(Path(folder))
+                self._elders = frozenset(self._life.others())
+            except OSError as problem:
+                self.complain("no upgrade can be seen", problem)
+
+    # What others ask.
+
+    def serves(self) -> bool:
+        return self.phase in ACCEPTING and self.node.serves()
+
+    def succeeded(self) -> bool:
+        """Whether another process takes the clients from now on."""
+        return self._processes > 1
+
+    def end(self) -> None:
+        """The process was told to end: it takes no more, and gives up what it does not need."""
+        self._look()
+
+    def close(self) -> None:
+        self._timer.cancel()
+        if self.server is not None:
+            self.server.close()
+        if self._life is not None:
+            self._life.close()
+
+    # Looking.
+
+    def _tick(self) -> None:
+        self._timer = self._loop.call_later(LOOK_S, self._tick)
+        if self._file is not None:
+            marks = self._file.changed()
+            if marks is not None:
+                self.marks.follow(marks)
+        self._look()
+
+    def _look(self) -> None:
+        """See who is there, decide, and carry it out."""
+        if self._life is None:
+            return
+        node = self.node
+        try:
+            others = self._life.others()
+        except OSError as problem:
+            self.complain("the shared folder can't be read", problem)
+            return
+        self._elders &= others.keys()
+        proxy, ending = node.proxy, node.stopping.is_set()
+        seen = Seen(time.monotonic() - self._began, bool(proxy.listed), proxy.fresh, bool(self._elders),
+                    list(others.values()), ending, node.used() + names.MANAGEMENT_SOCKETS)  # fmt: skip
+        self._become(phase(seen), seen)
+
+    def _become(self, now: Phase, seen: Seen) -> None:
+        limits, processes = self.node.configuration.limits, 1 + len(seen.others)
+        held = share(now, seen, limits.sockets)
+        if now != self.phase:
+            self.complain(f"upgrade: {now.name.lower()}", f"{held} of {limits.sockets} descriptors")
+        if (held, processes) != (self._share, self._processes):
+            mine = Limits(limits.memory_mb / processes, held, limits.kept)
+            self.node.resize(mine)
+        self.phase, self._share, self._processes = now, held, processes
+        assert self._life is not None
+        self._life.claim(held)
+        if now in ACCEPTING and not self.node.listener.accepting:
+            self.node.accept()
--- a/spokemast/interface.py
+++ b/spokemast/interface.py
@@ -185,6 +185,13 @@
     stale: bool = False  # what was held before a restart
 
 
+class Cordon(NamedTuple):
+    """An operator leaves a server out, whatever lists say of it, or has it used again."""
+
+    server: str
+    out: bool
+
+
 class Request(NamedTuple):
     request: int
     cls: int
@@ -234,7 +241,9 @@
     payload: bytes
 
 
-Event = Union[ServerList, Request, Outcome, FirstByte, Withdrawn, TimerFired, ProbeResult, PeerMessage]
+Event = Union[
+    ServerList, Cordon, Request, Outcome, FirstByte, Withdrawn, TimerFired, ProbeResult, PeerMessage
+]
 
 
 # Actions.
--- a/spokemast/limits.py
+++ b/spokemast/limits.py
@@ -43,9 +43,11 @@
 class Limits:
     """The deployment's limits on one process, divided among what needs them."""
 
-    def __init__(self, memory_mb: float, sockets: int) -> None:
+    def __init__(self, memory_mb: float, sockets: int, kept: int = 0) -> None:
+        """`kept`: descriptors beside the usual ones that neither clients nor backends may have."""
+        self.memory_mb, self.sockets, self.kept = memory_mb, sockets, kept
         self.buffered = int(max(BUFFER_LEAST_MB, (memory_mb - BASE_MB) * BUFFER_SHARE) * (1 << 20))
-        left = max(16, sockets - OTHER_SOCKETS)
+        left = max(16, sockets - OTHER_SOCKETS - kept)
         self.overflow_sockets = int(left * OVERFLOW_SHARE)
         self.backend_sockets = int(left * BACKEND_SHARE)
         self.client_sockets = left - self.overflow_sockets - self.backend_sockets
--- /dev/null
+++ b/spokemast/management/calls.py
@@ -0,0 +1,77 @@
+"""What an operator's call means: method and path in, an answer out.
+
+Pure: no I/O and no clock. The paths are those of whoever sets `Words`.
+"""
+
+from __future__ import annotations
+
+from typing import Callable, NamedTuple, Protocol
+from urllib.parse import unquote
+
+
+class Said(NamedTuple):
+    """An answer to a call."""
+
+    status: int
+    body: bytes
+    json: bool = False
+
+
+class Words(NamedTuple):
+    """Paths of the calls; a member's id follows the last two."""
+
+    health: str
+    stats: str
+    cordon: str
+    uncordon: str
+
+
+class Operated(Protocol):
+    """What calls are about."""
+
+    def serves(self) -> bool:
+        """Whether this process can serve."""
+
+    def stats(self) -> bytes:
+        """The figures, as JSON."""
+
+    def mark(self, member: str, out: bool) -> str | None:
+        """Leave a member out, or use it again; why not, where that can't be done. LookupError where the id was
+        never listed."""
+
+
+class Desk:
+    """Answers calls."""
+
+    def __init__(self, words: Words, operated: Operated) -> None:
+        self.words, self.operated = words, operated
+        self._reads: dict[str, Callable[[], Said]] = {words.health: self._health, words.stats: self._stats}
+        self._marks = {words.cordon: True, words.uncordon: False}
+
+    def answer(self, method: str, path: str) -> Said:
+        """`path`: without its query, as it came. Anything that is no call gets a 4xx that says what would be one."""
+        read = self._reads.get(path)
+        if read is not None:
+            return read() if method == "GET" else Said(405, b"this is read by GET\n")
+        place, _, member = path.rpartition("/")
+        out = self._marks.get(place)
+        if out is None:
+            return Said(404, b"no such call; " + " ".join(self._reads).encode() + b" are read\n")
+        if method != "PUT":
+            return Said(405, b"this is done by PUT\n")
+        return self._mark(unquote(member), out)
+
+    def _health(self) -> Said:
+        return Said(200, b"serving\n") if self.operated.serves() else Said(503, b"not serving\n")
+
+    def _stats(self) -> Said:
+        return Said(200, self.operated.stats(), json=True)
+
+    def _mark(self, member: str, out: bool) -> Said:
+        try:
+            problem = self.operated.mark(member, out)
+        except LookupError:
+            return Said(404, b"no member of this id was ever listed\n")
+        if problem is not None:
+            return Said(500, problem.encode() + b"\n")
+        return Said(200, b"left out\n" if out else b"in use\n")
--- /dev/null
+++ b/spokemast/management/platform.py
@@ -0,0 +1,61 @@
+"""The platform's form of what operators read, and its words for the calls."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, Callable, Mapping
+
+import orjson
+
+from spokemast.core.proxy import Proxy
+from spokemast.figures import End
+from spokemast.management import names
+from spokemast.management.calls import Words
+from spokemast.members.marks import Marks
+
+WORDS = Words(names.HEALTH, names.STATS, names.CORDON, names.UNCORDON)
+#: A read within this long of the one before gets the same figures: they may be half a second old, and counting them
+#: takes a pass over the fleet.
+FRESH_S = 0.1
+
+
+def figures(proxy: Proxy, classes: Mapping[str, int]) -> dict[str, Any]:
+    """All counts, in the platform's form."""
+    ended, tries = proxy.figures.ended, proxy.tries()
+    handled = {
+        name: {
+            "passed": ended[number][End.PASSED],
+            "dropped": ended[number][End.DROPPED],
+            "bad_gateway": ended[number][End.FAILED],
+            "upstream_tries": tries[number],
+        }
+        for name, number in classes.items()
+    }
+    return {
+        "handled": handled,
+        "in_progress": proxy.figures.open,
+        "known_backends": len(proxy.listed),
+        "skipped_backends": proxy.skipped(),
+    }
+
+
+class Operations:
+    """What the platform's operators can do to one proxy."""
+
+    def __init__(self, proxy: Proxy, classes: Mapping[str, int], marks: Marks,
+                 serves: Callable[[], bool]) -> None:  # fmt: skip
+        self.proxy, self.classes, self.marks, self._serves = proxy, classes, marks, serves
+        self._read_at = -FRESH_S
+        self._read = b""
+
+    def serves(self) -> bool:
+        return self._serves()
+
+    def stats(self) -> bytes:
+        now = time.monotonic()
+        if now - self._read_at >= FRESH_S:
+            self._read_at, self._read = now, orjson.dumps(figures(self.proxy, self.classes))
+        return self._read
+
+    def mark(self, member: str, out: bool) -> str | None:
+        return self.marks.mark(member, out)
--- /dev/null
+++ b/spokemast/management/server.py
@@ -0,0 +1,196 @@
+"""The management address on sockets: HTTP/1.1, one call a connection, within its own descriptors.
+
+What a call means is in calls.py. Nothing here waits for a client's request, a member or a file but the marks'.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import cast
+
+import httptools
+
+from spokemast.fronts.sockets import bind
+from spokemast.limits import Complaints
+from spokemast.management.calls import Desk, Said
+
+#: Connections at once. Guards the descriptors against callers that come and say nothing: past it the oldest that has
+#: not sent a whole call gives way.
+CALLERS_MOST = 16
+#: A call has this long to come whole; callers may take 4 s over one.
+CALL_S = 6.0
+#: An answered connection is read to its end for this long, so that what is still coming does not reset it before
+#: the caller has read the answer.
+LINGER_S = 1.0
+#: Largest call, in bytes: head and whatever body somebody sends along.
+CALL_MOST = 8 << 10
+#: After the kernel had no descriptor to give.
+REST_S = 0.05
+
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    413: b"Content Too Large", 500: b"Internal Server Error", 503: b"Service Unavailable",
+}  # fmt: skip
+
+
+class Caller(asyncio.Protocol):
+    """One connection, and the one call on it."""
+
+    def __init__(self, server: ManagementServer) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.url = b""
+        self.received = 0
+        self.whole = self.answered = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self._within(CALL_S, self._late)
+
+    def _within(self, seconds: float, then: object) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_later(seconds, then)  # type: ignore[arg-type]
+
+    # What the parser finds.
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+
+    def data_received(self, data: bytes) -> None:
+        self.received += len(data)
+        if self.answered:
+            if self.received > 2 * CALL_MOST:
+                self.abort()
+            return
+        assert self.parser is not None
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self.whole:
+                self._say(Said(400, b"this is not HTTP/1.1\n"))
+                return
+        if self.whole:
+            self._say(self._call())
+        elif self.received > CALL_MOST:
+            self._say(Said(413, b"a call is shorter than this\n"))
+
+    def _call(self) -> Said:
+        assert self.parser is not None
+        try:
+            path = httptools.parse_url(self.url).path or b""
+        except httptools.HttpParserInvalidURLError:
+            return Said(400, b"no path can be read\n")
+        return self.server.desk.answer(self.parser.get_method().decode(), path.decode("latin-1"))
+
+    def _late(self) -> None:
+        self._say(Said(408, b"the call did not come to its end\n"))
+
+    def _say(self, said: Said) -> None:
+        """Answer, once, and end the connection."""
+        assert self.transport is not None
+        self.answered = True
+        if self.transport.is_closing():
+            return
+        kind = b"application/json" if said.json else b"text/plain"
+        self.transport.write(
+            b"HTTP/1.1 %d %b\r\nContent-Type: %b\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
+            % (said.status, REASONS[said.status], kind, len(said.body), said.body)
+        )
+        self.transport.write_eof()
+        self._within(LINGER_S, self.abort)
+
+    def eof_received(self) -> None:
+        """The caller has gone, or says no more; nothing is owed that has not been said."""
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.left(self)
+        self.parser = None  # they hold one another
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class ManagementServer:
+    """The listening socket and its callers."""
+
+    def __init__(self, desk: Desk, complain: Complaints) -> None:
+        self.desk, self.complain = desk, complain
+        self._loop = asyncio.get_running_loop()
+        self._sock: socket.socket | None = None
+        self._callers: dict[Caller, None] = {}  # the oldest first
+        self._starting: set[asyncio.Task[None]] = set()
+
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Bind and begin to answer; OSError where the address can't be had."""
+        self._sock = bind(address)
+        self._loop.add_reader(self._sock, self._accept)
+        host, port = self._sock.getsockname()[:2]
+        return host, port
+
+    def _accept(self) -> None:
+        assert self._sock is not None
+        for _ in range(CALLERS_MOST):
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as problem:
+                self.complain("accept for management", problem)
+                self._rest()
+                return
+            sock.setblocking(False)
+            self._make_room()
+            caller = Caller(self)
+            self._callers[caller] = None
+            task = self._loop.create_task(self._start(caller, sock))
+            self._starting.add(task)  # the loop alone would not keep it
+            task.add_done_callback(self._starting.discard)
+
+    async def _start(self, caller: Caller, sock: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(lambda: caller, sock)
+        except OSError:
+            sock.close()
+            self.left(caller)
+
+    def _make_room(self) -> None:
+        """Answered ones first, then the oldest that has not sent its call."""
+        if len(self._callers) < CALLERS_MOST:
+            return
+        there = [caller for caller in self._callers if caller.transport is not None]
+        goes = next((caller for caller in there if caller.answered), there[0] if there else None)
+        if goes is not None:
+            goes.abort()
+            self.left(goes)
+
+    def left(self, caller: Caller) -> None:
+        self._callers.pop(caller, None)
+
+    def _rest(self) -> None:
+        """Guards against a socket that is always readable while there is no descriptor for what waits."""
+        assert self._sock is not None
+        self._loop.remove_reader(self._sock)
+        self._loop.call_later(REST_S, self._resume)
+
+    def _resume(self) -> None:
+        if self._sock is not None:
+            self._loop.add_reader(self._sock, self._accept)
+
+    def close(self) -> None:
+        if self._sock is not None:
+            self._loop.remove_reader(self._sock)
+            self._sock.close()
+            self._sock = None
+        for caller in list(self._callers):
+            caller.abort()
--- /dev/null
+++ b/spokemast/node.py
@@ -0,0 +1,87 @@
+"""One proxy on the platform: what it is told, its sockets, and the limits that they share."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import sys
+from typing import Any, Callable, NamedTuple
+
+from spokemast.core.proxy import Proxy
+from spokemast.fronts.http1 import ClientConnection
+from spokemast.fronts.listener import Listener
+from spokemast.fronts.platform import PlatformReader
+from spokemast.limits import OTHER_SOCKETS, Complaints, Limits, describe_context
+from spokemast.members.watch import Discovery
+from spokemast.settings import Deployment
+
+
+class Configuration(NamedTuple):
+    deployment: Deployment
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    known: Any
+    told: Any  # the limits as the deployment words them, for the log
+    management: tuple[str, int] | None = None  # where operators call
+    accept_fd: int | None = None  # the clients' listening socket, held by the platform
+
+
+def inherit(descriptor: int) -> socket.socket:
+    """A listening socket that another process has opened; OSError where the descriptor is none."""
+    sock = socket.socket(fileno=descriptor)
+    if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()
+        raise OSError(f"descriptor {descriptor} is no socket that listens")
+    sock.set_inheritable(False)
+    sock.setblocking(False)
+    return sock
+
+
+class Node:
+    """One proxy on the platform: its sockets, and the limits that they share."""
+
+    def __init__(self, configuration: Configuration, complain: Complaints) -> None:
+        deployment = configuration.deployment
+        self.configuration, self.complain = configuration, complain
+        limits = configuration.limits
+        self.proxy = Proxy(deployment, configuration.seed, limits, complain)
+        self.discovery = Discovery(self.proxy, deployment, configuration.discovery, complain)
+        self.proxy.source = self.discovery
+        slots = limits.client_sockets, limits.overflow_sockets
+        self.listener = Listener(PlatformReader(self.proxy, deployment), slots, complain, ClientConnection)
+        self._inherited: socket.socket | None = None  # the clients' socket, where the platform holds it
+        if configuration.accept_fd is not None:
+            self._inherited = inherit(configuration.accept_fd)
+        self.stopping = asyncio.Event()
+
+    def take_signals(self, reload: Callable[[], None]) -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: self.complain("defect", describe_context(context)))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, reload)
+
+    def accept(self) -> None:
+        """Take clients from now on; OSError where the address can't be had."""
+        if self._inherited is not None:
+            where = self.listener.start(self._inherited)
+        else:
+            where = self.listener.listen(self.configuration.listen)
+        told = self.configuration.told
+        sys.stderr.write(f"spokemast: listening on {where[0]}:{where[1]}, limits {told}\n")
+
+    def serves(self) -> bool:
+        """Whether clients who come now are taken, and there is a list to send them by."""
+        return self.listener.accepting and bool(self.proxy.listed)
+
+    def used(self) -> int:
+        """Descriptors in use, and those that open requests may still need."""
+        connections = self.listener.taken + self.listener.overflowing
+        return connections + self.proxy.backends.open + self.proxy.figures.open + OTHER_SOCKETS
+
+    def resize(self, limits: Limits) -> None:
+        self.proxy.resize(limits)
+        self.listener.resize(limits.client_sockets, limits.overflow_sockets)
--- a/spokemast/upstreams/base.py
+++ b/spokemast/upstreams/base.py
@@ -57,6 +57,7 @@
         except BlockingIOError:
             sent = 0
         except OSError:
+            self.unsent = True
             self.fail(Result.NO_CONNECTION)
             return
         if sent < len(data):
@@ -104,7 +105,7 @@
     def drop(self) -> None:
         """Close at once; nothing further is heard of it."""
         if self.attempt is not None:
-            self.attempt.connection = None
+            self.attempt.part()
             self.attempt = None
         if not self.closed:
             self.closed = True
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -91,7 +91,7 @@
     """One Send, from when the module asked for it to its one Outcome."""
 
     __slots__ = ("request", "number", "server", "began", "timeout", "timer", "connection", "opening", "ended",
-                 "written_at")  # fmt: skip
+                 "written_at", "_written")  # fmt: skip
 
     def __init__(self, request: Job, number: int, server: str, began: float, timeout: float) -> None:
         self.request, self.number, self.server = request, number, server
@@ -101,10 +101,16 @@
         self.opening: asyncio.Task[None] | None = None
         self.ended = False
         self.written_at = 0.0  # monotonic
+        self._written = False  # as it was when the connection was let go
 
     def is_written(self) -> bool:
         """Whether the last byte of the request has left, so that it may have run."""
-        return self.connection is not None and not self.connection.is_unsent()
+        return self._written if self.connection is None else not self.connection.is_unsent()
+
+    def part(self) -> None:
+        """The connection carries it no further."""
+        self._written = self.is_written()
+        self.connection = None
 
     def drop(self) -> None:
         """Stop waiting: the connection is closed, which also tells the backend."""
--- a/spokemast/upstreams/fastcgi.py
+++ b/spokemast/upstreams/fastcgi.py
@@ -118,7 +118,7 @@
         attempt = self.attempt
         assert attempt is not None
         self.attempt = None
-        attempt.connection = None
+        attempt.part()
         if self.application.keep and not self.side.stray and not self.unsent and not self.closed:
             self.release()
             self.pool.park(self)
--- a/spokemast/upstreams/http1.py
+++ b/spokemast/upstreams/http1.py
@@ -174,7 +174,7 @@
         if result == Result.SERVED or (result == Result.ERROR and not self.dialect.platform):
             answer = self._answer()
         self.attempt = None
-        attempt.connection = None
+        attempt.part()
         if self.keep and not self.surplus and not self.is_unsent() and not self.closed:
             if self.length_only:
                 self.parser = httptools.HttpResponseParser(self)  # the old one waits for a body
--- a/spokemast/upstreams/multiplex.py
+++ b/spokemast/upstreams/multiplex.py
@@ -56,7 +56,7 @@
     def release(self) -> None:
         self.trunk.pool.budget.give(self.held)
         self.held = 0
-        self.attempt.connection = None
+        self.attempt.part()
 
     def drop(self) -> None:
         """Give this attempt up: the application hears so, and the others on the trunk go on."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -12,7 +12,7 @@
 from spokemast.interface import Result
 from spokemast.upstreams import connections as connections_module
 from spokemast.upstreams import http1 as backend_module
-from spokemast.core.proxy import OpenRequest
+from spokemast.core.requests import OpenRequest
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
