--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -508,15 +508,23 @@
         return None
 
     def _unfiltered(self, pool: Pool, tried: list[Server], number: int) -> Server | None:
-        """The fallback: health and load do not matter, the rules do."""
-        best = None
-        for _ in range(DRAW_TRIES):
+        """The fallback: load does not matter, the rules do, and one that fails comes after all others.
+
+        Protects against fast-failing servers while the others are too busy to pass the filters: with next to
+        nothing in flight they would score best, and take most of the load just then."""
+        found: list[Server] = []
+        failing: Server | None = None
+        for _ in range(2 * DRAW_TRIES):
             server = pool.draw(self.random.random(), self.speed)
-            if self._may_take(server) and server not in tried:
-                if best is not None:
-                    return best if self._score(best, number) <= self._score(server, number) else server
-                best = server
-        return best
+            if not self._may_take(server) or server in tried or server in found:
+                continue
+            if self._failing(server, number) > self._error_limit():
+                failing = server
+            elif found:
+                return min(found[0], server, key=lambda s: self._score(s, number))
+            else:
+                found.append(server)
+        return found[0] if found else failing
 
     def _healthy(self, server: Server, number: int = -1) -> bool:
         if not server.answered and server.out:  # probation: one request until the first answer
@@ -529,9 +537,11 @@
             return False
         # Where all are busy the cause is shared, and passing most over would crowd the few that are left.
         util_limit = max(UTIL_LIMIT, self.util_usual + UTIL_OVER)
-        error_limit = max(ERROR_LIMIT, self.errors_usual + ERROR_OVER)
         return (self._faded(server.util, server.util_at) <= util_limit
-                and self._failing(server, number) <= error_limit)  # fmt: skip
+                and self._failing(server, number) <= self._error_limit())  # fmt: skip
+
+    def _error_limit(self) -> float:
+        return max(ERROR_LIMIT, self.errors_usual + ERROR_OVER)
 
     def _failing(self, server: Server, number: int) -> float:
         """The error share that counts for a class: its own there, or what the others leave of the server's.
@@ -728,7 +738,7 @@
             return True
         if not self._responds(server):
             return True
-        return self._faded(server.errors, server.errors_at) > max(ERROR_LIMIT, self.errors_usual + ERROR_OVER)
+        return self._faded(server.errors, server.errors_at) > self._error_limit()
 
     def _lay_out(self) -> None:
         """The pools that draws are made from; only lists and operators change them."""
--- a/spokemast/management/platform.py
+++ b/spokemast/management/platform.py
@@ -21,18 +21,18 @@
 
 def figures(proxy: Proxy, classes: Mapping[str, int]) -> dict[str, Any]:
     """All counts, in the platform's form."""
-    ended, tries = proxy.figures.ended, proxy.tries()
+    ended = proxy.figures.ended
     handled = {
         name: {
             "passed": ended[number][End.PASSED],
             "dropped": ended[number][End.DROPPED],
             "bad_gateway": ended[number][End.FAILED],
-            "upstream_tries": tries[number],
         }
         for name, number in classes.items()
     }
     return {
         "handled": handled,
+        "upstream_tries": sum(proxy.tries()),
         "in_progress": proxy.figures.open,
         "known_backends": len(proxy.listed),
         "skipped_backends": proxy.skipped(),
