Hold failing members to the median member's error share, and evict no client on an upgrade

The usual error share was counted by attempts. While the other members were full, one that failed in 3 ms got most attempts, so the usual share rose to 0.8, the limit to 1.1, and the filter was gone: 391 more attempts went there. The limit now follows the lower of that and the median member's share. On an upgrade the leaving process closed idle connections of clients to fit its shrinking share; some 11 requests crossed such a close. It closes members' only.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -36,6 +36,7 @@
 SLOW_FROM, SLOW_FULL = 2.5, 8.0  # an answer that took this multiple of the usual starts to count, counts full
 SILENT = 6.0  # silence of this multiple of the usual keeps a server out of the draw
 USUAL_STEP = 0.05  # the usual time of a class follows the median of its answers by such steps
+MEDIAN_S = 0.1  # for so long the error share of the median server stands
 SPEED_STEP = 0.02  # some dozens of reports move the speed of a kind
 SPEED_MOST = 4.0  # machines of one fleet differ by less, either way
 SPARSE = 0.5  # requests a second to each server, below which no idle connection is kept
@@ -212,7 +213,8 @@
         self.pool = Pool([])
         self.groups: dict[tuple[Scope, int], Pool] = {}
         self.speed: dict[int, float] = {}  # of a kind, relative to the others, as its utilization tells
-        self.util_usual = self.errors_usual = 0.0
+        self.util_usual = self.errors_usual = self.errors_median = 0.0  # by reports, attempts, servers
+        self.median_due = -math.inf  # when it is worked out anew
         self.total_size = 0.0
         self.ramp = RAMP_S
         self.requests: dict[int, Pending] = {}
@@ -541,7 +543,14 @@
                 and self._failing(server, number) <= self._error_limit())  # fmt: skip
 
     def _error_limit(self) -> float:
-        return max(ERROR_LIMIT, self.errors_usual + ERROR_OVER)
+        """Protects against a filter that a failing server turns off: the usual share counted by attempts
+        follows whoever fails fastest, and gets most of them for it; that of the median server does not. Nor
+        does the first where most servers are down and the few others serve."""
+        if self.now >= self.median_due:
+            self.median_due = self.now + MEDIAN_S
+            shares = sorted(self._faded(s.errors, s.errors_at) for s in self.ready)
+            self.errors_median = shares[len(shares) // 2] if shares else 0.0
+        return max(ERROR_LIMIT, min(self.errors_usual, self.errors_median) + ERROR_OVER)
 
     def _failing(self, server: Server, number: int) -> float:
         """The error share that counts for a class: its own there, or what the others leave of the server's.
--- a/spokemast/handover/operated.py
+++ b/spokemast/handover/operated.py
@@ -113,7 +113,7 @@
         self._elders &= others.keys()
         proxy, ending = node.proxy, node.stopping.is_set()
         seen = Seen(time.monotonic() - self._began, bool(proxy.listed), proxy.fresh, bool(self._elders),
-                    list(others.values()), ending, node.used() + names.MANAGEMENT_SOCKETS)  # fmt: skip
+                    list(others.values()), ending, node.used())  # fmt: skip
         self._become(phase(seen), seen)
 
     def _become(self, now: Phase, seen: Seen) -> None:
--- a/spokemast/handover/phases.py
+++ b/spokemast/handover/phases.py
@@ -7,7 +7,7 @@
 | ALONE | no other process lives | yes | yes | all |
 | NEW | an older one lives, and this one has no list of its own | no | no | a reserve |
 | NEXT | an older one lives, and this one can serve | yes | yes | what the older one does not claim |
-| OLD | a newer one has come | yes | yes | half, or what it uses and some more |
+| OLD | a newer one has come | yes | yes | what it uses and some more |
 | LEAVING | it was told to end | no | no | what it still uses |
 """
 
@@ -24,7 +24,7 @@
 #: it must say yes within 6 s.
 LIST_WAIT_S = 3.0
 #: Descriptors beyond those in use that a leaving process may still need: each open request may go again.
-SPARE = 8
+SPARE = 16
 #: And those by which an old one may still grow.
 GROWTH = 32
 
@@ -46,7 +46,7 @@
     elders: bool  # one that lived when it started lives still
     others: Sequence[int]  # descriptors that each other living process claims
     ending: bool  # it was told to end
-    used: int  # descriptors in use, and those that open requests may still need
+    used: int  # descriptors in use
 
 
 def phase(seen: Seen) -> Phase:
@@ -77,7 +77,7 @@
     if now == Phase.NEW:
         return kept
     if now == Phase.OLD:
-        return min(max(sockets // 2, seen.used + GROWTH), sockets - kept, max(free, sockets // 2))
+        return min(max(sockets // 3, seen.used + GROWTH), sockets - kept, max(free, sockets // 2))
     if now == Phase.LEAVING:
         return min(sockets - kept, seen.used + SPARE)
     return free
--- a/spokemast/node.py
+++ b/spokemast/node.py
@@ -12,11 +12,15 @@
 from spokemast.fronts.http1 import ClientConnection
 from spokemast.fronts.listener import Listener
 from spokemast.fronts.platform import PlatformReader
-from spokemast.limits import OTHER_SOCKETS, Complaints, Limits, describe_context
+from spokemast.limits import Complaints, Limits, describe_context
 from spokemast.members.watch import Discovery
 from spokemast.settings import Deployment
 
 
+#: Descriptors that a process uses whatever its load: the loop's, standard streams, both listeners, discovery.
+OWN_SOCKETS = 16
+
+
 class Configuration(NamedTuple):
     deployment: Deployment
     listen: tuple[str, int]
@@ -78,10 +82,12 @@
         return self.listener.accepting and bool(self.proxy.listed)
 
     def used(self) -> int:
-        """Descriptors in use, and those that open requests may still need."""
+        """Descriptors in use."""
         connections = self.listener.taken + self.listener.overflowing
-        return connections + self.proxy.backends.open + self.proxy.figures.open + OTHER_SOCKETS
+        return connections + self.proxy.backends.open + OWN_SOCKETS
 
     def resize(self, limits: Limits) -> None:
+        """Other limits from now on. Members' idle connections past them go; clients' stay, for closing one under its
+        client costs a request whenever the two cross: their number shrinks as they end."""
         self.proxy.resize(limits)
-        self.listener.resize(limits.client_sockets, limits.overflow_sockets)
+        self.listener.resize(max(limits.client_sockets, self.listener.taken), limits.overflow_sockets)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -424,3 +424,30 @@
     b.handle(100.1, [FirstByte(1, 0, first, 0.1)])
     other = sent_to(b, 100.2, 2)
     assert other is not None and b._score(b.servers[first]) == (1.0 if other == first else 0.0)
+
+
+def test_a_server_that_fails_fast_gets_little_while_the_others_are_too_busy_for_the_filters() -> None:
+    """The filter may not follow the failing server's own failures, nor the fallback its empty queue."""
+    b = balancer(*fleet(10))
+    sent = 0
+    for n in range(600):
+        now = 100.0 + n / 100
+        for server in b.servers.values():
+            server.util, server.util_at, server.answered = 1.0, now, True
+            if server.id != "s0":  # each has work of its own
+                server.out = {(10_000, k): now for k in range(6)}
+        b.util_usual = 0.5
+        server_id = sent_to(b, now, n, cls=2)
+        assert server_id is not None
+        sent += server_id == "s0"
+        answer(b, now + 0.001, n, server_id, Result.ERROR if server_id == "s0" else Result.SERVED)
+    assert sent < 60
+
+
+def test_one_failing_server_does_not_lift_the_limit_that_it_is_held_to() -> None:
+    b = balancer(*fleet(10))
+    for n in range(200):  # nearly all attempts are its own, as where all others are full
+        b._learn(b.servers["s0"], Result.ERROR, None)
+    assert b.errors_usual > 0.8
+    assert not b._healthy(b.servers["s0"]) and b.avoids("s0")
+    assert b._healthy(b.servers["s1"]) and not b.avoids("s1")
