Load the program at a pace, so that neither it nor the one it replaces is held back

Beside a starting process the serving one stood still for 0.09 to 0.23 s, runnable but not run: the pair had used up what the limits allow of a core, and 4 to 21 requests an upgrade were never taken up. Loading now rests twice as long as it works beside another process, half as long when alone. spokemast/__main__.py holds that alone; run.py is the former __main__.py, and the package's names are loaded when asked for.

--- a/spokemast/handover/shared.py
+++ b/spokemast/handover/shared.py
@@ -15,10 +15,11 @@
 from pathlib import Path
 from typing import Callable, Iterator, Mapping
 
+from spokemast.handover.pace import LIFE
 from spokemast.limits import Complaints
 from spokemast.members.marks import MarksError, decode, encode
 
-MARKS, LOCK, LIFE = "micastand-marks", "micastand-marks.lock", "micastand-life-"
+MARKS, LOCK = "micastand-marks", "micastand-marks.lock"
 #: Who changes the marks holds the lock for microseconds; one that is stopped in the middle would hold it on.
 LOCK_TRIES, LOCK_WAIT_S = 20, 0.001
 #: Largest file of marks that is read, in bytes.
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -174,7 +174,7 @@
 
 def test_the_platforms_run_imports_nothing_of_ours() -> None:
     """It stays as lean as it is: no msgspec, no file of ours, no stand-ins."""
-    code = "import sys, spokemast.__main__, spokemast.adapter; print(*sys.modules)"
+    code = "import sys, spokemast.run, spokemast.adapter; print(*sys.modules)"
     done = subprocess.run(
         [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30, check=True
     )
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -159,7 +159,7 @@
 
 
 def test_the_platform_loads_no_rules_for_addresses() -> None:
-    words = "import sys, spokemast.__main__; print(*(m for m in sys.modules if m.startswith('spokemast.')))"
+    words = "import sys, spokemast.run; print(*(m for m in sys.modules if m.startswith('spokemast.')))"
     said = subprocess.run(
         [sys.executable, "-c", words], capture_output=True, text=True, check=True
     ).stdout.split()
