--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -446,7 +446,7 @@
 
 def test_one_failing_server_does_not_lift_the_limit_that_it_is_held_to() -> None:
     b = balancer(*fleet(10))
-    for n in range(200):  # nearly all attempts are its own, as where all others are full
+    for _ in range(200):  # nearly all attempts are its own, as where all others are full
         b._learn(b.servers["s0"], Result.ERROR, None)
     assert b.errors_usual > 0.8
     assert not b._healthy(b.servers["s0"]) and b.avoids("s0")
