Read long answers ahead of slow clients while there is room

A member whose answer goes out at its client's pace holds a slot and a connection for seconds. Up to 2 MB of each answer are read ahead, as long as half of the budget is free; a client that drains what is held is not stalled.

--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -303,8 +303,8 @@
         for request in list(self.streams):
             stream = request.stream
             assert stream is not None
-            if stream.moved:
-                stream.moved, request.moved_at = False, now
+            if not stream.stands():
+                request.moved_at = now
             elif now - request.moved_at > STALL_S:
                 self.complain("answer broken off", "nothing moved on it")
                 attempt = request.attempts[request.giving]
--- a/spokemast/fronts/connection.py
+++ b/spokemast/fronts/connection.py
@@ -22,6 +22,8 @@
 #: against silence, heads and bodies without end, and whatever else does not become a request: bad clients are
 #: owed an answer or a close within 3 s. Harm: a good client slower than this must ask again.
 REQUEST_S = 2.5
+#: Share of the buffered bytes that may be taken before answers are no longer read ahead of their clients.
+AHEAD_SHARE = 0.5
 
 
 class Phase(IntEnum):
@@ -49,6 +51,8 @@
     blocked: float = 0.0  # monotonic, since when the client has not taken what was written
     _charged: int = 0  # bytes, to the budget below
     _charged_to: Budget | None = None
+    _left_now: int = 0  # bytes not taken, at the last look and the one before
+    _left_then: int = 0
 
     def retire(self) -> bool:
         """Close a connection with no open request, unless one waits in the kernel: that is ours already.
@@ -76,6 +80,24 @@
             self._charged_to = budget
             budget.held += self._charged
 
+    def recharge(self) -> tuple[int, bool]:
+        """Charge what has been written since; how much the client has not taken, and whether the budget has room
+        for more of the kind."""
+        assert self.transport is not None
+        held, budget = self.transport.get_write_buffer_size(), self._charged_to
+        if budget is None:
+            return held, False
+        budget.held += held - self._charged
+        self._charged = held
+        return held, budget.held < budget.most * AHEAD_SHARE
+
+    def drained(self) -> bool:
+        """Whether the client has taken some of it since the last call."""
+        assert self.transport is not None
+        held, self._left_then = self.transport.get_write_buffer_size(), self._left_now
+        self._left_now = held
+        return held != self._left_then
+
     def uncharge(self) -> None:
         self.blocked = 0.0
         if self._charged_to is not None:
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -37,6 +37,10 @@
 STREAM_STALL_S = 10.0
 #: What the kernel may hold of such an answer, in bytes; it doubles the figure.
 STREAM_BUFFER = 128 << 10
+#: What is read of such an answer ahead of a client that takes it slowly, in bytes: as long as there is room, so that its
+#: member is free for others; at least so much in any case.
+AHEAD_MOST = 2 << 20
+AHEAD_LEAST = 64 << 10
 #: After the last answer a connection is ended in one direction and read for this long, so that what is
 #: still coming does not reset it before the client has read the answer.
 LINGER_S = 1.0
@@ -294,6 +298,9 @@
             self.transport.writelines((b"%x\r\n" % len(data), data, b"\r\n"))
         else:
             self.transport.write(data)
+        if self.blocked and self.stream is not None:
+            held, room = self.recharge()
+            self.stream.full(held > (AHEAD_MOST if room else AHEAD_LEAST))
 
     def take_end(self) -> None:
         assert self.transport is not None
@@ -374,8 +381,6 @@
     def pause_writing(self) -> None:
         destination = self.head.destination
         self.charge(destination.budget if destination is not None else None)
-        if self.stream is not None:
-            self.stream.full(True)
 
     def resume_writing(self) -> None:
         self.uncharge()
--- a/spokemast/streams.py
+++ b/spokemast/streams.py
@@ -75,6 +75,13 @@
         if not self.over:
             self._hold(on)
 
+    def stands(self) -> bool:
+        """Whether nothing has come since the last call, though the taker has room; a taker that is full is watched by
+        whoever owns it."""
+        stands = not (self.moved or self._full)
+        self.moved = False
+        return stands
+
     def _hold(self, on: bool) -> None:
         if on != self._full:
             self._full = on
