Read no further ahead than a client takes; never close under an answer that is still in our buffer

The reading ahead is gone; a connection with bytes to take is not idle, and a client that takes some of them is not stalled.

--- a/spokemast/fronts/connection.py
+++ b/spokemast/fronts/connection.py
@@ -22,8 +22,6 @@
 #: against silence, heads and bodies without end, and whatever else does not become a request: bad clients are
 #: owed an answer or a close within 3 s. Harm: a good client slower than this must ask again.
 REQUEST_S = 2.5
-#: Share of the buffered bytes that may be taken before answers are no longer read ahead of their clients.
-AHEAD_SHARE = 0.5
 
 
 class Phase(IntEnum):
@@ -51,13 +49,15 @@
     blocked: float = 0.0  # monotonic, since when the client has not taken what was written
     _charged: int = 0  # bytes, to the budget below
     _charged_to: Budget | None = None
-    _left_now: int = 0  # bytes not taken, at the last look and the one before
-    _left_then: int = 0
+    _left: int = 0  # bytes that the client had not taken when last looked at
 
     def retire(self) -> bool:
         """Close a connection with no open request, unless one waits in the kernel: that is ours already.
 
-        Guards against requests lost by a proxy that is short of CPU and reads late."""
+        Guards against requests lost by a proxy that is short of CPU and reads late, and against answers cut off whose
+        end is still in our buffer."""
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            return False
         try:
             unread = bool(self.sock.recv(1, socket.MSG_PEEK))
         except OSError:  # nothing there, or the connection has broken
@@ -80,23 +80,11 @@
             self._charged_to = budget
             budget.held += self._charged
 
-    def recharge(self) -> tuple[int, bool]:
-        """Charge what has been written since; how much the client has not taken, and whether the budget has room
-        for more of the kind."""
+    def takes(self) -> bool:
+        """Whether the client has taken some of what was written since the last call."""
         assert self.transport is not None
-        held, budget = self.transport.get_write_buffer_size(), self._charged_to
-        if budget is None:
-            return held, False
-        budget.held += held - self._charged
-        self._charged = held
-        return held, budget.held < budget.most * AHEAD_SHARE
-
-    def drained(self) -> bool:
-        """Whether the client has taken some of it since the last call."""
-        assert self.transport is not None
-        held, self._left_then = self.transport.get_write_buffer_size(), self._left_now
-        self._left_now = held
-        return held != self._left_then
+        before, self._left = self._left, self.transport.get_write_buffer_size()
+        return self._left != before
 
     def uncharge(self) -> None:
         self.blocked = 0.0
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -33,14 +33,8 @@
 BODY_STALL_S = 1.0
 #: An answer that the client does not take for this long is given up.
 READ_STALL_S = 5.0
-#: The same for an answer that comes by a stream: the kernel's buffer below takes seconds to empty to a slow client.
-STREAM_STALL_S = 10.0
 #: What the kernel may hold of such an answer, in bytes; it doubles the figure.
 STREAM_BUFFER = 128 << 10
-#: What is read of such an answer ahead of a client that takes it slowly, in bytes: as long as there is room, so that its
-#: member is free for others; at least so much in any case.
-AHEAD_MOST = 2 << 20
-AHEAD_LEAST = 64 << 10
 #: After the last answer a connection is ended in one direction and read for this long, so that what is
 #: still coming does not reset it before the client has read the answer.
 LINGER_S = 1.0
@@ -298,9 +292,6 @@
             self.transport.writelines((b"%x\r\n" % len(data), data, b"\r\n"))
         else:
             self.transport.write(data)
-        if self.blocked and self.stream is not None:
-            held, room = self.recharge()
-            self.stream.full(held > (AHEAD_MOST if room else AHEAD_LEAST))
 
     def take_end(self) -> None:
         assert self.transport is not None
@@ -381,6 +372,8 @@
     def pause_writing(self) -> None:
         destination = self.head.destination
         self.charge(destination.budget if destination is not None else None)
+        if self.stream is not None:
+            self.stream.full(True)
 
     def resume_writing(self) -> None:
         self.uncharge()
@@ -410,9 +403,9 @@
     def sweep(self, now: float) -> None:
         """Limits in time."""
         waited = now - self.since
-        if self.blocked and now - self.blocked > (
-            STREAM_STALL_S if self.stream is not None else READ_STALL_S
-        ):
+        if self.blocked and self.takes():
+            self.blocked = now
+        if self.blocked and now - self.blocked > READ_STALL_S:
             self.note_garbage()
             self.abort()
         elif self.phase == LINGER:
