--- a/spokemast/fronts/connection.py
+++ b/spokemast/fronts/connection.py
@@ -84,7 +84,7 @@
         """Whether the client has taken some of what was written since the last call."""
         assert self.transport is not None
         before, self._left = self._left, self.transport.get_write_buffer_size()
-        return self._left != before
+        return self._left < before
 
     def uncharge(self) -> None:
         self.blocked = 0.0
