Give each open request of a leaving process its connection; test operators' parts by their failures

Twenty upgrades under load refused seven requests: a leaving process divided its small share as a whole one does, and had no descriptor left for members of requests it had taken. A pipelined call at the operators' address was read as part of the first one's path; mended.

--- a/spokemast/management/server.py
+++ b/spokemast/management/server.py
@@ -41,7 +41,7 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self.url = b""
+        self.url, self.method = b"", ""
         self.received = 0
         self.whole = self.answered = False
         self.timer: asyncio.TimerHandle | None = None
@@ -58,10 +58,13 @@
     # What the parser finds.
 
     def on_url(self, url: bytes) -> None:
-        self.url += url
+        if not self.whole:  # a further call on the connection is not looked at
+            self.url += url
 
     def on_message_complete(self) -> None:
-        self.whole = True
+        if not self.whole:
+            assert self.parser is not None
+            self.whole, self.method = True, self.parser.get_method().decode()
 
     def data_received(self, data: bytes) -> None:
         self.received += len(data)
@@ -82,12 +85,11 @@
             self._say(Said(413, b"a call is shorter than this\n"))
 
     def _call(self) -> Said:
-        assert self.parser is not None
         try:
             path = httptools.parse_url(self.url).path or b""
         except httptools.HttpParserInvalidURLError:
             return Said(400, b"no path can be read\n")
-        return self.server.desk.answer(self.parser.get_method().decode(), path.decode("latin-1"))
+        return self.server.desk.answer(self.method, path.decode("latin-1"))
 
     def _late(self) -> None:
         self._say(Said(408, b"the call did not come to its end\n"))
--- a/spokemast/node.py
+++ b/spokemast/node.py
@@ -88,6 +88,8 @@
 
     def resize(self, limits: Limits) -> None:
         """Other limits from now on. Members' idle connections past them go; clients' stay, for closing one under its
-        client costs a request whenever the two cross: their number shrinks as they end."""
+        client costs a request whenever the two cross: their number shrinks as they end. Whatever the shares say, each
+        open request finds a connection to a member: one that was taken may not be refused for want of it."""
         self.proxy.resize(limits)
+        self.proxy.backends.sockets = max(limits.backend_sockets, self.proxy.figures.open + OWN_SOCKETS)
         self.listener.resize(max(limits.client_sockets, self.listener.taken), limits.overflow_sockets)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -10,6 +10,7 @@
 from spokemast import choice
 from spokemast.choice import Balancer, Server
 from spokemast.interface import (
+    Cordon,
     CloseIdle, Effect, Fail, FirstByte, Limits, Outcome, Refuse, Request, RequestClass, Result, Rules, Scope,
     Send, ServerEntry, ServerList, ServerState, SetTimer, Settings, Tenant, TimerFired, Watch,
 )  # fmt: skip
@@ -451,3 +452,26 @@
     assert b.errors_usual > 0.8
     assert not b._healthy(b.servers["s0"]) and b.avoids("s0")
     assert b._healthy(b.servers["s1"]) and not b.avoids("s1")
+
+
+def test_a_server_put_back_is_cold_unless_the_list_has_told_its_start_and_is_tried_at_once() -> None:
+    for started, cold in ((0.0, True), (103.0, False)):
+        b = balancer(*fleet(6))
+        b.handle(101.0, [Cordon("s0", True)])
+        assert {sent_to(b, 102.0, n) for n in range(60)} == {f"s{n}" for n in range(1, 6)}
+        b.handle(103.5, [ServerList((ServerEntry("s0", started=started),), whole=False)])
+        assert all(sent_to(b, 104.0, 100 + n) != "s0" for n in range(60))
+        b.handle(105.0, [Cordon("s0", False), Cordon("s0", False)])
+        assert (b.servers["s0"].woken == 105.0) == cold
+        assert sent_to(b, 105.0, 200) == "s0"  # and once a second until it answers
+        assert sent_to(b, 105.1, 201) != "s0" or cold is False
+        answer(b, 105.2, 200, "s0")
+        assert not b.returned
+
+
+def test_a_member_taken_out_stays_out_when_a_list_drops_it_and_brings_it_back() -> None:
+    b = balancer(*fleet(3))
+    b.handle(101.0, [Cordon("s0", True), ServerList((ServerEntry("s1"), ServerEntry("s2")))])
+    assert "s0" not in b.servers
+    b.handle(102.0, [ServerList(tuple(fleet(3)))])
+    assert {sent_to(b, 103.0, n) for n in range(60)} == {"s1", "s2"} and b.avoids("s0")
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,179 @@
+"""The operators' address: calls, figures against what clients and members saw, members taken out."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from contextlib import asynccontextmanager
+from typing import Any, AsyncIterator
+
+import pytest
+
+from peers import OK, PATIENCE, SETTINGS, Call, ScriptedBackend, World, answering, play, request, resetting
+from peers import silent, world
+from test_discovery import until_lists
+from spokemast.limits import Complaints
+from spokemast.management.calls import Desk
+from spokemast.management.platform import WORDS, Operations
+from spokemast.management.server import CALLERS_MOST, ManagementServer
+from spokemast.members.marks import Marks
+from spokemast.settings import read_deployment
+
+
+class Desked:
+    """A world, and its operators' address."""
+
+    def __init__(self, here: World, address: tuple[str, int], operations: Operations) -> None:
+        self.here, self.address, self.operations = here, address, operations
+
+    async def call(self, method: str, path: str) -> tuple[int, bytes]:
+        return await self.raw(f"{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+
+    async def raw(self, data: bytes) -> tuple[int, bytes]:
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(data)
+        said = await asyncio.wait_for(reader.read(), PATIENCE)
+        writer.close()
+        head, _, body = said.partition(b"\r\n\r\n")
+        return int(head.split(b" ")[1]), body
+
+    async def figures(self) -> dict[str, Any]:
+        self.operations._read_at = -1e9  # not those of a moment ago
+        status, body = await self.call("GET", "/admin/stats")
+        assert status == 200
+        box: dict[str, Any] = json.loads(body)
+        return box
+
+
+@asynccontextmanager
+async def desk(*backends: ScriptedBackend) -> AsyncIterator[Desked]:
+    async with world(*backends) as here:
+        marks = Marks(here.proxy, None, time.time)
+        here.proxy.marks = marks
+        marks.listed(here.proxy.listed)
+        classes = read_deployment(SETTINGS).classes
+        operations = Operations(here.proxy, classes, marks, lambda: True)
+        server = ManagementServer(Desk(WORDS, operations), Complaints())
+        try:
+            yield Desked(here, server.listen(("127.0.0.1", 0)), operations)
+        finally:
+            server.close()
+
+
+@pytest.mark.parametrize(
+    ("call", "status"),
+    [
+        (b"GET /admin/health HTTP/1.1\r\nHost: a\r\n\r\n", 200),
+        (b"GET /admin/health?x=1 HTTP/1.1\r\nHost: a\r\n\r\n", 200),
+        (b"PUT /admin/health HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"GET /admin/cordon/a HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+        (b"PUT /admin/cordon/never HTTP/1.1\r\nHost: a\r\n\r\n", 404),
+        (b"PUT /admin/uncordon/a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}", 200),
+        (b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n", 404),
+        (b"GET /admin/stats HTTP/1.1\r\nHost: a\r\n\r\nGET /admin/health HTTP/1.1\r\nHost: a\r\n\r\n", 200),
+        (b"\x00\x01 what\r\n\r\n", 400),
+        (b"GET /admin/health HTTP/1.1\r\nX-A: " + b"a" * 20_000, 413),
+    ],
+)
+def test_each_call_gets_one_clear_answer(call: bytes, status: int) -> None:
+    async def scene() -> None:
+        async with desk(ScriptedBackend("a", answering(OK))) as here:
+            assert (await here.raw(call))[0] == status
+
+    play(scene)
+
+
+def test_callers_who_say_nothing_give_way_to_one_who_calls() -> None:
+    async def scene() -> None:
+        async with desk(ScriptedBackend("a", answering(OK))) as here:
+            held = []
+            for _ in range(3 * CALLERS_MOST):
+                reader, writer = await asyncio.open_connection(*here.address)
+                writer.write(b"GET /admin/health HTTP/1.1\r\nHo")
+                held.append((reader, writer))
+                assert (await here.call("GET", "/admin/health"))[0] == 200
+            reader, writer = held[-1]  # the youngest may still end its call
+            writer.write(b"st: a\r\n\r\n")
+            assert (await asyncio.wait_for(reader.read(), PATIENCE)).startswith(b"HTTP/1.1 200")
+            for _, writer in held:
+                writer.close()
+
+    play(scene)
+
+
+async def half_of_a_long_answer(call: Call) -> None:
+    await call.say(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + bytes(100_000))
+    call.reset()
+
+
+def test_figures_are_what_clients_and_members_saw() -> None:
+    """Answers good and bad, refusals, resets, time-outs, an answer that breaks off, a client that leaves."""
+    scripts = [
+        answering(OK), answering(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), resetting, answering(OK),
+        answering(b"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), half_of_a_long_answer,
+        answering(OK),
+    ]  # fmt: skip
+
+    async def scene() -> None:
+        backends = [ScriptedBackend(name, *scripts) for name in "ab"]
+        async with desk(*backends) as here:
+            seen = {"passed": 0, "dropped": 0, "bad_gateway": 0}
+            for number in range(60):
+                client = await here.here.connect()
+                try:
+                    status, _ = await client.ask(request(("safe", "keyed", "unsafe")[number % 3]))
+                except (ConnectionError, asyncio.IncompleteReadError):
+                    status = 0
+                key = {200: "passed", 503: "dropped"}.get(status, "bad_gateway")
+                seen[key] += 1
+            box = await here.figures()
+            for key, count in seen.items():
+                assert sum(box["handled"][cls][key] for cls in ("safe", "keyed", "unsafe")) == count, key
+            assert seen["passed"] and seen["bad_gateway"]
+            assert box["upstream_tries"] == sum(len(backend.calls) for backend in backends)
+            assert box["in_progress"] == 0 and box["known_backends"] == 2
+
+    play(scene)
+
+
+def test_what_is_open_is_counted_as_open_and_its_attempt_as_written() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend("a", silent)
+        async with desk(backend) as here:
+            clients = [await here.here.connect() for _ in range(5)]
+            for client in clients:
+                await client.send(request("unsafe"))
+            await backend.until_called(1)
+            await here.here.proxy.until(lambda: here.here.proxy.figures.open == 5)
+            box = await here.figures()
+            assert box["in_progress"] == 5
+            assert box["upstream_tries"] == sum(here.here.proxy.tries()) >= 1
+
+    play(scene)
+
+
+def test_a_member_taken_out_gets_nothing_until_it_is_put_back_whatever_lists_say() -> None:
+    async def scene() -> None:
+        a, b = ScriptedBackend("a", answering(OK)), ScriptedBackend("b", answering(OK))
+        async with desk(a, b) as here:
+            discovery = here.here.discovery
+            await discovery.until_watched()
+            client = await here.here.connect()
+            for _ in range(2):
+                assert (await here.call("PUT", "/admin/cordon/a"))[0] == 200
+            assert (await here.figures())["skipped_backends"] == 1
+            lists = [(b.entry(),), (a.entry(state="DRAINING"), b.entry()), (a.entry(started_ms=9), b.entry())]
+            for version, entries in enumerate(lists, 2):
+                await discovery.line(version, *entries, full=True)
+                await until_lists(here.here, version)
+                before = len(a.calls)
+                for _ in range(20):
+                    assert (await client.ask(request()))[0] == 200
+                assert len(a.calls) == before == 0
+            assert (await here.call("PUT", "/admin/uncordon/a"))[0] == 200
+            assert (await client.ask(request()))[0] == 200
+            assert len(a.calls) == 1  # the very next request
+            assert (await here.figures())["skipped_backends"] == 0
+
+    play(scene)
