--- a/spokemast/members/marks.py
+++ b/spokemast/members/marks.py
@@ -101,7 +101,7 @@
     def follow(self, marks: Mapping[str, float]) -> None:
         """The marks are these from now on, whoever made them; what differs is told."""
         before, self.out = self.out, dict(marks)
-        for member in before.keys() - marks.keys():
+        for member in [member for member in before if member not in marks]:
             self.told.cordon(member, False)
-        for member in marks.keys() - before.keys():
+        for member in [member for member in marks if member not in before]:
             self.told.cordon(member, True)
