--- a/spokemast/upstreams/http1.py
+++ b/spokemast/upstreams/http1.py
@@ -158,7 +158,7 @@
             self._go_on(self.stream)
             return
         if self.status and not self.framed and self.status not in BODILESS and not self.length_only:
-            if not dialect.close_delimited:
+            if not self._may_end_with_connection():
                 self._spoilt("no end of its own")  # whole and cut short look the same
                 return
         if self.complete and self.held <= dialect.body_most:
@@ -249,6 +249,16 @@
 
     # Ending.
 
+    def _may_end_with_connection(self) -> bool:
+        """Whether an answer without a length of its own is one.
+
+        Guards against spoilt answers that state none and leave their connection open: each would be waited for until
+        its time is up. Who means to end it by closing says so (RFC 9112, 9.6), or speaks HTTP/1.0."""
+        assert self.parser is not None
+        closes = b"close" in [name.strip() for name in self.hop.split(b",")]
+        return self.dialect.close_delimited and (closes or self.parser.get_http_version() == "1.0"
+                                                 or not self.dialect.platform)  # fmt: skip
+
     def _ends_with_connection(self) -> bool:
         """Whether the end of input is that of the answer (RFC 9112, 6.3, rule 8)."""
         return (
