--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -29,6 +29,8 @@
 ERROR_OVER = 0.3  # and only where they stand out from the fleet by this
 UTIL_WEIGHT = 0.8  # a fully busy server counts a little less than one own request more
 ERROR_WEIGHT = 2.0  # a failing server must not win by being quick
+ERROR_MOST = 0.4  # of the share counted by attempts, where most servers fail less
+HOPELESS = 0.9  # this share of failures, and a server has served next to nothing lately
 FAILED = 2  # failures in a row, slow answers are none, after which a set is passed over for some seconds
 ERROR_LEAST = 0.01  # less is none: a trace of one slow answer would decide every tie for as long as it fades
 ERROR_STEP = 0.3  # two failures in a row pass the limit, one does not
@@ -520,7 +522,7 @@
             server = pool.draw(self.random.random(), self.speed)
             if not self._may_take(server) or server in tried or server in found:
                 continue
-            if self._failing(server, number) > self._error_limit():
+            if self._failing(server, number) > HOPELESS:
                 failing = server
             elif found:
                 return min(found[0], server, key=lambda s: self._score(s, number))
@@ -550,7 +552,7 @@
             self.median_due = self.now + MEDIAN_S
             shares = sorted(self._faded(s.errors, s.errors_at) for s in self.ready)
             self.errors_median = shares[len(shares) // 2] if shares else 0.0
-        return max(ERROR_LIMIT, min(self.errors_usual, self.errors_median) + ERROR_OVER)
+        return max(ERROR_LIMIT, min(self.errors_usual, max(self.errors_median, ERROR_MOST)) + ERROR_OVER)
 
     def _failing(self, server: Server, number: int) -> float:
         """The error share that counts for a class: its own there, or what the others leave of the server's.
