--- a/benchmarks/scene.py
+++ b/benchmarks/scene.py
@@ -65,8 +65,9 @@
 
 
 @contextmanager
-def platform_proxy(core: int, addresses: dict[str, str], tree: Path = ROOT) -> Iterator[tuple[str, int]]:
-    """`run` of a checkout: its address and process id."""
+def platform_proxy(core: int, addresses: dict[str, str], tree: Path = ROOT,
+                   management: str = "") -> Iterator[tuple[str, int]]:  # fmt: skip
+    """`run` of a checkout: its address and process id; `management`: where operators call, if they do."""
     entries = [{"id": name, "addr": address, "zone": "a", "kind": "std", "cell": 0, "state": "SERVING",
                 "weight": 1.0, "started_ms": 0} for name, address in addresses.items()]  # fmt: skip
     address = f"127.0.0.1:{free_port()}"
@@ -76,7 +77,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
         path.write_text(json.dumps(box))
-        env = dict(os.environ, GW_CONFIG=str(path), PYTHONPATH=str(tree))
+        env = dict(os.environ, GW_CONFIG=str(path), PYTHONPATH=str(tree), GW_MANAGEMENT=management)
         with process(core, "-m", "spokemast", cwd=tree, env=env, stderr=subprocess.PIPE) as child:
             assert child.stderr is not None
             while "listening" not in (line := child.stderr.readline()):
