--- a/benchmarks/operators.py
+++ b/benchmarks/operators.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
 import http.client
 import socket
 import threading
@@ -15,7 +14,7 @@
 from statistics import median, quantiles
 from typing import Any
 
-from benchmarks.scene import checkout, clients, free_port, members, platform_proxy, ratios
+from benchmarks.scene import arguments, checkout, clients, free_port, members, platform_proxy, ratios
 
 #: The last revision without an operators' address.
 BASE = "1a46bd5"
@@ -65,12 +64,7 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--rounds", type=int, default=5)
-    parser.add_argument("--seconds", type=float, default=3.0)
-    parser.add_argument("--connections", type=int, default=64)
-    parser.add_argument("--base", default=BASE)
-    options = parser.parse_args()
+    options = arguments(__doc__, BASE, connections=64)
     load = ["--seconds", str(options.seconds), "--connections", str(options.connections)]
     rows: dict[str, list[dict[str, Any]]] = {"before": [], "now": [], "operated": []}
     took: list[float] = []
--- a/benchmarks/scene.py
+++ b/benchmarks/scene.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import json
 import os
 import socket
@@ -24,6 +25,16 @@
 }  # fmt: skip
 
 
+def arguments(description: str | None, base: str, connections: int) -> argparse.Namespace:
+    """What a measurement of two builds takes: rounds, seconds, connections, and the build before."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=3.0)
+    parser.add_argument("--connections", type=int, default=connections)
+    parser.add_argument("--base", default=base)
+    return parser.parse_args()
+
+
 def cores() -> list[int]:
     return sorted(os.sched_getaffinity(0))
 
--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-import argparse
 from statistics import median
 from typing import Any
 
-from benchmarks.scene import checkout, clients, daemon, members, platform_proxy, tables
+from benchmarks.scene import arguments, checkout, clients, daemon, members, platform_proxy, tables
 
 #: The last revision with one listener, one pool and one dialect.
 BASE = "dba2df7"
@@ -33,12 +32,7 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--rounds", type=int, default=5)
-    parser.add_argument("--seconds", type=float, default=3.0)
-    parser.add_argument("--connections", type=int, default=16)
-    parser.add_argument("--base", default=BASE)
-    options = parser.parse_args()
+    options = arguments(__doc__, BASE, connections=16)
     load = ["--seconds", str(options.seconds), "--connections", str(options.connections)]
     rows: dict[str, list[dict[str, Any]]] = {"before": [], "platform": [], "http": []}
     with checkout(options.base) as tree, members(2, "--members", "4", "--body", "200") as addresses:
--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -512,23 +512,23 @@
         return None
 
     def _unfiltered(self, pool: Pool, tried: list[Server], number: int) -> Server | None:
-        """The fallback: load does not matter, the rules do, and one that fails comes after all others.
+        """The fallback: load does not matter, the rules do, and one that serves next to nothing comes last.
 
         Protects against fast-failing servers while the others are too busy to pass the filters: with next to
         nothing in flight they would score best, and take most of the load just then."""
-        found: list[Server] = []
+        first: Server | None = None
         failing: Server | None = None
         for _ in range(2 * DRAW_TRIES):
             server = pool.draw(self.random.random(), self.speed)
-            if not self._may_take(server) or server in tried or server in found:
+            if not self._may_take(server) or server in tried or server is first:
                 continue
             if self._failing(server, number) > HOPELESS:
                 failing = server
-            elif found:
-                return min(found[0], server, key=lambda s: self._score(s, number))
+            elif first is not None:
+                return min(first, server, key=lambda s: self._score(s, number))
             else:
-                found.append(server)
-        return found[0] if found else failing
+                first = server
+        return first or failing
 
     def _healthy(self, server: Server, number: int = -1) -> bool:
         if not server.answered and server.out:  # probation: one request until the first answer
--- a/spokemast/figures.py
+++ b/spokemast/figures.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import NamedTuple
 
 #: Statuses that tell a client that trying again is harmless.
 REFUSALS = frozenset((429, 503))
@@ -26,15 +25,6 @@
     return End.DROPPED if status in REFUSALS else End.FAILED
 
 
-class Tally(NamedTuple):
-    """One class, as of now."""
-
-    passed: int
-    dropped: int
-    failed: int
-    tries: int  # attempts written whole to members
-
-
 class Figures:
     """One pool's counters."""
 
--- a/spokemast/management/server.py
+++ b/spokemast/management/server.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import socket
-from typing import cast
+from typing import Callable, cast
 
 import httptools
 
@@ -50,10 +50,10 @@
         self.transport = cast(asyncio.Transport, transport)
         self._within(CALL_S, self._late)
 
-    def _within(self, seconds: float, then: object) -> None:
+    def _within(self, seconds: float, then: Callable[[], None]) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = asyncio.get_running_loop().call_later(seconds, then)  # type: ignore[arg-type]
+        self.timer = asyncio.get_running_loop().call_later(seconds, then)
 
     # What the parser finds.
 
--- a/spokemast/upstreams/http1.py
+++ b/spokemast/upstreams/http1.py
@@ -109,9 +109,10 @@
             return
         self.status = self.parser.get_status_code()
         attempt = self.attempt
-        if attempt is not None and self.status >= 200:
-            attempt.answered_at = time.monotonic()
-        if attempt is not None and attempt.request.bodiless and self.status >= 200:
+        if attempt is None or self.status < 200:
+            return
+        attempt.answered_at = time.monotonic()
+        if attempt.request.bodiless:
             # The answer to HEAD ends here, whatever length it states (RFC 9112, 6.3); the parser can't know.
             self.complete = True
             self.keep = self.parser.should_keep_alive()
