Refuse what own attempts in flight leave no time for, and pace cold members at 0.9

Each member now has a pace, the time an answer takes for each attempt of ours in flight there. A choice that would come too late is chosen anew up to three times, then the request is given up: classes with less time give way first, room is used at once.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -41,6 +41,9 @@
 MEDIAN_S = 0.1  # for so long the error share of the median server stands
 SPEED_STEP = 0.02  # some dozens of reports move the speed of a kind
 SPEED_MOST = 4.0  # machines of one fleet differ by less, either way
+PACE_STEP = 0.1  # some dozen answers, a fraction of a second under load
+PACE_S = 1.0  # after so long without an answer a server is tried whatever its pace was
+PLACE_TRIES = 3  # choices in a row that can't answer in time, after which a request is given up
 SPARSE = 0.5  # requests a second to each server, below which no idle connection is kept
 DECAY_S = 30.0  # the design's: error share and utilization fade to zero over this
 RAMP_S = 90.0  # the design's: traffic to a new server grows over this
@@ -48,7 +51,7 @@
 YOUNG_MOST = 0.1  # share of the fleet that the ramp may hold back; the rest could not carry more
 
 # Cold servers.
-COLD_MARGIN = 0.6  # of the share that the settings call safe; chance and other proxies need the rest
+COLD_MARGIN = 0.9  # of its part by size and age; the settings allow more, slow machines and chance need that
 RATE_S = 5.0  # memory of the own sending rate
 
 # Going again.
@@ -83,7 +86,7 @@
 
     __slots__ = ("id", "zone", "cell", "weight", "size", "kind", "state", "started", "out", "giving",
                  "util", "util_at", "errors", "errors_at", "by_class", "answered", "cold_next", "rank",
-                 "used", "woken", "failed", "barred")  # fmt: skip
+                 "used", "woken", "failed", "barred", "pace", "pace_at")  # fmt: skip
 
     def __init__(self, entry: ServerEntry, barred: bool = False) -> None:
         self.id = entry.server
@@ -100,6 +103,7 @@
             self.by_class: dict[int, tuple[float, float]] = {}  # its error share of each class, and when
             self.answered = False
             self.failed = 0  # attempts in a row that were not served
+            self.pace, self.pace_at = 0.0, -math.inf  # time an answer takes for each of our own ahead of it
             self.cold_next = -math.inf
         self.zone, self.cell, self.started, self.state = entry.zone, entry.cell, entry.started, entry.state
         self.kind, self.rank = entry.kind, entry.rank
@@ -138,10 +142,11 @@
 
 
 class Attempt:
-    __slots__ = ("server", "sent", "open", "may_have_run")
+    __slots__ = ("server", "sent", "queue", "open", "may_have_run")
 
-    def __init__(self, server: Server, sent: float) -> None:
+    def __init__(self, server: Server, sent: float, queue: int) -> None:
         self.server, self.sent, self.open, self.may_have_run = server, sent, True, True
+        self.queue = queue  # own attempts at the server when it was sent, itself among them
 
 
 class Patience:
@@ -326,6 +331,7 @@
             return
         self._note_load(pending, event)
         attempt = pending.attempts[event.attempt]
+        self._note_pace(attempt, event)
         attempt.open = False
         attempt.may_have_run = event.result not in NEVER_RAN
         if event.ended:
@@ -350,7 +356,7 @@
         pool = self._repeat_pool(pending)
         if pool is None:
             return False
-        server = self._sticky(pending) or (self._choose(pool, pending) if pool.servers else None)
+        server = self._sticky(pending) or (self._place(pool, pending) if pool.servers else None)
         if server is None:
             return False
         self._send(pending, server)
@@ -434,7 +440,7 @@
     def _send(self, pending: Pending, server: Server) -> None:
         """The one place that sends; an attempt never outlives the use of its answer."""
         server.out[(pending.id, len(pending.attempts))] = self.now
-        pending.attempts.append(Attempt(server, self.now))
+        pending.attempts.append(Attempt(server, self.now, len(server.out)))
         self.flow = self._flow() + 1
         self.flow_at = self.now
         if server.rank and self.settings.cold_standby and self.now - server.used > self.rules.cold_time:
@@ -458,6 +464,27 @@
             return server if self.settings.sticky_drains and self._responds(server) else None
         return server if self._usable(server) else None
 
+    def _place(self, pool: Pool, pending: Pending) -> Server | None:
+        """A choice that can answer while that is of use; None where some choices in a row can't."""
+        for _ in range(PLACE_TRIES):
+            server = self._choose(pool, pending)
+            if server is None or self._in_time(server, pending):
+                return server
+        # Without a queue of ours there is nothing that refusing would shorten.
+        return None if any(s.out for s in pool.servers) else server
+
+    def _in_time(self, server: Server, pending: Pending) -> bool:
+        """Exception: whether what the proxy itself has in flight there leaves time for one more answer.
+
+        Protects against queues in which everything comes late: the share of late attempts tells of a queue
+        once it has done its harm, and of its end long after; the attempts in flight tell at once. Classes
+        with less time give way first, and room is used as soon as it is there. It should also catch members
+        that lose a part of their speed. Harm: where the others' share of a queue grows, it is seen only by
+        the answers. A server that has not answered for a while is tried again: else nothing would tell."""
+        if self.now > server.pace_at + PACE_S:
+            return True
+        return server.pace * (len(server.out) + 1) <= pending.useful - self.now
+
     def _choose(self, pool: Pool, pending: Pending) -> Server | None:
         """A server of the first set that has a usable one; where none has, whichever the rules permit."""
         if self.returned and not pending.attempts and (back := self._returning()) is not None:
@@ -613,6 +640,16 @@
             own += ERROR_STEP * (failure - own)
             server.by_class[number] = own if own > ERROR_LEAST else 0.0, self.now
 
+    def _note_pace(self, attempt: Attempt, event: Outcome) -> None:
+        """How long answers of a server take, for each attempt of ours that was there; an attempt that ran
+        out of time took that at the least."""
+        if event.result not in (Result.SERVED, Result.TIMEOUT):
+            return
+        server = attempt.server
+        pace = (event.took if event.first is None else event.first) / attempt.queue
+        server.pace += PACE_STEP * (pace - server.pace) if server.pace else pace
+        server.pace_at = self.now
+
     def _note_speed(self, server: Server) -> None:
         """Kinds that report more than the usual utilization are drawn less, until all report alike."""
         self.util_usual += SPEED_STEP * (server.util - self.util_usual)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -475,3 +475,50 @@
     assert "s0" not in b.servers
     b.handle(102.0, [ServerList(tuple(fleet(3)))])
     assert {sent_to(b, 103.0, n) for n in range(60)} == {"s1", "s2"} and b.avoids("s0")
+
+
+HASTY = RequestClass("hasty", aim=0.15, give_up=0.5)
+PATIENT = RequestClass("patient", aim=0.5, give_up=2.0)
+
+
+def queued(b: Balancer, pace: float, at: float) -> None:
+    """Each server answers in `pace` seconds for each attempt of ours that it holds, as the module learns it."""
+    for number in range(40):
+        server = sent_to(b, at - 0.5 + number / 100, 1000 + number, cls=1)
+        assert server is not None
+        took = pace * len(b.servers[server].out)
+        b.handle(at - 0.5 + number / 100, [Outcome(1000 + number, 0, server, Result.SERVED, took, True)])
+
+
+def test_a_queue_of_ours_that_leaves_no_time_refuses_the_class_with_less_time_first() -> None:
+    b = balancer(*fleet(2), classes=(HASTY, PATIENT))
+    queued(b, pace=0.04, at=100.0)
+    taken = [sent_to(b, 100.0, n) is not None for n in range(12)]
+    assert taken == [True] * 6 + [False] * 6  # three each: a fourth would come after 160 ms
+    assert all(sent_to(b, 100.0, n, cls=1) is not None for n in range(12, 20))
+    assert b.shed_level == 0.0
+
+
+def test_room_is_used_as_soon_as_a_queue_has_gone() -> None:
+    b = balancer(*fleet(2), classes=(HASTY, PATIENT))
+    queued(b, pace=0.04, at=100.0)
+    sent = {n: server for n in range(12) if (server := sent_to(b, 100.0, n))}
+    assert sent_to(b, 100.01, 50) is None
+    for number, server in sent.items():
+        b.handle(100.05, [Outcome(number, 0, server, Result.SERVED, 0.05, True)])
+    assert sent_to(b, 100.05, 51) is not None
+
+
+def test_without_a_queue_of_ours_nothing_is_refused_for_a_slow_answer() -> None:
+    b = balancer(*fleet(1), classes=(HASTY, PATIENT))
+    queued(b, pace=0.4, at=100.0)
+    assert sent_to(b, 100.0, 1) == "s0"
+    assert sent_to(b, 100.0, 2) is None
+    assert sent_to(b, 100.0 + 2 * choice.PACE_S, 3) == "s0"  # no news for long enough
+
+
+def test_a_restart_forgets_the_pace() -> None:
+    b = balancer(*fleet(1), classes=(HASTY, PATIENT))
+    queued(b, pace=0.4, at=100.0)
+    b.handle(100.0, [ServerList((ServerEntry("s0", started=100.0),))])
+    assert b.servers["s0"].pace == 0.0
