Keep marks on a thread: a busy disk stopped every request for half a second

Timed in the process: each call's rename over the marks' file took 0.2 to 0.5 s while the disk wrote for others, and the loop stood with it; in calm it is 0.3 ms. Even then the 99th request waited 185 ms for its first attempt.

What can't be kept is taken back.

--- a/spokemast/handover/operated.py
+++ b/spokemast/handover/operated.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Mapping
 
+from spokemast.handover.keeper import ThreadedKeeper
 from spokemast.handover.phases import ACCEPTING, Phase, Seen, phase, share
 from spokemast.handover.shared import Life, MarksFile
 from spokemast.limits import Limits
@@ -38,8 +39,8 @@
         self._life: Life | None = None
         self._elders: frozenset[str] = frozenset()
         self._open_folder(environment.get(names.FOLDER_VARIABLE), configuration.accept_fd is not None)
-        save = self._file.save if self._file is not None else None
-        self.marks = Marks(node.proxy, save, time.time)
+        self._keeper = ThreadedKeeper(self._file.save) if self._file is not None else None
+        self.marks = Marks(node.proxy, self._keeper, time.time, self.complain)
         node.proxy.marks = self.marks
         if self._file is not None:
             self.marks.follow(self._file.read() or {})
@@ -87,6 +88,8 @@
         self._timer.cancel()
         if self.server is not None:
             self.server.close()
+        if self._keeper is not None:
+            self._keeper.close()
         if self._life is not None:
             self._life.close()
 
--- a/spokemast/handover/shared.py
+++ b/spokemast/handover/shared.py
@@ -20,8 +20,9 @@
 from spokemast.members.marks import MarksError, decode, encode
 
 MARKS, LOCK = "micastand-marks", "micastand-marks.lock"
-#: Who changes the marks holds the lock for microseconds; one that is stopped in the middle would hold it on.
-LOCK_TRIES, LOCK_WAIT_S = 20, 0.001
+#: Who changes the marks holds the lock for as long as a busy disk takes over a rename; one that is stopped in the
+#: middle would hold it on. Waited for on the keeper's thread.
+LOCK_TRIES, LOCK_WAIT_S = 400, 0.005
 #: Largest file of marks that is read, in bytes.
 MARKS_MOST = 4 << 20
 
--- a/spokemast/management/calls.py
+++ b/spokemast/management/calls.py
@@ -35,9 +35,9 @@
     def stats(self) -> bytes:
         """The figures, as JSON."""
 
-    def mark(self, member: str, out: bool) -> str | None:
-        """Leave a member out, or use it again; why not, where that can't be done. LookupError where the id was
-        never listed."""
+    def mark(self, member: str, out: bool, done: Callable[[str | None], None]) -> None:
+        """Leave a member out, or use it again; `done` hears None, or why that can't be done. LookupError where the
+        id was never listed."""
 
 
 class Desk:
@@ -48,18 +48,21 @@
         self._reads: dict[str, Callable[[], Said]] = {words.health: self._health, words.stats: self._stats}
         self._marks = {words.cordon: True, words.uncordon: False}
 
-    def answer(self, method: str, path: str) -> Said:
-        """`path`: without its query, as it came. Anything that is no call gets a 4xx that says what would be one."""
+    def answer(self, method: str, path: str, say: Callable[[Said], None]) -> None:
+        """`path`: without its query, as it came. Anything that is no call gets a 4xx that says what would be one.
+        `say` hears the answer, once: at once, but for marks that have to be kept."""
         read = self._reads.get(path)
         if read is not None:
-            return read() if method == "GET" else Said(405, b"this is read by GET\n")
+            say(read() if method == "GET" else Said(405, b"this is read by GET\n"))
+            return
         place, _, member = path.rpartition("/")
         out = self._marks.get(place)
         if out is None:
-            return Said(404, b"no such call; " + " ".join(self._reads).encode() + b" are read\n")
-        if method != "PUT":
-            return Said(405, b"this is done by PUT\n")
-        return self._mark(unquote(member), out)
+            say(Said(404, b"no such call; " + " ".join(self._reads).encode() + b" are read\n"))
+        elif method != "PUT":
+            say(Said(405, b"this is done by PUT\n"))
+        else:
+            self._mark(unquote(member), out, say)
 
     def _health(self) -> Said:
         return Said(200, b"serving\n") if self.operated.serves() else Said(503, b"not serving\n")
@@ -67,11 +70,14 @@
     def _stats(self) -> Said:
         return Said(200, self.operated.stats(), json=True)
 
-    def _mark(self, member: str, out: bool) -> Said:
+    def _mark(self, member: str, out: bool, say: Callable[[Said], None]) -> None:
+        def done(problem: str | None) -> None:
+            if problem is not None:
+                say(Said(500, problem.encode() + b"\n"))
+            else:
+                say(Said(200, b"left out\n" if out else b"in use\n"))
+
         try:
-            problem = self.operated.mark(member, out)
+            self.operated.mark(member, out, done)
         except LookupError:
-            return Said(404, b"no member of this id was ever listed\n")
-        if problem is not None:
-            return Said(500, problem.encode() + b"\n")
-        return Said(200, b"left out\n" if out else b"in use\n")
+            say(Said(404, b"no member of this id was ever listed\n"))
--- a/spokemast/management/platform.py
+++ b/spokemast/management/platform.py
@@ -57,5 +57,5 @@
             self._read_at, self._read = now, orjson.dumps(figures(self.proxy, self.classes))
         return self._read
 
-    def mark(self, member: str, out: bool) -> str | None:
-        return self.marks.mark(member, out)
+    def mark(self, member: str, out: bool, done: Callable[[str | None], None]) -> None:
+        self.marks.mark(member, out, done)
--- a/spokemast/management/server.py
+++ b/spokemast/management/server.py
@@ -1,6 +1,6 @@
 """The management address on sockets: HTTP/1.1, one call a connection, within its own descriptors.
 
-What a call means is in calls.py. Nothing here waits for a client's request, a member or a file but the marks'.
+What a call means is in calls.py. Nothing here waits for a client's request, a member or a file.
 """
 
 from __future__ import annotations
@@ -43,7 +43,7 @@
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.url, self.method = b"", ""
         self.received = 0
-        self.whole = self.answered = False
+        self.whole = self.asked = self.answered = False
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -80,16 +80,19 @@
                 self._say(Said(400, b"this is not HTTP/1.1\n"))
                 return
         if self.whole:
-            self._say(self._call())
+            if not self.asked:
+                self.asked = True
+                self._call()
         elif self.received > CALL_MOST:
             self._say(Said(413, b"a call is shorter than this\n"))
 
-    def _call(self) -> Said:
+    def _call(self) -> None:
         try:
             path = httptools.parse_url(self.url).path or b""
         except httptools.HttpParserInvalidURLError:
-            return Said(400, b"no path can be read\n")
-        return self.server.desk.answer(self.method, path.decode("latin-1"))
+            self._say(Said(400, b"no path can be read\n"))
+            return
+        self.server.desk.answer(self.method, path.decode("latin-1"), self._say)
 
     def _late(self) -> None:
         self._say(Said(408, b"the call did not come to its end\n"))
@@ -98,7 +101,7 @@
         """Answer, once, and end the connection."""
         assert self.transport is not None
         self.answered = True
-        if self.transport.is_closing():
+        if self.transport.is_closing():  # the caller has gone while its mark was being kept
             return
         kind = b"application/json" if said.json else b"text/plain"
         self.transport.write(
@@ -171,7 +174,8 @@
         if len(self._callers) < CALLERS_MOST:
             return
         there = [caller for caller in self._callers if caller.transport is not None]
-        goes = next((caller for caller in there if caller.answered), there[0] if there else None)
+        waiting = next((caller for caller in there if not caller.asked), there[0] if there else None)
+        goes = next((caller for caller in there if caller.answered), waiting)
         if goes is not None:
             goes.abort()
             self.left(goes)
--- a/spokemast/members/marks.py
+++ b/spokemast/members/marks.py
@@ -53,17 +53,48 @@
     def cordon(self, server: str, out: bool) -> None: ...
 
 
-#: Changes the kept marks by a function and returns all of them as they now are; OSError where they can't be kept.
-Save = Callable[[Callable[[dict[str, float]], None]], Mapping[str, float]]
+Change = Callable[[dict[str, float]], None]
+#: What became of a change: all marks as they are kept now, why they could not be kept, or None while that takes long.
+Kept = Mapping[str, float] | OSError | None
+
+
+class Keeper(Protocol):
+    """Where marks outlive the process."""
+
+    def keep(self, change: Change, done: Callable[[Kept], None]) -> None:
+        """Change the kept marks, in the order of the calls. `done` hears the result once, and None before it where
+        it takes long."""
+
+
+class _Asked:
+    """A change that is in force and not known to be kept."""
+
+    __slots__ = ("member", "out", "at", "answered")
+
+    def __init__(self, member: str, out: bool, at: float) -> None:
+        self.member, self.out, self.at, self.answered = member, out, at, False
+
+    def change(self, marks: dict[str, float]) -> None:
+        if self.out:
+            marks.setdefault(self.member, self.at)
+        else:
+            marks.pop(self.member, None)
 
 
 class Marks:
-    """The members that are left out, and the ids that may be."""
+    """The members that are left out, and the ids that may be.
 
-    def __init__(self, told: Told, save: Save | None, clock: Callable[[], float]) -> None:
-        """`save`: None where marks end with the process. `clock`: Unix seconds."""
-        self.told, self._save, self._clock = told, save, clock
+    What is in force is what is kept, and over it, in their order, the changes asked for since: a call counts at
+    once, and no wait for a disk holds anything up. A change that can't be kept is taken back, unless its caller
+    has been told yes because keeping took long; then it stays in force here."""
+
+    def __init__(self, told: Told, keeper: Keeper | None, clock: Callable[[], float],
+                 complain: Callable[[str, object], None] = lambda what, problem: None) -> None:  # fmt: skip
+        """`keeper`: None where marks end with the process. `clock`: Unix seconds."""
+        self.told, self._keeper, self._clock, self._complain = told, keeper, clock, complain
         self.out: dict[str, float] = {}
+        self._kept: dict[str, float] = {}
+        self._asked: list[_Asked] = []
         self._listed: dict[str, None] = {}  # the oldest first
 
     def listed(self, members: Iterable[str]) -> None:
@@ -74,34 +105,55 @@
                 if len(self._listed) > LISTED_MOST:
                     del self._listed[next(iter(self._listed))]
 
-    def mark(self, member: str, out: bool) -> str | None:
-        """Leave a member out, or use it again; why not, where that could not be kept. Calls may come twice.
+    def mark(self, member: str, out: bool, done: Callable[[str | None], None]) -> None:
+        """Leave a member out, or use it again; it is so at once. `done` hears None once that is kept or keeping it
+        takes long, or why it could not be kept and is taken back. Calls may come twice.
 
         LookupError: no member of this id was ever listed."""
         if member not in self._listed and member not in self.out:
             raise LookupError(member)
-
-        def change(marks: dict[str, float]) -> None:
-            if out:
-                marks.setdefault(member, self._clock())
+        asked = _Asked(member, out, self._clock())
+        if self._keeper is None:
+            asked.change(self._kept)
+            self._apply()
+            done(None)
+            return
+        # A call on the same member that could not be kept ends with this one.
+        self._asked = [one for one in self._asked if one.member != member or not one.answered]
+        self._asked.append(asked)
+        self._apply()
+        self._keeper.keep(asked.change, lambda kept: self._result(asked, kept, done))
+
+    def _result(self, asked: _Asked, kept: Kept, done: Callable[[str | None], None]) -> None:
+        if isinstance(kept, OSError) and asked.answered:
+            self._complain("a mark is in force here and not kept", f"{asked.member}: {kept}")
+            return
+        problem = None
+        if kept is None:
+            self._complain("marks are kept late", asked.member)
+        else:
+            if asked in self._asked:
+                self._asked.remove(asked)
+            if isinstance(kept, OSError):
+                problem = f"the mark could not be kept, so nothing has changed: {kept}"
+                self._apply()
             else:
-                marks.pop(member, None)
-
-        if self._save is None:
-            marks = dict(self.out)
-            change(marks)
-            self.follow(marks)
-            return None
-        try:
-            self.follow(self._save(change))
-        except OSError as problem:
-            return f"the mark could not be kept, so nothing has changed: {problem}"
-        return None
+                self.follow(kept)
+        if not asked.answered:
+            asked.answered = True
+            done(problem)
 
     def follow(self, marks: Mapping[str, float]) -> None:
-        """The marks are these from now on, whoever made them; what differs is told."""
-        before, self.out = self.out, dict(marks)
-        for member in [member for member in before if member not in marks]:
+        """These are kept from now on, whoever made them; what differs is told."""
+        self._kept = dict(marks)
+        self._apply()
+
+    def _apply(self) -> None:
+        before, now = self.out, dict(self._kept)
+        for asked in self._asked:
+            asked.change(now)
+        self.out = now
+        for member in [member for member in before if member not in now]:
             self.told.cordon(member, False)
-        for member in [member for member in marks if member not in before]:
+        for member in [member for member in now if member not in before]:
             self.told.cordon(member, True)
