Pace cold members by what they report, and end the ramp early while requests are given up

Members put back took 0.9 of their part for 8 s and, where one of ten was young, a tenth of it for seconds more by the 90 s ramp, while requests were refused for want of room.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -43,6 +43,7 @@
 SPEED_MOST = 4.0  # machines of one fleet differ by less, either way
 PACE_STEP = 0.1  # some dozen answers, a fraction of a second under load
 PACE_S = 1.0  # after so long without an answer a server is tried whatever its pace was
+CROWDED_S = 1.0  # want of room counts for so long
 PLACE_TRIES = 3  # choices in a row that can't answer in time, after which a request is given up
 SPARSE = 0.5  # requests a second to each server, below which no idle connection is kept
 DECAY_S = 30.0  # the design's: error share and utilization fade to zero over this
@@ -52,6 +53,7 @@
 
 # Cold servers.
 COLD_MARGIN = 0.9  # of its part by size and age; the settings allow more, slow machines and chance need that
+COLD_UTIL, COLD_MOST = 0.9, 2.0  # utilization that a cold server's pace aims at, and how far that may lift it
 RATE_S = 5.0  # memory of the own sending rate
 
 # Going again.
@@ -229,6 +231,7 @@
         self.flow, self.flow_at = 0.0, 0.0  # fading count of sends
         self.shed_level = 0.0
         self.shed_logged = -math.inf
+        self.crowded_at = -math.inf  # when a request was last given up for want of room
         self.usual = [0.0] * len(settings.classes)  # time an answer takes, the median of late
         self.patience = [Patience() for _ in settings.classes]
         self.silence = math.inf
@@ -435,7 +438,17 @@
         if age < rules.cold_time:
             share = rules.cold_from + (1 - rules.cold_from) * age / rules.cold_time
             usual = max(self._rate(), 1 / RATE_S) * server.size / max(self.total_size, server.size)
-            server.cold_next = self.now + (0.5 + self.random.random()) / (usual * share * COLD_MARGIN)
+            pace = usual * share * COLD_MARGIN * self._cold_room(server)
+            server.cold_next = self.now + (0.5 + self.random.random()) / pace
+
+    def _cold_room(self, server: Server) -> float:
+        """What a cold server reports of itself since it began corrects what the settings say at the least.
+
+        All proxies see the same report, and aim at the same utilization. Harm: a report that is late lets the
+        pace run ahead by what it may lift it, which the settings' multiple has room for."""
+        if server.util_at <= self._began(server) or not server.util:
+            return 1.0
+        return min(COLD_MOST, COLD_UTIL / server.util)
 
     def _send(self, pending: Pending, server: Server) -> None:
         """The one place that sends; an attempt never outlives the use of its answer."""
@@ -470,8 +483,10 @@
             server = self._choose(pool, pending)
             if server is None or self._in_time(server, pending):
                 return server
-        # Without a queue of ours there is nothing that refusing would shorten.
-        return None if any(s.out for s in pool.servers) else server
+        if not any(s.out for s in pool.servers):
+            return server  # without a queue of ours there is nothing that refusing would shorten
+        self.crowded_at = self.now
+        return None
 
     def _in_time(self, server: Server, pending: Pending) -> bool:
         """Exception: whether what the proxy itself has in flight there leaves time for one more answer.
@@ -561,7 +576,10 @@
         if not server.answered and server.out:  # probation: one request until the first answer
             return False
         age = self.now - server.started
-        if server.started and age < self.ramp and self.random.random() > max(RAMP_FROM, age / self.ramp):
+        # Exception: while requests are given up for want of room, the ramp, too, ends when a server is warm.
+        crowded = self.now < self.crowded_at + CROWDED_S
+        ramp = min(self.ramp, max(self.rules.cold_time, 1e-3)) if crowded else self.ramp
+        if server.started and age < ramp and self.random.random() > max(RAMP_FROM, age / ramp):
             return False
         # Protects against hung servers: they answer nothing, so no figure of theirs gets worse.
         if server.out and self.now - next(iter(server.out.values())) > self.silence:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -522,3 +522,36 @@
     queued(b, pace=0.4, at=100.0)
     b.handle(100.0, [ServerList((ServerEntry("s0", started=100.0),))])
     assert b.servers["s0"].pace == 0.0
+
+
+def test_while_requests_are_given_up_the_ramp_ends_when_a_server_is_warm() -> None:
+    b = balancer(*fleet(19), ServerEntry("new", started=80.0), rules=Rules(cold_time=8.0))
+    assert sum(b._healthy(b.servers["new"]) for _ in range(400)) < 200  # 20 of 90 s
+    b.crowded_at = 100.0
+    assert all(b._healthy(b.servers["new"]) for _ in range(400))
+    b.now = 100.0 + choice.CROWDED_S
+    assert sum(b._healthy(b.servers["new"]) for _ in range(400)) < 200
+
+
+@pytest.mark.parametrize(("util", "times"), [(None, 1.0), (0.3, 2.0), (0.6, 1.5), (1.0, 0.9)])
+def test_what_a_cold_server_reports_corrects_its_pace(util: float | None, times: float) -> None:
+    b = balancer(*fleet(9), ServerEntry("new", started=98.0), rules=Rules(cold_time=8.0))
+    new = b.servers["new"]
+    b.flow, b.flow_at = 500.0, 100.0
+    if util is not None:
+        b._learn(new, Result.SERVED, {"utilization": util})
+    gaps = []
+    for _ in range(2000):
+        b._pace_cold(new)
+        gaps.append(new.cold_next - b.now)
+    share = b.rules.cold_from + (1 - b.rules.cold_from) * 2 / 8
+    bare = 1 / (b._rate() / 10 * share * choice.COLD_MARGIN)
+    assert sum(gaps) / len(gaps) == pytest.approx(bare / times, rel=0.05)
+
+
+def test_a_report_from_before_its_start_says_nothing_of_a_cold_server() -> None:
+    b = balancer(ServerEntry("s0"), rules=Rules(cold_time=8.0))
+    b._learn(b.servers["s0"], Result.SERVED, {"utilization": 0.2})
+    b.handle(100.5, [Cordon("s0", True)])
+    b.handle(101.0, [Cordon("s0", False)])
+    assert b._cold_room(b.servers["s0"]) == 1.0
