--- a/benchmarks/scene.py
+++ b/benchmarks/scene.py
@@ -18,7 +18,11 @@
 #: Settings of a platform's configuration, enough for `run`.
 PLATFORM: dict[str, Any] = {
     "me": 0, "n-instances": 2, "zones": ["a", "b"], "kinds": ["std"], "locality": 0, "registry-mode": "automatic",
-    "classes": [{"name": "track", "aim-s": 2.0, "give-up-s": 4.0, "worth": 1.0, "effect": "read_like"}],
+    "classes": [
+        {"name": "track", "aim-s": 2.0, "give-up-s": 4.0, "worth": 1.0, "effect": "read_like"},
+        {"name": "book", "aim-s": 4.0, "give-up-s": 8.0, "worth": 1.0, "effect": "idempotency_key",
+         "dedup-scope": "all", "dedup-window-s": 3.0},
+    ],
     "policy-limits": {"max-attempts": 3, "second-copies": True, "cancelling": True, "idle-close-s": 30.0},
     "rules": {"answer-slack-s": 0.02, "drain-grace-s": 1.0, "cold-from": 0.3, "cold-s": 5.0,
               "overload-factor": 2.5, "fall-s": 2.0},
