Pass the rest of an answer of known length on without parsing it

Ruled out: the kernel's buffer (128 KiB to 1 MiB alike). The parser copied every piece of a body whose end is known from its head. Once such an answer streams, its bytes now go straight on, counted; what comes behind them was not asked for and ends the connection.

--- a/spokemast/upstreams/http1.py
+++ b/spokemast/upstreams/http1.py
@@ -48,14 +48,16 @@
         self._forget_head()
         self._release()
         self.complete = self.surplus = self.keep = self.length_only = False
+        self.stale = False  # the parser waits for bytes that it will not get
         self.received = 0
         self.stream = None
+        self.left = 0  # bytes of a streamed answer of known length that go on unread by the parser
 
     def _forget_head(self) -> None:
         self.status = 0
         self.lines: list[bytes] = []
         self.length: int | None = None
-        self.framed = False  # its end can be told from that of the connection
+        self.framed = self.coded = False  # its end can be told from that of the connection; it is in chunks
         self.refusal: bytes | None = None
         self.pressure = b""
         self.reason = b""
@@ -143,6 +145,7 @@
             self.length = int(value)
             self.framed = True
         elif key == b"transfer-encoding":
+            self.coded = True
             self.framed = value.lower().rpartition(b",")[2].strip() == b"chunked"
         elif key == b"connection":
             self.hop += b"," + value.lower()
@@ -162,7 +165,7 @@
             # The answer to HEAD ends here, whatever length it states (RFC 9112, 6.3); the parser can't know.
             self.complete = True
             self.keep = self.parser.should_keep_alive()
-            self.length_only = True
+            self.length_only = self.stale = True
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
@@ -189,6 +192,9 @@
             return
         self.received += len(data)
         self.note_heard()
+        if self.left:
+            self._pass_on(data)
+            return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -244,9 +250,28 @@
         stream.give(data)
         if self.complete and not self.closed:
             self._finish()
+        elif self.length is not None and not self.coded:
+            self.left = self.length - stream.passed
         elif self.received > PIECES * stream.passed + BESIDE_MOST:
             self._spoilt("without end")
 
+    def _pass_on(self, data: bytes) -> None:
+        """The rest of an answer of known length needs no parser, which would copy it piece by piece.
+
+        What comes behind it was not asked for, as anywhere; the parser is of no further use."""
+        stream = self.stream
+        assert stream is not None and self.parser is not None
+        if len(data) < self.left:
+            self.left -= len(data)
+            stream.give(data)
+            return
+        self.surplus = len(data) > self.left
+        stream.give(data[: self.left] if self.surplus else data)
+        self.left, self.complete, self.keep = 0, True, self.parser.should_keep_alive()
+        self.stale = True
+        if not self.closed:
+            self._finish()
+
     def hold(self, on: bool) -> None:
         """The client does not take more now, or takes more again."""
         if self.transport is not None and not self.transport.is_closing():
@@ -275,8 +300,8 @@
         self.attempt = None
         attempt.part()
         if self.keep and not self.surplus and not self.is_unsent() and not self.closed:
-            if self.length_only:
-                self.parser = httptools.HttpResponseParser(self)  # the old one waits for a body
+            if self.stale:
+                self.parser = httptools.HttpResponseParser(self)
             self._expect()
             self.pool.park(self)
         else:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -9,6 +9,7 @@
 from peers import PATIENCE, Call, ScriptedBackend, answering, play, request, world
 from spokemast.interface import FirstByte, Result
 from spokemast.streams import Stream
+from spokemast.upstreams.connections import REST_S
 
 LONG = 300_000
 
@@ -100,6 +101,56 @@
     play(scene)
 
 
+@pytest.mark.parametrize("behind", [b"", b"noise"])
+def test_the_rest_of_a_known_length_goes_on_unread_and_what_comes_behind_it_does_not(behind: bytes) -> None:
+    async def scene() -> None:
+        body = bytes(range(256)) * 4000
+
+        async def script(call: Call) -> None:
+            await call.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body[:70_000]))
+            await asyncio.wait_for(begun.wait(), PATIENCE)
+            await call.say(body[70_000:] + behind)
+
+        backend = ScriptedBackend("a", script)
+        async with world(backend) as here:
+            for number in range(2):
+                begun = asyncio.Event()
+                client = await here.connect()
+                await client.send(request("unsafe"))
+                await here.proxy.until(lambda: here.proxy.streams)
+                begun.set()
+                status, _, got = await client.read()
+                assert status == 200 and got == body
+                assert here.proxy.figures.ended[2] == [number + 1, 0, 0]
+                await asyncio.sleep(2 * REST_S)  # a connection rests before it is used again
+            assert backend.connections == (2 if behind else 1)
+
+    play(scene)
+
+
+def test_a_known_length_that_is_cut_short_is_seen_to() -> None:
+    async def scene() -> None:
+        async def script(call: Call) -> None:
+            await call.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (LONG, bytes(70_000)))
+            await asyncio.wait_for(begun.wait(), PATIENCE)
+            await call.say(bytes(LONG - 70_001))
+            call.writer.close()
+
+        begun = asyncio.Event()
+        async with world(ScriptedBackend("a", script)) as here:
+            client = await here.connect()
+            await client.send(request("unsafe"))
+            await here.proxy.until(lambda: here.proxy.streams)
+            begun.set()
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await client.read()
+            (outcome,) = await here.proxy.until_outcomes(1)
+            assert outcome.result == Result.RESET
+            assert here.proxy.figures.ended[2] == [0, 0, 1]
+
+    play(scene)
+
+
 def test_a_client_that_reads_nothing_holds_its_member_and_not_our_memory() -> None:
     async def scene() -> None:
         most = 32 << 20
