Pass long answers of FastCGI members on as they come

They were spoilt past the size that is judged whole, while HTTP/1.1 members' went on. A connection that carries one request now gives its STDOUT to the same stream as HTTP does, with back-pressure; more or less than the stated length, a status of the application's own, no end, or a break cut it so that the client can tell. [pool.limits] answer_stream says how long such answers may be in configurations of our own (0: none, as before). Left: connections that carry several requests, where one slow client would hold them all.

--- a/spokemast/config/types.py
+++ b/spokemast/config/types.py
@@ -94,7 +94,8 @@
     idle_close: Duration = Duration(15.0)  # after this a member closes a connection that stands idle
     idle_connections: Number = 64  # kept to one member
     request_body: Size = Size(1 << 20)
-    answer_body: Size = Size(1 << 20)
+    answer_body: Size = Size(1 << 20)  # of an answer that is judged whole
+    answer_stream: Size = Size(0)  # of one that is passed on as it comes; 0: none is
     retry_after: Duration = Duration(0.0)  # a refusal may ask clients to stay away for this long at most
     share: Positive = 1.0  # of descriptors, buffers and time on the processor, beside the other pools
 
--- a/spokemast/daemon/pools.py
+++ b/spokemast/daemon/pools.py
@@ -38,6 +38,7 @@
         refusal_header=_header(table.refusal_header),
         deadline_header=None,
         body_most=table.limits.answer_body,
+        stream_most=table.limits.answer_stream,
         platform=False,
         close_delimited=table.close_delimited,
     )
--- a/spokemast/fastcgi/webserver.py
+++ b/spokemast/fastcgi/webserver.py
@@ -43,14 +43,22 @@
 class Exchange:
     """One request and what has come of its answer."""
 
-    __slots__ = ("number", "stdout", "stderr", "status", "end")
+    __slots__ = ("number", "stdout", "stderr", "status", "end", "taken")
 
     def __init__(self, number: int) -> None:
         self.number = number
         self.stdout, self.stderr = bytearray(), bytearray()
+        self.taken = False  # some of STDOUT has been taken away
         self.status = 0  # the application's own, of END_REQUEST
         self.end: End | None = None
 
+    def draw(self) -> bytes:
+        """What has come on STDOUT since the last call; it is held here no longer."""
+        self.taken = self.taken or bool(self.stdout)
+        data = bytes(self.stdout)
+        self.stdout.clear()
+        return data
+
     def take(self, record: Record) -> End | None:
         """How the request ended, if this record of it ends it; ProtocolError for one that may not come."""
         if record.type == Type.STDOUT:
@@ -66,8 +74,10 @@
 
     def _ended(self, status: int) -> End:
         if status == Status.REQUEST_COMPLETE:
-            return End.ANSWERED if self.stdout else End.SILENT
-        if status in (Status.OVERLOADED, Status.CANT_MPX_CONN, Status.UNKNOWN_ROLE) and not self.stdout:
+            return End.ANSWERED if self.stdout or self.taken else End.SILENT
+        if status in (Status.OVERLOADED, Status.CANT_MPX_CONN, Status.UNKNOWN_ROLE) and not (
+            self.stdout or self.taken
+        ):
             return End.NEVER_RAN
         return End.BROKEN
 
--- a/spokemast/upstreams/fastcgi.py
+++ b/spokemast/upstreams/fastcgi.py
@@ -9,17 +9,22 @@
 | an answer whose length is not the one it states, or that is none | RESET | spoilt: may have run |
 | an application status other than 0, and no length stated | ERROR | what there is may have been cut by the failure |
 | the connection breaks after the params, STDIN whole or not | RESET | may have run |
+
+An answer too long to be judged whole is passed on as it comes, from its head, where the dialect has room for that; what
+then turns out spoilt breaks it off.
 """
 
 from __future__ import annotations
 
 import socket
+import time
 from typing import Mapping, NamedTuple, Union
 
 from spokemast.fastcgi.cgi import BLOCK_MOST, CgiError, CgiHead, find_end, fixed_params, read_head, to_params
 from spokemast.fastcgi.records import encode_pairs
 from spokemast.fastcgi.webserver import End, WebServerSide, encode_request
 from spokemast.interface import Result
+from spokemast.streams import Stream
 from spokemast.upstreams.base import SocketUpstream
 from spokemast.upstreams.connections import Answer, Attempt, Backend, Backends
 from spokemast.upstreams.dialect import Dialect
@@ -50,6 +55,8 @@
         self.side = WebServerSide()
         self.held = 0  # bytes of STDOUT, charged to the budget
         self.received = 0
+        self.stream: Stream | None = None  # takes the body as it comes
+        self.head: CgiHead | None = None  # of that answer
         self.unproven = (
             0  # bytes at the end of the request that may be missing when it has begun all the same
         )
@@ -57,6 +64,7 @@
     def start(self, attempt: Attempt) -> None:
         self.take(attempt)
         self.received = 0
+        self.stream = self.head = None
         data, begun = request_records(self.side.begin(), attempt, self.dialect, self.application)
         self.unproven = len(data) - begun
         self.write(data)
@@ -77,13 +85,69 @@
         self.note_heard()
         end = self.side.feed(data)
         self._charge()
-        if end is not None:
+        if self.stream is not None:
+            self._go_on(self.stream, end)
+        elif end is not None:
             self._finish(end)
+        elif self.dialect.stream_most and len(self.side.stdout) > self.dialect.body_most + BLOCK_MOST:
+            self._begin_stream()
         elif len(self.side.stdout) > self.dialect.body_most + BLOCK_MOST:
             self._spoilt("too large")
         elif self.received > self.dialect.body_most + BLOCK_MOST + BESIDE_MOST:
             self._spoilt("without end")
 
+    # A long answer.
+
+    def _begin_stream(self) -> None:
+        """The answer is too long to be judged whole: it is passed on from its head, if it is one for the client."""
+        attempt, dialect = self.attempt, self.dialect
+        assert attempt is not None
+        found = find_end(self.side.stdout)
+        try:
+            head = read_head(bytes(self.side.stdout[: found[0]]), self.not_passed) if found else None
+        except CgiError as problem:
+            self._spoilt(problem)
+            return
+        refusal = dialect.refusal_header
+        if found is None or head is None or attempt.request.bodiless or head.status in BODILESS:
+            self._spoilt("too large")
+            return
+        result = dialect.result(head.status, head.headers.get(refusal) if refusal else None)
+        if result != Result.SERVED or (head.length or 0) > dialect.stream_most:
+            self._spoilt("too large")
+            return
+        attempt.answered_at = time.monotonic()
+        begun = Answer(head.lines, b"", head.status, head.reason, head.length)
+        stream = self.pool.owner.begin_answer(attempt, begun, self)
+        if stream is None or self.closed:
+            return
+        self.stream, self.head = stream, head
+        del self.side.stdout[: found[1]]
+        self._go_on(stream, None)
+
+    def _go_on(self, stream: Stream, end: End | None) -> None:
+        """Pass on what has come; it breaks off where it is more than the head states, or ends before that."""
+        assert self.head is not None
+        data, length = self.side.exchange.draw(), self.head.length
+        self._charge()
+        if stream.passed + len(data) > (self.dialect.stream_most if length is None else length):
+            self._spoilt("too large")
+            return
+        stream.give(data)
+        if end is None or self.closed:
+            return
+        whole = stream.passed == length if length is not None else not self.side.status
+        if end != End.ANSWERED or not whole:
+            self._spoilt("it ended before its end")
+            return
+        self.hold(False)
+        self._end(Result.SERVED, _report(self.pool, self.dialect, self.head), None)
+
+    def hold(self, on: bool) -> None:
+        """The client does not take more now, or takes more again."""
+        if self.transport is not None and not self.transport.is_closing():
+            (self.transport.pause_reading if on else self.transport.resume_reading)()
+
     def _charge(self) -> None:
         more = len(self.side.stdout) - self.held
         self.held += more
--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -705,3 +705,119 @@
             web.close()
 
     play(scene)
+
+
+# Long answers.
+
+LONG = 300_000
+STREAMED = 'limits = { answer_body = "64KiB", answer_stream = "1MiB" }'
+
+
+def stdout(call: FcgiCall, data: bytes) -> bytes:
+    return encode_stream(Type.STDOUT, call.number, data)
+
+
+def long_head(stated: int | None) -> bytes:
+    length = b"Content-Length: %d\r\n" % stated if stated is not None else b""
+    return b"Status: 200 OK\r\n%b\r\n" % length
+
+
+@pytest.mark.parametrize("stated", [LONG, None])
+def test_a_long_answer_of_an_application_goes_on_as_it_comes(stated: int | None, tmp_path: Path) -> None:
+    async def scene() -> None:
+        body = bytes(range(250)) * (LONG // 250)
+
+        async def script(call: FcgiCall) -> None:
+            call.raw(stdout(call, long_head(stated) + body[:200_000]))
+            await go_on.wait()
+            call.raw(stdout(call, body[200_000:]))
+            call.end(encode(Type.STDOUT, call.number))
+
+        app = Application("a", script)
+        async with fleet(tmp_path, [app], simple([app], STREAMED)) as here:
+            proxy = here.daemon.pools["p"].proxy
+            for _ in range(2):
+                go_on = asyncio.Event()
+                client = await here.connect()
+                await client.send(requests_to("/"))
+                await asyncio.wait_for(
+                    client.reader.readuntil(b"\r\n\r\n"), 10
+                )  # the application still waits
+                go_on.set()
+                if stated is not None:
+                    got = await client.reader.readexactly(LONG)
+                else:
+                    got = b""
+                    while size := int(await client.reader.readline(), 16):
+                        got += (await client.reader.readexactly(size + 2))[:-2]
+                assert got == body
+            assert app.connections == 1  # it is kept
+            await here.until(lambda: not proxy.open)
+            assert proxy.budget.held == 0 and not proxy.streams
+
+    play(scene)
+
+
+#: What an application does once 200,000 bytes of its answer have gone on; with the length that it states.
+SPOILT: dict[str, tuple[int | None, Callable[[FcgiCall], None]]] = {
+    "ends early": (LONG, lambda call: call.end()),
+    "says too much": (LONG, lambda call: call.end(stdout(call, bytes(LONG)))),
+    "fails at its end": (None, lambda call: call.end(stdout(call, bytes(9)), status=1)),
+    "has no end": (None, lambda call: call.raw(stdout(call, bytes(1 << 20)))),
+    "breaks": (LONG, lambda call: call.connection.close()),
+}
+
+
+@pytest.mark.parametrize("kind", SPOILT)
+def test_a_long_answer_that_turns_out_spoilt_is_seen_to_and_goes_to_nobody_else(
+    kind: str, tmp_path: Path
+) -> None:
+    stated, finish = SPOILT[kind]
+
+    async def scene() -> None:
+        begun = asyncio.Event()
+
+        async def script(call: FcgiCall) -> None:
+            call.raw(stdout(call, long_head(stated) + bytes(200_000)))
+            await begun.wait()
+            finish(call)
+
+        apps = [Application(name, script) for name in "ab"]
+        async with fleet(tmp_path, apps, simple(apps, STREAMED)) as here:
+            proxy, seen = here.daemon.pools["p"].proxy, outcomes(here)
+            client = await here.connect()
+            await client.send(requests_to("/", "POST", b"x"))
+            await here.until(lambda: proxy.streams)
+            begun.set()
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                while await client.reader.readexactly(1 << 16):
+                    pass
+            await here.until(lambda: not proxy.open)
+            assert seen == [Result.RESET] and sum(len(app.calls) for app in apps) == 1
+            assert proxy.budget.held == 0
+
+    play(scene)
+
+
+def test_a_client_that_reads_nothing_holds_the_application(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async def script(call: FcgiCall) -> None:
+            call.raw(stdout(call, long_head(16 << 20) + bytes(16 << 20)))
+            call.end()
+
+        app = Application("a", script)
+        text = simple([app], 'limits = { answer_body = "64KiB", answer_stream = "32MiB" }')
+        async with fleet(tmp_path, [app], text) as here:
+            client = await here.connect()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await client.send(requests_to("/"))
+            connections = here.daemon.listeners["main"].connections
+            await here.until(lambda: any(c.blocked for c in connections))
+            (connection,) = connections
+            assert connection.transport is not None
+            assert connection.transport.get_write_buffer_size() < 2 << 20
+            client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            status, _, body = await client.read()
+            assert status == 200 and len(body) == 16 << 20
+
+    play(scene)
