Let a member's own words reach the client where a safe request is given up

Members that answer 500 to 504 to a GET reached the client as an empty 503 each: the module's word for a safe request is Refuse, and core worded that as 503 without a look at the answer that was kept, so nobody could tell the proxy's refusal from a member's.

What a client hears is now decided in a pure module with its table: a refusal passes the kept answer on, also a 503 with Retry-After, since trying again is harmless; a failure passes on what is no refusal; of several the best by a stated order. Counted by what the client heard.

--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -14,8 +14,9 @@
 
 from spokemast import interface as api
 from spokemast.choice import Balancer
+from spokemast.core.endings import Heard, better, failed, refused
 from spokemast.core.requests import Ids, OpenRequest
-from spokemast.figures import REFUSALS, End, Figures, end_of
+from spokemast.figures import End, Figures, end_of
 from spokemast.interface import Result
 from spokemast.members.lists import Entry, Source
 from spokemast.limits import STREAM_MOST, Budget, Complaints, Share, describe
@@ -376,9 +377,8 @@
                 self.finish_attempt(attempt, Result.RESET)
 
     def _keep_error(self, request: OpenRequest, answer: Answer) -> None:
-        """What a backend said of its failure, for the client if nothing better comes. Never one that would
-        tell the client that trying again is harmless: the request may have run."""
-        if answer.status in REFUSALS or not self.budget.take_upload(len(answer.body)):
+        """What a backend said of its failure, for the client if nothing better comes."""
+        if not better(request.error, answer) or not self.budget.take_upload(len(answer.body)):
             return
         if request.error is not None:
             self.budget.give(len(request.error.body))
@@ -422,23 +422,23 @@
     def _refuse(self, action: api.Refuse) -> None:
         request = self.open[action.request]
         if not request.done:
-            self._finish_request(request, End.DROPPED)
             lines = [b"Retry-After: %.3f\r\n" % action.retry_after] if action.retry_after else []
-            request.client.answer(503, lines, b"")
+            self._tell(request, refused(request.error), lines)
 
     def _fail(self, action: api.Fail) -> None:
         request = self.open[action.request]
-        error = request.error
         if not request.done:
-            self._finish_request(request, End.FAILED)
-            if request.unusable:
-                request.client.answer(400, [], b"", close=True)
-            elif error is not None and not request.timed_out:
-                request.client.answer(
-                    error.status, error.lines, error.body, False, error.length, error.reason
-                )
-            else:
-                request.client.answer(self.timeout_status if request.timed_out else 502, [], b"")
+            heard = failed(request.error, request.unusable, request.timed_out, self.timeout_status)
+            self._tell(request, heard, [])
+
+    def _tell(self, request: OpenRequest, heard: Heard, lines: list[bytes]) -> None:
+        """The final answer of a request that was given up. `lines`: headers of the proxy's own answer."""
+        kept = heard.kept
+        self._finish_request(request, end_of(kept.status if kept is not None else heard.status))
+        if kept is not None:
+            request.client.answer(kept.status, kept.lines, kept.body, False, kept.length, kept.reason)
+        else:
+            request.client.answer(heard.status, lines, b"", close=heard.close)
 
     def _set_timer(self, action: api.SetTimer) -> None:
         self._loop.call_later(action.after, self.post, api.TimerFired(action.token))
