--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -15,6 +15,7 @@
 from spokemast.limits import HELD_MOST, STREAM_MOST, Budget
 from spokemast.streams import STALL_S
 from spokemast.uploads import Upload
+from test_streams import End
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 AWAY = b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
@@ -22,25 +23,6 @@
 PART = bytes(1 << 16)
 
 
-class End:
-    """Either side of an upload, with what it was told."""
-
-    def __init__(self) -> None:
-        self.told: list[object] = []
-
-    def hold(self, on: bool) -> None:
-        self.told.append(on)
-
-    def take_part(self, data: bytes) -> None:
-        self.told.append(data)
-
-    def take_end(self) -> None:
-        self.told.append("end")
-
-    def break_off(self) -> None:
-        self.told.append("broken")
-
-
 def upload(kept: bytes = b"ab") -> tuple[Upload, End, Budget, list[str]]:
     client, budget, lost = End(), Budget(100), list[str]()
     assert budget.take_upload(len(kept))
