Read over: one hold for both upstreams, one way to give an attempt up

Need: reading the change over, the FastCGI upstream had written again the hold of the HTTP one, line for line, and core dropped an attempt that nobody wants in two places alike. Change: hold stands in SocketUpstream, _give_up in the proxy; behaviour is as it was.

--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -197,9 +197,13 @@
     def _drop_attempts(self, request: OpenRequest) -> None:
         """Guards members against halves of bodies that stay open, also where the module may not cancel."""
         for attempt in list(request.attempts):
-            if not attempt.ended:
-                attempt.drop()
-                self.finish_attempt(attempt, Result.CANCELLED)
+            self._give_up(attempt)
+
+    def _give_up(self, attempt: Attempt) -> None:
+        """Nobody wants its answer any more."""
+        if not attempt.ended:
+            attempt.drop()
+            self.finish_attempt(attempt, Result.CANCELLED)
 
     def has_room(self) -> bool:
         """Whether one more request may be open.
@@ -414,10 +418,7 @@
         request = self.open.get(action.request)
         if request is None:  # all its attempts have ended
             return
-        attempt = request.attempts[action.attempt]
-        if not attempt.ended:
-            attempt.drop()
-            self.finish_attempt(attempt, Result.CANCELLED)
+        self._give_up(request.attempts[action.attempt])
 
     def _refuse(self, action: api.Refuse) -> None:
         request = self.open[action.request]
--- a/spokemast/upstreams/base.py
+++ b/spokemast/upstreams/base.py
@@ -64,6 +64,11 @@
             self.unsent = True
             self.transport.write(data[sent:])
 
+    def hold(self, on: bool) -> None:
+        """The client does not take more now, or takes more again."""
+        if self.transport is not None and not self.transport.is_closing():
+            (self.transport.pause_reading if on else self.transport.resume_reading)()
+
     def note_heard(self) -> None:
         """Something has come from the backend."""
         self.backend.heard = time.monotonic()
--- a/spokemast/upstreams/fastcgi.py
+++ b/spokemast/upstreams/fastcgi.py
@@ -143,11 +143,6 @@
         self.hold(False)
         self._end(Result.SERVED, _report(self.pool, self.dialect, self.head), None)
 
-    def hold(self, on: bool) -> None:
-        """The client does not take more now, or takes more again."""
-        if self.transport is not None and not self.transport.is_closing():
-            (self.transport.pause_reading if on else self.transport.resume_reading)()
-
     def _charge(self) -> None:
         more = len(self.side.stdout) - self.held
         self.held += more
--- a/spokemast/upstreams/http1.py
+++ b/spokemast/upstreams/http1.py
@@ -272,11 +272,6 @@
         if not self.closed:
             self._finish()
 
-    def hold(self, on: bool) -> None:
-        """The client does not take more now, or takes more again."""
-        if self.transport is not None and not self.transport.is_closing():
-            (self.transport.pause_reading if on else self.transport.resume_reading)()
-
     def _spoilt(self, why: object) -> None:
         """Guards against whatever is no answer: it ends as a reset, since the request may have run, before
         any of it has reached the client, and the connection is of no further use. Harm: a good backend whose
