Close idle connections by the whole fleet's number, leave servers that are down out of the draw

At fault: SPARSE (0.5 a second whatever the number of proxies, passed in the rush and after a crash), _healthy (no share tells half of the fleet from the usual), _retry (a budget for what reached nobody), _learn (a time-out counted whole, whatever time it had). Change: SPARSE by the number of proxies; servers failing in a row get one request at a time, each later; repeats after no connection need no budget; a time-out counts by the time it had.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -31,7 +31,8 @@
 ERROR_WEIGHT = 2.0  # a failing server must not win by being quick
 ERROR_MOST = 0.4  # of the share counted by attempts, where most servers fail less
 HOPELESS = 0.9  # this share of failures, and a server has served next to nothing lately
-FAILED = 2  # failures in a row, slow answers are none, after which a set is passed over for some seconds
+FAILED = 2  # failures in a row, slow answers are none, and a server is left out of the draw for a while
+AGAIN_S = 1.0  # that while at first; each failure more doubles it
 ERROR_LEAST = 0.01  # less is none: a trace of one slow answer would decide every tie for as long as it fades
 ERROR_STEP = 0.3  # two failures in a row pass the limit, one does not
 OTHER_CLASS = 0.5  # of a server's error share, for a class that has one of its own there
@@ -45,7 +46,9 @@
 PACE_S = 1.0  # after so long without an answer a server is tried whatever its pace was
 CROWDED_S = 1.0  # want of room counts for so long
 PLACE_TRIES = 3  # choices in a row that can't answer in time, after which a request is given up
-SPARSE = 0.5  # requests a second to each server, below which no idle connection is kept
+# Requests a second to each server, for each proxy of the fleet, below which no idle connection is kept. All
+# proxies together would keep one each, and a server holds some twenty; a full table takes much of a core.
+SPARSE = 0.1
 DECAY_S = 30.0  # the design's: error share and utilization fade to zero over this
 RAMP_S = 90.0  # the design's: traffic to a new server grows over this
 RAMP_FROM = 0.1  # so that a server just listed is tried at all
@@ -111,6 +114,15 @@
         self.kind, self.rank = entry.kind, entry.rank
         self.weight = entry.weight if 0 < entry.weight < math.inf else 1.0
 
+    def note_row(self, result: Result, slowness: float) -> None:
+        """Counts failures in a row; one that turns away is up."""
+        if result == Result.SERVED:
+            self.failed = 0
+        elif result == Result.NO_CONNECTION:  # nothing there: the next request need not find it out again
+            self.failed = max(self.failed + 1, FAILED)
+        elif result != Result.FULL:
+            self.failed += slowness >= 1.0 or result != Result.TIMEOUT
+
 
 class Pool:
     """Servers to draw from, by kind, each with the chance that its listed size and its kind's speed give.
@@ -354,9 +366,7 @@
         if server.out.pop(key, None) is None and key not in server.giving:
             raise LookupError(f"outcome of attempt {event.attempt} of request {event.request}, never sent")
         server.giving.discard(key)
-        if not server.out and self.settings.n_instances > 1 and self._rate() < SPARSE * len(self.ready):
-            # Exception: where each of many proxies sends a server little, their idle connections
-            # together fill its table, which costs it capacity and turns other proxies away.
+        if not server.out and self._is_sparse():
             self.actions.append(CloseIdle(server.id))
         pending = self.requests.get(event.request)
         number = pending.number if pending else None
@@ -375,16 +385,19 @@
             # Guards against bad clients: what one server can't use no other can, so sending it on would cost
             # attempts, and a refusal would ask for it again. Harm: one wrong verdict fails a good request.
             self._fail(pending)
-        elif not any(a.open for a in pending.attempts) and not self._retry(pending):
-            self._give_up(pending)
+        elif not any(a.open for a in pending.attempts):
+            # What reached nobody costs no server anything: its repeat adds no load, so no budget limits it.
+            free = event.result == Result.NO_CONNECTION
+            if not self._retry(pending, free):
+                self._give_up(pending)
 
-    def _retry(self, pending: Pending) -> bool:
+    def _retry(self, pending: Pending, free: bool = False) -> bool:
         """One more attempt, where the class, the limits, the time and the budget allow it."""
-        if self.retry_tokens < 1 or (pending.useful - self.now <= 0 and not pending.coming):
+        if pending.useful - self.now <= 0 and not pending.coming:
             return False
-        if not self._try(pending):
+        if not free and self.retry_tokens < 1 or not self._try(pending):
             return False
-        self.retry_tokens -= 1
+        self.retry_tokens -= not free
         return True
 
     def _try(self, pending: Pending) -> bool:
@@ -568,9 +581,17 @@
         return self._may_take(server) and self._responds(server)
 
     def _responds(self, server: Server) -> bool:
+        """Neither silent nor down: after some failures in a row it gets one request at a time, each later.
+
+        Protects against a zone that is lost, half of the fleet: no share tells its servers from the usual
+        then, and where a proxy has few answers from each, a failure fades before the next. It should also
+        catch a server that answers errors at once. Harm: one back under the same start is tried late."""
         if server.out and self.now - next(iter(server.out.values())) > self.silence:
             return False
-        return server.failed < FAILED or self.now >= server.errors_at + min(DECAY_S, server.failed / 2)
+        if server.failed < FAILED:
+            return True
+        wait = min(DECAY_S, AGAIN_S * 2.0 ** min(server.failed - FAILED, 8))
+        return not server.out and self.now >= server.errors_at + wait
 
     def _of_few(self, pool: Pool, tried: list[Server], number: int) -> Server:
         """Where draws find none in a set that has some: two of the usable ones, whatever their load."""
@@ -605,7 +626,7 @@
             server = pool.draw(self.random.random(), self.speed)
             if not self._may_take(server) or server in tried or server is first:
                 continue
-            if self._failing(server, number) > HOPELESS:
+            if self._failing(server, number) > HOPELESS or not self._responds(server):
                 failing = server
             elif first is not None:
                 return min(first, server, key=lambda s: self._score(s, number))
@@ -622,8 +643,8 @@
         ramp = min(self.ramp, max(self.rules.cold_time, 1e-3)) if crowded else self.ramp
         if server.started and age < ramp and self.random.random() > max(RAMP_FROM, age / ramp):
             return False
-        # Protects against hung servers: they answer nothing, so no figure of theirs gets worse.
-        if server.out and self.now - next(iter(server.out.values())) > self.silence:
+        # Protects against hung servers, too: they answer nothing, so no figure of theirs gets worse.
+        if not self._responds(server):
             return False
         # Where all are busy the cause is shared, and passing most over would crowd the few that are left.
         util_limit = max(UTIL_LIMIT, self.util_usual + UTIL_OVER)
@@ -667,6 +688,14 @@
         """Own sends a second of late; of a young proxy, over its life, or `least` seconds if that is more."""
         return self._flow() / (RATE_S * (1 - math.exp(-max(least, self.now - self.born) / RATE_S)))
 
+    def _is_sparse(self) -> bool:
+        """Exception: where each of many proxies sends a server little, their idle connections together
+        fill its table, which costs it capacity and turns other proxies away.
+
+        Harm: a handshake for each request, which is the dearer of the two where few proxies send much."""
+        least = SPARSE * self.settings.n_instances * len(self.ready)
+        return self.settings.n_instances > 1 and self._rate() < least
+
     # What is learnt.
 
     def _learn(self, server: Server, result: Result, report: Mapping[str, float] | None,
@@ -686,10 +715,10 @@
         ):  # it speaks of the client; counted, bad clients would blacken all servers
             return
         share = self._faded(server.errors, server.errors_at)
-        server.failed = 0 if result == Result.SERVED else server.failed + 1
+        server.note_row(result, slowness)
         if result == Result.SERVED and self.returned:
             self.returned.pop(server.id, None)
-        failure = slowness if result == Result.SERVED else 1.0
+        failure = slowness if result in (Result.SERVED, Result.TIMEOUT) else 1.0
         self.errors_usual += SPEED_STEP * (failure - self.errors_usual)
         share += ERROR_STEP * (failure - share)
         server.errors = share if share > ERROR_LEAST else 0.0
@@ -723,12 +752,23 @@
 
         Protects against slow servers: near full load all report high utilization, and only their
         answers tell them apart. The usual is that of the whole fleet, so a shared cause blackens none."""
-        if pending is None or event.result != Result.SERVED or pending.coming:
-            return 0.0
+        if pending is None or pending.coming:
+            return float(event.result == Result.TIMEOUT)
         number, took = pending.number, event.took if event.first is None else event.first
         usual = self.usual[number] or took
+        if event.result == Result.TIMEOUT:
+            # An answer that has not come by now takes about as long again, as tails go. Protects against
+            # servers that an attempt blackens which had less time than answers take: a class whose aim is
+            # near its usual time, a repeat after a failure elsewhere.
+            return self._slow(2 * took, usual) if self.usual[number] else 1.0
+        if event.result != Result.SERVED:
+            return 0.0
         self.usual[number] = usual * (1 + USUAL_STEP if took > usual else 1 - USUAL_STEP)
         self.silence = SILENT * max(self.usual)
+        return self._slow(took, usual)
+
+    @staticmethod
+    def _slow(took: float, usual: float) -> float:
         return min(1.0, max(0.0, (took / usual - SLOW_FROM) / (SLOW_FULL - SLOW_FROM))) if usual else 0.0
 
     # Refusing.
--- /dev/null
+++ b/tests/fleetscene.py
@@ -0,0 +1,240 @@
+"""Many instances of the decision module over modelled members, in virtual time, from a seed.
+
+A member shares its core among what it works on (processor sharing); each open connection takes a part of its
+capacity; a cold one has less; one that is down accepts no connection. Clients send by a Poisson process and
+repeat what is refused while there is time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from dataclasses import dataclass
+from itertools import count
+from typing import Any, Callable
+
+from spokemast.choice import Balancer
+from spokemast.interface import (
+    Cancel, Effect, Limits, Outcome, Refuse, Request, RequestClass, Result, Rules, Send, ServerEntry,
+    ServerList, SetTimer, Settings, TimerFired, CloseIdle, Fail,
+)  # fmt: skip
+
+TRACK, BOOK = 0, 1
+WORK_S, IO_S = (0.024, 0.028), (0.039, 0.030)  # of each class, on a core of speed 1
+TAX, TABLE = 0.28, 23  # capacity that a full table of connections takes, and its size
+HANDSHAKE_S = 0.0008
+REPORT_S, DELAY_S = 0.05, 0.02
+CONNECT_S = 0.25
+
+CLASSES = (
+    RequestClass("track", aim=0.18, give_up=0.45, worth=3.0),
+    RequestClass("book", aim=0.45, give_up=1.5, worth=10.0, effect=Effect.KEYED, dedup_window=0.9),
+)
+LIMITS = Limits(max_attempts=5, retry_after=True, max_retry_after=2.0, connect_timeout=CONNECT_S)
+RULES = Rules(cold_from=0.35, cold_time=2.0, overload_factor=2.5, fall_time=0.9, drain_grace=2.0)
+
+
+@dataclass
+class Job:
+    key: tuple[int, int, int]  # proxy, request, attempt
+    left: float  # work
+    io: float
+    sent: float
+
+
+class Member:
+    def __init__(self, scene: Scene, name: str, speed: float, kind: int, zone: int, started: float) -> None:
+        self.scene, self.name, self.speed, self.kind, self.zone = scene, name, speed, kind, zone
+        self.started, self.down, self.errs = started, False, 0.0
+        self.jobs: dict[tuple[int, int, int], Job] = {}
+        self.idle: Counter[int] = Counter()  # connections kept, by proxy
+        self.at = self.busy = self.busy_at = 0.0
+        self.reports: list[tuple[float, float]] = [(0.0, 0.0)]
+        self.version = 0
+
+    def capacity(self) -> float:
+        scene = self.scene
+        share = 1.0
+        if self.started and scene.now - self.started < RULES.cold_time:
+            share = RULES.cold_from + (1 - RULES.cold_from) * (scene.now - self.started) / RULES.cold_time
+        table = len(self.jobs) + sum(self.idle.values())
+        return self.speed * share * (1 - TAX * min(1.0, table / TABLE))
+
+    def advance(self) -> None:
+        passed = self.scene.now - self.at
+        self.at = self.scene.now
+        if not self.jobs or passed <= 0:
+            return
+        self.busy += passed
+        each = passed * self.capacity() / len(self.jobs)
+        for job in self.jobs.values():
+            job.left -= each
+
+    def plan(self) -> None:
+        self.version += 1
+        if self.jobs:
+            least = min(job.left for job in self.jobs.values())
+            wait = max(0.0, least) * len(self.jobs) / self.capacity()
+            self.scene.after(wait + 1e-7, self.step, self.version)
+
+    def step(self, version: int) -> None:
+        if version != self.version:
+            return
+        self.advance()
+        for job in [j for j in self.jobs.values() if j.left <= 1e-9]:
+            del self.jobs[job.key]
+            self.scene.after(job.io, self.scene.answer, self, job)
+        self.plan()
+
+    def drop(self, key: tuple[int, int, int]) -> None:
+        self.advance()
+        if self.jobs.pop(key, None):
+            self.plan()
+
+    def take_report(self) -> None:
+        self.advance()
+        util = min(1.0, (self.busy - self.busy_at) / REPORT_S)
+        self.busy_at = self.busy
+        self.reports = [*self.reports[-3:], (self.scene.now + DELAY_S, util)]
+        self.scene.after(REPORT_S, self.take_report)
+
+    def report(self) -> dict[str, float]:
+        known = [util for at, util in self.reports if at <= self.scene.now] or [0.0]
+        return {"utilization": known[-1] * self.scene.random.uniform(0.9, 1.1)}
+
+
+class Scene:
+    """`rate`: first tries a second over the whole fleet."""
+
+    def __init__(self, proxies: int, members: int, rate: float, seed: int, slow: int = 0,
+                 make: Callable[..., Balancer] = Balancer, book: float = 0.47) -> None:  # fmt: skip
+        self.random, self.now, self.rate, self.book = random.Random(seed), 1000.0, rate, book
+        self.start = self.now
+        self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.order, self.ids = count(), count(1)
+        self.count: Counter[str] = Counter()
+        self.members: dict[str, Member] = {}
+        for number in range(members):
+            kind = int(number % 5 in (1, 3))
+            speed = (0.97, 0.6)[kind] * self.random.lognormvariate(0, 0.13)
+            self.add(f"s-{number}", speed / (6.0 if number < slow else 1.0), kind, number % 2, 0.0)
+        self.proxies = [make(Settings(CLASSES, me=n, n_instances=proxies, n_zones=2, zone=n % 2,
+                                      report_fields=("utilization",), limits=LIMITS, rules=RULES),
+                             seed * 1000 + n) for n in range(proxies)]  # fmt: skip
+        self.open: dict[tuple[int, int], tuple[float, int, int]] = {}  # asked first, class, tries left
+        self.attempts: Counter[tuple[int, int]] = Counter()
+        self.sent: dict[tuple[int, int, int], Any] = {}
+        self.spans: dict[int, Counter[str]] = {}
+
+    def add(self, name: str, speed: float, kind: int, zone: int, started: float) -> Member:
+        member = self.members[name] = Member(self, name, speed, kind, zone, started)
+        member.at = self.now
+        self.after(self.random.random() * REPORT_S, member.take_report)
+        return member
+
+    def after(self, wait: float, call: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self.heap, (self.now + wait, next(self.order), call, args))
+
+    def tell_list(self, spread: float = 0.0) -> None:
+        entries = tuple(ServerEntry(m.name, m.zone, m.zone, m.kind, started=m.started)
+                        for m in self.members.values() if not m.down)  # fmt: skip
+        for number in range(len(self.proxies)):
+            self.after(self.random.random() * spread, self.tell, number, ServerList(entries))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        if self.now == self.start:
+            self.arrive()
+        while self.heap and self.heap[0][0] < end:
+            self.now, _, call, args = heapq.heappop(self.heap)
+            call(*args)
+        self.now = end
+
+    def arrive(self) -> None:
+        cls = BOOK if self.random.random() < self.book else TRACK
+        self.note(f"asked {cls}")
+        self.ask(self.now, cls, 1)
+        self.after(self.random.expovariate(self.rate), self.arrive)
+
+    def ask(self, first: float, cls: int, tries: int) -> None:
+        number, request = self.random.randrange(len(self.proxies)), next(self.ids)
+        left = CLASSES[cls].give_up - (self.now - first)
+        if left > 0:
+            self.open[number, request] = first, cls, tries
+            self.tell(number, Request(request, cls, left))
+
+    def note(self, what: str, much: int = 1) -> None:
+        self.spans.setdefault(int(self.now - self.start), Counter())[what] += much
+        self.count[what] += much
+
+    def tell(self, number: int, event: Any) -> None:
+        for action in self.proxies[number].handle(self.now, [event]):
+            if isinstance(action, Send):
+                self.send(number, action)
+            elif isinstance(action, (Refuse, Fail)):
+                self.end_refused(number, action.request)
+            elif isinstance(action, Cancel):
+                self.finish((number, action.request, action.attempt), Result.CANCELLED)
+            elif isinstance(action, SetTimer):
+                self.after(action.after, self.tell, number, TimerFired(action.token))
+            elif isinstance(action, CloseIdle) and action.server in self.members:
+                self.members[action.server].idle[number] = 0
+
+    def send(self, number: int, action: Send) -> None:
+        request = action.request
+        key = (number, request, self.attempts[number, request])
+        self.attempts[number, request] += 1
+        member = self.members[action.server]
+        cls = self.open[number, request][1]
+        self.sent[key] = (self.now, member, cls)
+        self.note("sent")
+        if member.down:
+            self.after(CONNECT_S, self.finish, key, Result.NO_CONNECTION)
+            return
+        self.after(action.timeout, self.finish, key, Result.TIMEOUT)
+        work = WORK_S[cls] * self.random.lognormvariate(-0.15, 0.55)
+        member.advance()
+        if member.idle[number]:
+            member.idle[number] -= 1
+        else:
+            work += HANDSHAKE_S
+            self.note("handshake")
+        if len(member.jobs) + sum(member.idle.values()) >= TABLE:
+            self.after(0.001, self.finish, key, Result.NO_CONNECTION)
+            return
+        member.jobs[key] = Job(key, work, IO_S[cls], self.now)
+        member.plan()
+
+    def answer(self, member: Member, job: Job) -> None:
+        if job.key in self.sent:
+            if not member.down:
+                member.idle[job.key[0]] = min(6, member.idle[job.key[0]] + 1)
+            self.finish(job.key, Result.SERVED, member.report())
+
+    def finish(
+        self, key: tuple[int, int, int], result: Result, report: dict[str, float] | None = None
+    ) -> None:
+        if key not in self.sent:
+            return
+        sent, member, cls = self.sent.pop(key)
+        member.drop(key)
+        self.note(result.name.lower())
+        number, request, attempt = key
+        ended = False
+        if result == Result.SERVED and (number, request) in self.open:
+            first, cls, _ = self.open.pop((number, request))
+            self.note(f"{'intime' if self.now - first <= CLASSES[cls].aim else 'late'} {cls}")
+            ended = True
+        self.tell(number, Outcome(request, attempt, member.name, result, self.now - sent, ended, report))
+
+    def end_refused(self, number: int, request: int) -> None:
+        first, cls, tries = self.open.pop((number, request))
+        self.note(f"refused {cls}")
+        if tries:
+            self.after(self.random.uniform(0.02, 0.1), self.ask, first, cls, tries - 1)
+
+    def worth(self) -> float:
+        """Share of the worth that was earned in time."""
+        got = sum(CLASSES[c].worth * self.count[f"intime {c}"] for c in (0, 1))
+        return got / sum(CLASSES[c].worth * self.count[f"asked {c}"] for c in (0, 1))
