Let levels of refusing fade, leave a gap between classes, give cold servers their part

Seen on the large fleet: at the same second levels of refusing stood from 0.2 to 1.3, so some proxies refused book (774 in two seconds) while others took track; cold servers were held under their part while the sound ones were full. At fault: _note_load (sums up chance late attempts for good, and a fortieth of the load does not bring its own level back), _sheds (no distance between classes), _pace_cold (its base falls with refusing).

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -55,8 +55,11 @@
 YOUNG_MOST = 0.1  # share of the fleet that the ramp may hold back; the rest could not carry more
 
 # Cold servers.
-COLD_MARGIN = 0.9  # of its part by size and age; slow machines and chance need the rest that is allowed
-COLD_UTIL, COLD_MOST = 0.9, 2.0  # utilization that a cold server's pace aims at, and how far that may lift it
+# Of its part by size and age. A part is what a warm server is sent, some 0.7 of what it can do where aims are
+# met, and refusing lowers it just when cold servers are needed. Times the most that a report may lift it that
+# is 2.2, under the 2.5 of present capacity that is usual as the rules' multiple.
+COLD_MARGIN = 1.4
+COLD_UTIL, COLD_MOST = 0.9, 1.6  # utilization that a cold server's pace aims at, and how far that may lift it
 RATE_S = 5.0  # memory of the own sending rate
 
 # Going again.
@@ -66,8 +69,15 @@
 
 # Refusing.
 LATE_FROM = 0.6  # an attempt that takes more of the aim than this speaks for too much work on the fleet
-LATE_SHARE = 0.3  # share of those that is put up with: more than sick servers alone can cause
+LATE_SHARE = 0.2  # share of those that is put up with while nothing is refused
 SHED_S = 1.0  # seconds in which a proxy whose attempts all take too long comes to refuse a class
+# The level of refusing fades, so that it stands for the late share of the last seconds: at 5 s, one for each
+# fifth past LATE_SHARE. Summed up for good, it would drift apart among many proxies: each one's chance late
+# attempts stay in it, and its own refusals are too small a part of the whole to bring it back.
+SHED_FADE_S = 5.0
+# Levels between refusing a class whole and beginning with the next: while some proxies stand above the common
+# level and some below, the first would refuse what earns most while the others take what earns least.
+SHED_GAP = 1.0
 BORN_S = 0.1  # of a proxy's life, before which its rate says little
 PATIENCE_NEAR = 0.03  # times left that differ by less than this share are of the same kind of try
 PATIENCE_KINDS = 8  # first tries, second ones after a refusal, after a time-out, the last
@@ -590,7 +600,11 @@
             return False
         if server.failed < FAILED:
             return True
-        wait = min(DECAY_S, AGAIN_S * 2.0 ** min(server.failed - FAILED, 8))
+        wait = AGAIN_S
+        if self.settings.n_instances > 1:
+            # Not before the draw would come by anyway: where many send little each a second excludes nothing.
+            wait = max(wait, min(len(self.ready) / max(self._rate(), 1 / RATE_S), DECAY_S / 4))
+        wait = min(DECAY_S, wait * 2.0 ** min(server.failed - FAILED, 8))
         return not server.out and self.now >= server.errors_at + wait
 
     def _of_few(self, pool: Pool, tried: list[Server], number: int) -> Server:
@@ -782,7 +796,7 @@
             values = self._values()
             mine = values[event.cls] * (self.settings.over_share_worth if over else 1.0)
             rank = -1 if late else sum(value < mine for value in values)
-            if self.random.random() < min(SHED_MOST, self.shed_level - (rank - over)):
+            if self.random.random() < min(SHED_MOST, self.shed_level - (1 + SHED_GAP) * (rank - over)):
                 return True
         if self.settings.tenants:
             self.tenant_room[event.tenant] = max(0.0, self.tenant_room[event.tenant] - 1.0)
@@ -810,7 +824,7 @@
         """What speaks for overload is that even the typical attempt takes long, not that some fail.
 
         Protects against refusing, and so calling up clients' retries, where only some servers are sick.
-        Additive steps, balanced where LATE_SHARE of the attempts take long."""
+        Additive steps that fade: none where LATE_SHARE of the attempts take long."""
         if event.result in (Result.CANCELLED, Result.NOT_SENT, Result.NO_CONNECTION, Result.UNUSABLE):
             return
         took = event.took if event.first is None else event.first  # the rest is up to the peers, not the load
@@ -819,7 +833,8 @@
         # which all connections are new would count as overload for seconds.
         rate = max(1.0, self._rate(BORN_S))
         step = (1 - LATE_SHARE if late else -LATE_SHARE) / (rate * SHED_S)
-        top = float(len(self.settings.classes))
+        step -= self.shed_level / (rate * SHED_FADE_S)
+        top = len(self.settings.classes) * (1 + SHED_GAP)
         self.shed_level = min(top, max(0.0, self.shed_level + step))
         if self.shed_level > 0.5 and self.now > self.shed_logged + 10:
             self.shed_logged = self.now
