Part the daemon: store, control, keys and plug-ins attach through one Protocol

Change: daemon/parts.py says what a part does (begin, serve, reload, look, retire, figures, reads, end) and what it may ask of the daemon; makers.py makes the parts a configuration wants; retiring.py owns what a reload took out; doorways.py what a listener is made of. Parts that were made before a failed start are ended, which the store was not.

--- a/spokemast/cli/serving.py
+++ b/spokemast/cli/serving.py
@@ -102,8 +102,7 @@
                 daemon.control.follow(way)
             else:
                 way.close()
-        if daemon.control is not None:
-            daemon.control.offer_sockets()
+        daemon.serve()
         for name, listener in daemon.listeners.items():
             host, port = listener.address
             place = f"http://{host}:{port}/" if port else host
--- a/spokemast/control/calls.py
+++ b/spokemast/control/calls.py
@@ -84,6 +84,9 @@
     def read(self, what: str) -> Any:
         """What can be told of it, as JSON has it."""
 
+    def readable(self, what: str) -> bool:
+        """Whether it can be read beside READS."""
+
     def why(self, request: str) -> Any:
         """The decisions of a recent request, by its id; CallError where it is not known."""
 
@@ -142,7 +145,7 @@
         if method == "GET" and what.startswith("why/"):
             say(_json(200, self.operated.why(unquote(what.removeprefix("why/")))))
         elif method == "GET":
-            if what not in READS:
+            if what not in READS and not self.operated.readable(what):
                 raise CallError(404, f"{what!r} can't be read; there are: {', '.join(READS)}")
             verbs = {verb: text for verb, (_, text) in VERBS.items()}
             say(_json(200, verbs if what == "verbs" else self.operated.read(what)))
--- a/spokemast/daemon/control.py
+++ b/spokemast/daemon/control.py
@@ -7,7 +7,7 @@
 import time
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, Callable, Mapping
+from typing import TYPE_CHECKING, Any, Callable, Mapping, cast
 
 import msgspec
 
@@ -20,6 +20,7 @@
 from spokemast.daemon.audit import Audit
 from spokemast.daemon.doors import TokenDoor
 from spokemast.daemon.kept import MOVES, delete, forget, mark_key, store_move
+from spokemast.daemon.parts import Part, Runs
 from spokemast.daemon.pools import RunningPool
 from spokemast.daemon.reading import Reading
 from spokemast.daemon.takeover import Offer, offer_path, place, remove_own
@@ -33,15 +34,15 @@
 from spokemast.store.keeper import View
 
 if TYPE_CHECKING:
-    from spokemast.daemon.daemon import Daemon
+    from spokemast.daemon.memory import Memory
 
 WORDS = {"drain": "drain", "cordon": "cordon"}
 
 
-class Control(Reading):
+class Control(Part, Reading):
     """One for a daemon with `[management]`. It owns its sockets; `close` gives them back."""
 
-    def __init__(self, daemon: Daemon, table: ManagementTable, base: Path, complain: Complaints) -> None:
+    def __init__(self, daemon: Runs, table: ManagementTable, base: Path, complain: Complaints) -> None:
         self.daemon, self.table, self.complain = daemon, table, complain
         self.audit = Audit(base / table.audit if table.audit else None, complain)
         self.marks: dict[str, dict[str, Mark]] = {}  # by pool, also of pools that are not configured
@@ -58,8 +59,8 @@
         self.offer: Offer | None = None
         self.taken = asyncio.Event()  # another daemon serves in this one's place
 
-    def open(self) -> None:
-        """OSError where a socket can't be had."""
+    def begin(self) -> None:
+        """Open the sockets; OSError where one can't be had."""
         for path, reads_only, mode in (
             (self.table.socket, False, 0o600), (self.table.read_socket, True, 0o660),
         ):  # fmt: skip
@@ -85,13 +86,19 @@
         """Those by TCP, which pass to a successor; Unix ones are put in place anew."""
         return [self._door.listening] if self._door is not None and self._door.listening is not None else []
 
-    def offer_sockets(self) -> None:
+    def serve(self) -> None:
         """From now on a new daemon may take over."""
         if self.table.socket is None:
             return
         path = offer_path(self._base / self.table.socket)
         self.offer = Offer(
-            path, self.daemon.sockets, self._given, self.complain, self.learnt, self.daemon.memory, self._told
+            path,
+            self.daemon.sockets,
+            self._given,
+            self.complain,
+            self.learnt,
+            cast("Memory | None", self.daemon.parts.get("store")),
+            self._told,
         )
         self.offer.open()
 
@@ -133,12 +140,17 @@
     def _given(self) -> None:
         for listener in self.daemon.listeners.values():
             listener.shared = True
-        if self._door is not None:
-            self._door.deafen()
+        for part in self.daemon.parts.values():
+            part.retire()
         self.complain("upgrade", "another daemon serves; this one ends once it has answered what it holds")
         self.taken.set()
 
-    def close(self) -> None:
+    def retire(self) -> None:
+        """Operators call the successor; those that have come here are answered."""
+        if self._door is not None:
+            self._door.deafen()
+
+    def end(self) -> None:
         if self.offer is not None:
             self.offer.close()
             self.offer = None
@@ -159,8 +171,8 @@
             self.moves[pool] = Moves(self._window)
             self.moves[pool].resume(move)
 
-    def pools_changed(self, plan: Plan) -> None:
-        """Another configuration: before routes are made."""
+    def reload(self, plan: Plan) -> None:
+        """Before routes are made."""
         self._window = max(cls.dedup_window for cls in plan.classes)
         for name, moves in self.moves.items():
             moves.window = max(moves.window, self._window)
@@ -174,8 +186,8 @@
             for pool in self.daemon.pools.values():
                 pool.proxy.trace = pool.proxy.trace or Trace(self.table.why)
 
-    def expire(self) -> None:
-        """Marks whose time is over; the daemon calls this a few times a second."""
+    def look(self) -> None:
+        """Marks and moves whose time is over."""
         for name, pool in self.daemon.pools.items():
             for member in pool.overlay.expire():
                 self.marks.get(name, {}).pop(member, None)
@@ -264,7 +276,7 @@
         if pool is None:
             have = ", ".join(sorted(self.daemon.pools)) or "none"
             raise CallError(404, f"there is no pool {name!r}; there are: {have}")
-        memory = self.daemon.memory
+        memory = cast("Memory | None", self.daemon.parts.get("store"))
         lent = memory is not None and memory.lent
         if lent or (self.offer is not None and self.offer.under_way):
             raise CallError(
--- a/spokemast/daemon/daemon.py
+++ b/spokemast/daemon/daemon.py
@@ -7,183 +7,64 @@
 from __future__ import annotations
 
 import asyncio
-import ipaddress
-import math
 import random
-import resource
 import socket
 import time
-from functools import partial
 from itertools import count
 from pathlib import Path
-from typing import TYPE_CHECKING, Callable, Mapping
+from typing import TYPE_CHECKING, Mapping, cast
 
-from spokemast.admission.admission import Admission, Caps
-from spokemast.config.plan import ListenerPlan, Plan, load
-from spokemast.config.reader import ConfigError, Problem, read_address
-from spokemast.config.types import AdmissionTable, ListenerTable
+from spokemast.config.plan import ListenerPlan, Plan
+from spokemast.config.reader import ConfigError, read_address
 from spokemast.core.requests import Ids
+from spokemast.daemon.doorways import Division, descriptors, divide, gate_of, serve_of
+from spokemast.daemon.makers import make_parts, prepare
+from spokemast.daemon.parts import Part
 from spokemast.daemon.pools import RunningPool
-from spokemast.fronts.fastcgi import FastCgiFront
-from spokemast.fronts.gate import Gate
-from spokemast.fronts.http1 import ClientConnection
-from spokemast.fronts.connection import REQUEST_S
-from spokemast.fronts.listener import ACCEPT_LEAST, Listener, Serve, drain
-from spokemast.fronts.sockets import BACKLOG, UNIX, bind, release
+from spokemast.daemon.retiring import Retiring
+from spokemast.fronts.listener import Listener, drain
+from spokemast.fronts.sockets import UNIX, bind, release
 from spokemast.fronts.spares import Spares
 from spokemast.fronts.ordinary import AnyTarget, FixedTarget, Moved, RoutedReader, RouteTarget
-from spokemast.limits import Complaints, Limits
-from spokemast.shares import WINDOW_S, PoolShare, Slots, Turns, divide_listeners, divide_pools
+from spokemast.limits import Complaints
+from spokemast.shares import WINDOW_S, PoolShare, Slots, Turns
 
-if TYPE_CHECKING:  # loaded where plug-ins are configured
-    from spokemast.daemon.extensions import Extensions
 if TYPE_CHECKING:  # loaded where they are configured
-    from spokemast.daemon.keys import Keys
+    from spokemast.control.learnt import Snapshot
     from spokemast.daemon.control import Control
+    from spokemast.daemon.extensions import Extensions
+    from spokemast.daemon.keys import Keys
     from spokemast.daemon.memory import Memory
-    from spokemast.control.learnt import Snapshot
     from spokemast.daemon.takeover import Taken
 
-#: A pool or listener that a reload took out is looked after this often, until nothing is open on it.
-RETIRE_LOOK_S = 0.25
-#: A request whose head was begun before a reload is read to its end by the reader of that time; so long its pool
-#: may still be asked.
-RETIRE_LEAST_S = REQUEST_S + 0.5
+#: What a reload took out, parts and limits are looked after this often.
+LOOK_S = 0.25
 #: Beside the longest deadline, how long the end may take: new connections are still served for a while.
 END_BESIDE_S = 2.0
-
-
 #: Spare descriptors that a reload may use: the file, and files of members one after another.
 RELOAD_SPARES = 2
-#: What each listener and each pool may hold, by their names.
-Division = tuple[dict[str, Slots], dict[str, PoolShare]]
-
-
-def serve_of(table: ListenerTable) -> Serve:
-    """What makes connections of clients."""
-    if table.protocol == "http/1.1":
-        return ClientConnection
-    return partial(FastCgiFront, requests_most=table.requests_at_once)
-
-
-def gate_of(table: ListenerTable, old: Gate | None) -> Gate | None:
-    """The listener's rules for addresses, if it has any. What is known of them outlasts a reload that changes none
-    of the caps."""
-    own = table.admission
-    if own is None and not table.proxy_protocol_from:
-        return None
-    own = own or AdmissionTable()
-    inf = math.inf
-    caps = Caps(own.connections_per_address or inf, own.connects_per_s or inf, own.requests_per_address or inf,
-                own.growth, own.remembered)  # fmt: skip
-    known, exempt, behind = (
-        [ipaddress.ip_network(text) for text in networks]
-        for networks in (own.known, own.exempt, table.proxy_protocol_from)
-    )
-    made = Gate(Admission(caps, known, own.reserve, exempt), behind)
-    return old if old is not None and old.is_like(made) else made
-
-
-def extensions_of(plan: Plan, complain: Complaints) -> Extensions | None:
-    """The plug-ins of a plan, if it has any; ConfigError with all that can't be used."""
-    if not plan.file.plugin:
-        return None
-    try:
-        from spokemast.daemon.extensions import Extensions, compile_plugins
-    except ImportError as problem:
-        text = (
-            f"plug-ins need a package that is not there ({problem}): pip install -r requirements-plugins.txt"
-        )
-        raise ConfigError([Problem(str(plan.path), "plugin", text)]) from None
-    return Extensions(plan, compile_plugins(plan), complain)
-
-
-def memory_of(plan: Plan, now: Memory | None, complain: Complaints,
-              borrow: Callable[[], None] | None = None) -> Memory | None:  # fmt: skip
-    """`borrow` has the daemon before let go of the store. What outlasts the process, opened if the plan wants it;
-    ConfigError if that can't be."""
-    table = plan.file.store
-    if table is None and now is None:
-        return None
-    if now is not None:
-        if table != now.table:
-            text = "can't be changed by a reload; restart the daemon, or put it back as it was"
-            raise ConfigError([Problem(str(plan.path), "store", text)])
-        return now
-    from spokemast.daemon.memory import Memory
-
-    assert table is not None
-    return Memory.open(table, plan.path, complain, borrow)
-
-
-def control_of(plan: Plan, daemon: Daemon, memory: Memory | None) -> Control | None:
-    """The operators' sockets, if the plan wants them; not open yet where they are new."""
-    table, now = plan.file.management, daemon.control
-    if (now.table if now is not None else None) == table:
-        return now
-    if now is not None:
-        text = "can't be changed by a reload; restart the daemon, or put it back as it was"
-        raise ConfigError([Problem(str(plan.path), "management", text)])
-    from spokemast.daemon.control import Control
-    from spokemast.daemon.kept import load_marks, load_moves
-
-    assert table is not None
-    made = Control(daemon, table, plan.path.parent, daemon.complain)
-    if memory is not None:
-        from spokemast.store.keeper import View
-
-        view = View(memory.store.engine)  # before the store's thread has anything to do
-        made.restore(load_marks(view), load_moves(view))
-    elif daemon.learnt is not None:
-        pools = daemon.learnt.pools
-        made.restore(
-            {note.name: note.marks for note in pools}, {n.name: n.move for n in pools if n.move is not None}
-        )
-    return made
-
-
-def keys_of(plan: Plan, complain: Complaints) -> Keys | None:
-    """The keys of a plan, read and checked, if it has any; ConfigError with all that is wrong with them."""
-    if not any(one.tls for one in plan.file.listener) and not any(one.tls for one in plan.file.pool):
-        return None
-    try:
-        from spokemast.daemon.keys import Keys
-    except ImportError as problem:
-        text = f"TLS needs a package that is not there ({problem}): pip install -r requirements-tools.txt"
-        raise ConfigError([Problem(str(plan.path), "tls", text)]) from None
-    return Keys(plan, complain)
-
 
-def prepare(path: Path, complain: Complaints) -> tuple[Plan, Extensions | None, Keys | None]:
-    """All of a reload that takes its time: off the event loop."""
-    plan = load(path)
-    return plan, extensions_of(plan, complain), keys_of(plan, complain)
 
-
-class Daemon:
-    """Listeners and pools of one configuration at a time."""
+class Daemon(Retiring):
+    """Listeners, pools and parts of one configuration at a time."""
 
     def __init__(self, complain: Complaints, seed: int | None = None) -> None:
         """`seed`: of all random choices; from the system if it is not given."""
+        super().__init__()
         self.complain = complain
         self.plan: Plan | None = None
-        self.extensions: Extensions | None = None
-        self.keys: Keys | None = None  # certificates, where anything speaks TLS
-        self.memory: Memory | None = None  # what outlasts the process
-        self.control: Control | None = None  # what operators see and change
+        self.parts: dict[str, Part] = {}
         self.taken: Taken | None = None  # sockets of the daemon before this one
         self.learnt: Snapshot | None = None  # what that one had learnt, until it is used or too old
         self.pools: dict[str, RunningPool] = {}
         self.listeners: dict[str, Listener] = {}
-        self.retiring_pools: list[tuple[float, RunningPool]] = []  # with the time they retired
-        self.retiring_listeners: list[Listener] = []
         self.reloads = 0  # that were taken
         self._random = random.Random(seed)
         tag = b"%010x" % self._random.getrandbits(40)
         self._request_ids = (b"%b-%x" % (tag, number) for number in count(1))
         self._ids = Ids()
         self._loop = asyncio.get_running_loop()
-        self._timer = self._loop.call_later(RETIRE_LOOK_S, self._look_after)
+        self._timer = self._loop.call_later(LOOK_S, self._look_after)
         self._window = self._loop.call_later(WINDOW_S, self._measure)
         self._measured = time.monotonic(), time.process_time()
         self._turns: Turns | None = None
@@ -192,37 +73,65 @@
         self._reloading: asyncio.Task[None] | None = None
         self._again = False  # another reload was asked for while one ran
 
+    @property
+    def extensions(self) -> Extensions | None:
+        """Plug-ins."""
+        return cast("Extensions | None", self.parts.get("extensions"))
+
+    @property
+    def keys(self) -> Keys | None:
+        """Certificates, where anything speaks TLS."""
+        return cast("Keys | None", self.parts.get("keys"))
+
+    @property
+    def memory(self) -> Memory | None:
+        """What outlasts the process."""
+        return cast("Memory | None", self.parts.get("store"))
+
+    @property
+    def control(self) -> Control | None:
+        """What operators see and change."""
+        return cast("Control | None", self.parts.get("control"))
+
     # Taking a configuration.
 
-    def apply(self, plan: Plan, extensions: Extensions | None = None, keys: Keys | None = None) -> None:
-        """Run under `plan` from now on, with the plug-ins that it names. ConfigError or OSError, and nothing changed,
-        if that can't be."""
-        extensions = extensions or extensions_of(plan, self.complain)
-        keys = keys or keys_of(plan, self.complain)
+    def apply(self, plan: Plan, prepared: Mapping[str, Part | None] | None = None) -> None:
+        """Run under `plan` from now on. `prepared`: parts that have been made for it already. ConfigError or OSError,
+        and nothing changed, if that can't be."""
         kept = self._kept(plan)
-        memory = memory_of(plan, self.memory, self.complain, self.taken.borrow_store if self.taken else None)
-        division = self._divide(plan)
-        control = control_of(plan, self, memory)
-        sockets = self._bind(plan, kept)
+        parts: dict[str, Part] = {}
         made: dict[str, RunningPool] = {}
+        sockets: dict[str, socket.socket] = {}
         try:
-            self._make_pools(plan, made, division[1], control)
-            if control is not None and control is not self.control:
-                control.open()
+            make_parts(plan, self, parts, prepared or {})
+            division = divide(plan)
+            sockets = self._bind(plan, kept)
+            self._make_pools(plan, made, division[1], cast("Control | None", parts.get("control")))
+            for part in self._new(parts):
+                part.begin()
         except Exception:
             for sock in sockets.values():
                 release(sock)
             for pool in made.values():
                 pool.close()
-            if control is not None and control is not self.control:
-                control.close()
-            if memory is not None and memory is not self.memory:
-                memory.close()
+            for part in reversed(self._new(parts)):
+                part.end()
             raise
-        self.extensions, self.memory, self.control, self.keys = extensions, memory, control, keys
+        before, self.parts = self.parts, parts
         self._swap(plan, made, sockets, kept, division)
+        for name, part in before.items():
+            if parts.get(name) is not part:
+                part.end()
         self._learn()
 
+    def _new(self, parts: Mapping[str, Part]) -> list[Part]:
+        return [part for name, part in parts.items() if self.parts.get(name) is not part]
+
+    def serve(self) -> None:
+        """This process answers from now on, alone or in the place of the one before."""
+        for part in self.parts.values():
+            part.serve()
+
     def _learn(self) -> None:
         """Go on from what the daemon before has learnt. A pool whose members are not listed yet has it once
         they are."""
@@ -288,24 +197,6 @@
                     pool, shares[name], seed, self._ids, self.complain, plan.path.parent, marks
                 )
 
-    def _divide(self, plan: Plan) -> Division:
-        process = plan.file.process
-        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        limits = Limits(process.memory / (1 << 20), min(process.descriptors, allowed))
-        slots = divide_listeners(
-            limits.client_sockets, limits.overflow_sockets,
-            {name: listener.table.share for name, listener in plan.listeners.items()},
-        )  # fmt: skip
-        reached: dict[str, set[str]] = {name: set() for name in plan.pools}
-        for name, listener in plan.listeners.items():
-            for route in plan.routes.values():
-                if route.pool is None:
-                    continue
-                if listener.table.routes is None or route.name in listener.table.routes:
-                    reached[route.pool].add(name)
-        weights = {name: pool.table.limits.share for name, pool in plan.pools.items()}
-        return slots, divide_pools(limits.buffered, limits.backend_sockets, weights, slots, reached)
-
     def _swap(self, plan: Plan, made: Mapping[str, RunningPool], sockets: Mapping[str, socket.socket],
               kept: Mapping[str, str], division: Division) -> None:  # fmt: skip
         """From here on nothing may fail."""
@@ -325,8 +216,8 @@
             pool.resize(shares[name], self._turns)
             pool.proxy.backends.free_descriptor = self.spares.take
             pool.proxy.backends.tls = self.keys.pools.get(name) if self.keys is not None else None
-        if self.control is not None:
-            self.control.pools_changed(plan)
+        for part in self.parts.values():
+            part.reload(plan)
         self._swap_listeners(plan, sockets, kept, slots)
         self.plan = plan
 
@@ -398,60 +289,30 @@
         return target._replace(hooks=self.extensions.hooks(target.name, listener))
 
     def sockets(self) -> list[socket.socket]:
-        """Those that listen now, also for operators by TCP."""
+        """Those that listen now, also those of parts."""
         found = [one.listening for one in self.listeners.values() if one.listening is not None]
-        return found + (self.control.sockets() if self.control is not None else [])
-
-    # What a reload took out.
+        return found + [sock for part in self.parts.values() for sock in part.sockets()]
 
-    def _retire_pool(self, pool: RunningPool) -> None:
-        pool.retire()
-        self.retiring_pools.append((time.monotonic(), pool))
-
-    def _retire_listener(self, listener: Listener) -> None:
-        """Its socket goes at once; connections end after the answer that they wait for."""
-        listener.retire()
-        for _ in range(BACKLOG // ACCEPT_LEAST + 1):  # what the kernel holds is ours
-            if not listener.accept():
-                break
-        listener.close()
-        self.retiring_listeners.append(listener)
+    # A few times a second.
 
     def _look_after(self) -> None:
-        """Close what a reload took out, once nothing is open on it."""
-        self._timer = self._loop.call_later(RETIRE_LOOK_S, self._look_after)
+        self._timer = self._loop.call_later(LOOK_S, self._look_after)
         self._heed_limit()
         self._learn()
-        if self.keys is not None:
-            self.keys.look()
-        if self.control is not None:
-            self.control.expire()
-        busy = []
-        for listener in self.retiring_listeners:
-            if listener.is_busy() or listener.is_flushing():
-                busy.append(listener)
-            else:
-                listener.stop()
-        self.retiring_listeners = busy
-        early = time.monotonic() - RETIRE_LEAST_S
-        still = []
-        for since, pool in self.retiring_pools:
-            if since > early or pool.proxy.open:
-                still.append((since, pool))
-            else:
-                pool.close()
-        self.retiring_pools = still
+        for part in self.parts.values():
+            part.look()
+        self._close_retired()
 
     def _heed_limit(self) -> None:
         """Guards against a limit of descriptors that is lowered while the process runs, or was lower than the file
         says: slots and members' connections are divided anew within it, and what is idle past them is closed. Harm:
         none to requests in flight; new clients are told to return."""
         self.spares.refill()
-        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        allowed = descriptors()
         if allowed == self._descriptors or self.plan is None:
             return
         self._descriptors = allowed
-        slots, shares = self._divide(self.plan)
+        slots, shares = divide(self.plan)
         if allowed < self.plan.file.process.descriptors:
             self.complain(
                 "limit of descriptors", f"{allowed}, and {self.plan.file.process.descriptors} are configured"
@@ -522,11 +383,7 @@
             listener.stop()
         for pool in (*self.pools.values(), *(pool for _, pool in self.retiring_pools)):
             pool.close()
-        if self.control is not None:
-            self.control.close()
-            self.control = None
-        if self.memory is not None:
-            self.memory.close()
-            self.memory = None
-        self.listeners, self.pools = {}, {}
+        for part in reversed(self.parts.values()):
+            part.end()
+        self.listeners, self.pools, self.parts = {}, {}, {}
         self.retiring_listeners, self.retiring_pools = [], []
--- /dev/null
+++ b/spokemast/daemon/doorways.py
@@ -0,0 +1,70 @@
+"""What a listener of a configuration is made of, and what each listener and pool may hold of the process."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import resource
+from functools import partial
+
+from spokemast.admission.admission import Admission, Caps
+from spokemast.config.plan import Plan
+from spokemast.config.types import AdmissionTable, ListenerTable
+from spokemast.fronts.fastcgi import FastCgiFront
+from spokemast.fronts.gate import Gate
+from spokemast.fronts.http1 import ClientConnection
+from spokemast.fronts.listener import Serve
+from spokemast.limits import Limits
+from spokemast.shares import PoolShare, Slots, divide_listeners, divide_pools
+
+#: What each listener and each pool may hold, by their names.
+Division = tuple[dict[str, Slots], dict[str, PoolShare]]
+
+
+def serve_of(table: ListenerTable) -> Serve:
+    """What makes connections of clients."""
+    if table.protocol == "http/1.1":
+        return ClientConnection
+    return partial(FastCgiFront, requests_most=table.requests_at_once)
+
+
+def gate_of(table: ListenerTable, old: Gate | None) -> Gate | None:
+    """The listener's rules for addresses, if it has any. What is known of them outlasts a reload that changes none
+    of the caps."""
+    own = table.admission
+    if own is None and not table.proxy_protocol_from:
+        return None
+    own = own or AdmissionTable()
+    inf = math.inf
+    caps = Caps(own.connections_per_address or inf, own.connects_per_s or inf, own.requests_per_address or inf,
+                own.growth, own.remembered)  # fmt: skip
+    known, exempt, behind = (
+        [ipaddress.ip_network(text) for text in networks]
+        for networks in (own.known, own.exempt, table.proxy_protocol_from)
+    )
+    made = Gate(Admission(caps, known, own.reserve, exempt), behind)
+    return old if old is not None and old.is_like(made) else made
+
+
+def descriptors() -> int:
+    """That the process may have now."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+def divide(plan: Plan) -> Division:
+    """What each listener and each pool may hold of the process."""
+    process = plan.file.process
+    limits = Limits(process.memory / (1 << 20), min(process.descriptors, descriptors()))
+    slots = divide_listeners(
+        limits.client_sockets, limits.overflow_sockets,
+        {name: listener.table.share for name, listener in plan.listeners.items()},
+    )  # fmt: skip
+    reached: dict[str, set[str]] = {name: set() for name in plan.pools}
+    for name, listener in plan.listeners.items():
+        for route in plan.routes.values():
+            if route.pool is None:
+                continue
+            if listener.table.routes is None or route.name in listener.table.routes:
+                reached[route.pool].add(name)
+    weights = {name: pool.table.limits.share for name, pool in plan.pools.items()}
+    return slots, divide_pools(limits.buffered, limits.backend_sockets, weights, slots, reached)
--- a/spokemast/daemon/extensions.py
+++ b/spokemast/daemon/extensions.py
@@ -10,6 +10,7 @@
 
 from spokemast.config.plan import Plan
 from spokemast.config.reader import ConfigError, Problem
+from spokemast.daemon.parts import Part
 from spokemast.fronts.hooks import Hooks
 from spokemast.limits import Complaints
 from spokemast.plugins.hook import Seen, World, write_seen
@@ -37,7 +38,7 @@
     return made
 
 
-class Extensions:
+class Extensions(Part):
     """The plug-ins of one configuration as they run; a reload makes them anew, and calls under way end on the old."""
 
     def __init__(self, plan: Plan, compiled: Mapping[str, Compiled], complain: Complaints) -> None:
--- a/spokemast/daemon/keys.py
+++ b/spokemast/daemon/keys.py
@@ -7,6 +7,7 @@
 
 from spokemast.config.plan import Plan
 from spokemast.config.reader import ConfigError, Problem
+from spokemast.daemon.parts import Part
 from spokemast.fronts.tlsdoor import TlsDoor
 from spokemast.limits import Complaints
 from spokemast.tls.keeper import MemberKeys, ServerKeys, summary
@@ -16,7 +17,7 @@
 LOOK_S = 0.2
 
 
-class Keys:
+class Keys(Part):
     """Made off the loop, then of the loop. It owns no descriptor; doors are released by their listeners."""
 
     def __init__(self, plan: Plan, complain: Complaints) -> None:
--- /dev/null
+++ b/spokemast/daemon/makers.py
@@ -0,0 +1,118 @@
+"""What parts a configuration wants, each made here and loaded only where it is wanted."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Callable, Mapping, cast
+
+from spokemast.config.plan import Plan, load
+from spokemast.config.reader import ConfigError, Problem
+from spokemast.daemon.parts import Part, Runs
+from spokemast.limits import Complaints
+
+if TYPE_CHECKING:
+    from spokemast.daemon.control import Control
+    from spokemast.daemon.extensions import Extensions
+    from spokemast.daemon.keys import Keys
+    from spokemast.daemon.memory import Memory
+
+#: What those before it in MAKERS have made is handed to each.
+Maker = Callable[[Plan, Runs, Mapping[str, Part]], Part | None]
+
+
+def extensions_of(plan: Plan, complain: Complaints) -> Extensions | None:
+    """The plug-ins of a plan, if it has any; ConfigError with all that can't be used."""
+    if not plan.file.plugin:
+        return None
+    try:
+        from spokemast.daemon.extensions import Extensions, compile_plugins
+    except ImportError as problem:
+        text = (
+            f"plug-ins need a package that is not there ({problem}): pip install -r requirements-plugins.txt"
+        )
+        raise ConfigError([Problem(str(plan.path), "plugin", text)]) from None
+    return Extensions(plan, compile_plugins(plan), complain)
+
+
+def keys_of(plan: Plan, complain: Complaints) -> Keys | None:
+    """The keys of a plan, read and checked, if it has any; ConfigError with all that is wrong with them."""
+    if not any(one.tls for one in plan.file.listener) and not any(one.tls for one in plan.file.pool):
+        return None
+    try:
+        from spokemast.daemon.keys import Keys
+    except ImportError as problem:
+        text = f"TLS needs a package that is not there ({problem}): pip install -r requirements-tools.txt"
+        raise ConfigError([Problem(str(plan.path), "tls", text)]) from None
+    return Keys(plan, complain)
+
+
+def prepare(path: Path, complain: Complaints) -> tuple[Plan, dict[str, Part | None]]:
+    """All of a reload that takes its time: off the event loop. The parts that are made anew for each plan."""
+    plan = load(path)
+    return plan, {"extensions": extensions_of(plan, complain), "keys": keys_of(plan, complain)}
+
+
+def _fixed(plan: Plan, key: str) -> ConfigError:
+    text = "can't be changed by a reload; restart the daemon, or put it back as it was"
+    return ConfigError([Problem(str(plan.path), key, text)])
+
+
+def _store(plan: Plan, daemon: Runs, made: Mapping[str, Part]) -> Memory | None:
+    """What outlasts the process, opened; ConfigError if that can't be."""
+    table, now = plan.file.store, cast("Memory | None", daemon.parts.get("store"))
+    if table is None and now is None:
+        return None
+    if now is not None:
+        if table != now.table:
+            raise _fixed(plan, "store")
+        return now
+    from spokemast.daemon.memory import Memory
+
+    assert table is not None
+    borrow = daemon.taken.borrow_store if daemon.taken is not None else None
+    return Memory.open(table, plan.path, daemon.complain, borrow)
+
+
+def _control(plan: Plan, daemon: Runs, made: Mapping[str, Part]) -> Control | None:
+    """The operators' sockets; not open yet where they are new."""
+    table, now = plan.file.management, cast("Control | None", daemon.parts.get("control"))
+    if (now.table if now is not None else None) == table:
+        return now
+    if now is not None:
+        raise _fixed(plan, "management")
+    from spokemast.daemon.control import Control
+    from spokemast.daemon.kept import load_marks, load_moves
+
+    assert table is not None
+    control = Control(daemon, table, plan.path.parent, daemon.complain)
+    memory = cast("Memory | None", made.get("store"))
+    if memory is not None:
+        from spokemast.store.keeper import View
+
+        view = View(memory.store.engine)  # before the store's thread has anything to do
+        control.restore(load_marks(view), load_moves(view))
+    elif daemon.learnt is not None:
+        pools = daemon.learnt.pools
+        control.restore(
+            {note.name: note.marks for note in pools}, {n.name: n.move for n in pools if n.move is not None}
+        )
+    return control
+
+
+#: In the order in which they are made, and against which they end.
+MAKERS: Mapping[str, Maker] = {
+    "extensions": lambda plan, daemon, made: extensions_of(plan, daemon.complain),
+    "keys": lambda plan, daemon, made: keys_of(plan, daemon.complain),
+    "store": _store,
+    "control": _control,
+}
+
+
+def make_parts(plan: Plan, daemon: Runs, made: dict[str, Part],
+               prepared: Mapping[str, Part | None]) -> None:  # fmt: skip
+    """Into `made`, those of `prepared` as they are; one that runs and is wanted still is the same. ConfigError or
+    OSError where one can't be had; what had been made by then stands in `made`."""
+    for name, maker in MAKERS.items():
+        part = prepared[name] if name in prepared else maker(plan, daemon, made)
+        if part is not None:
+            made[name] = part
--- a/spokemast/daemon/memory.py
+++ b/spokemast/daemon/memory.py
@@ -5,13 +5,14 @@
 import asyncio
 import time
 from pathlib import Path
-from typing import Callable
+from typing import Any, Callable, Mapping
 
 from spokemast import interface as api
 from spokemast.config.plan import Plan, RoutePlan
 from spokemast.config.reader import ConfigError, Problem
 from spokemast.config.types import StoreTable
 from spokemast.core.ledgered import Ledger, Terms
+from spokemast.daemon.parts import Part
 from spokemast.fronts.ordinary import Remembers
 from spokemast.limits import Complaints
 from spokemast.store.engine import Bounds, Engine
@@ -27,8 +28,8 @@
 LOOK_S = 0.02
 
 
-class Memory:
-    """One open store. The daemon owns it; `close` writes what waits, and releases it."""
+class Memory(Part):
+    """One open store. The daemon owns it; `end` writes what waits, and releases it."""
 
     def __init__(self, table: StoreTable, store: Store, complain: Complaints) -> None:
         self.table, self.store, self.complain = table, store, complain
@@ -66,6 +67,9 @@
         made._reopen = make
         return made
 
+    def figures(self) -> Mapping[str, Any]:
+        return {"store": self.store.read_only or "takes changes"}
+
     def lend(self, done: Callable[[], None]) -> None:
         """Let go of the store for a successor; `done` hears once that is so. Keyed work that comes from now on is told
         to come back, and what is open here has LEND_S to end: what ends later stands as begun, which is safe."""
@@ -121,7 +125,7 @@
         tenant = plan.file.tenant[route.tenant].name if plan.file.tenant else ""
         return Remembers(self.ledger, terms, tenant)
 
-    def close(self) -> None:
+    def end(self) -> None:
         if self._waits is not None:
             self._waits.cancel()
             self._waits = None
--- a/spokemast/daemon/reading.py
+++ b/spokemast/daemon/reading.py
@@ -4,10 +4,11 @@
 
 import os
 import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from spokemast.config.types import ManagementTable
 from spokemast.control.calls import CallError
+from spokemast.daemon.parts import Runs
 from spokemast.daemon.pools import RunningPool
 from spokemast.interface import ServerState
 from spokemast.members.overlay import Mark
@@ -15,7 +16,8 @@
 from spokemast.store.keeper import Store
 
 if TYPE_CHECKING:
-    from spokemast.daemon.daemon import Daemon
+    from spokemast.daemon.keys import Keys
+    from spokemast.daemon.memory import Memory
 
 #: Open requests that one call tells of, the oldest first.
 REQUESTS_MOST = 200
@@ -24,7 +26,7 @@
 class Reading:
     """The part of `Control` that changes nothing."""
 
-    daemon: Daemon
+    daemon: Runs
     table: ManagementTable
     marks: dict[str, dict[str, Mark]]
     moves: dict[str, Moves]
@@ -32,14 +34,22 @@
 
     @property
     def _store(self) -> Store | None:
-        return self.daemon.memory.store if self.daemon.memory is not None else None
+        memory = cast("Memory | None", self.daemon.parts.get("store"))
+        return memory.store if memory is not None else None
 
     def _move(self, pool: str) -> Move | None:
         return self.moves[pool].move if pool in self.moves else None
 
     def read(self, what: str) -> Any:
+        for part in self.daemon.parts.values():
+            if (found := part.reads().get(what)) is not None:
+                return found()
         return getattr(self, f"_read_{what}")()
 
+    def readable(self, what: str) -> bool:
+        """Whether it can be read of a part."""
+        return any(what in part.reads() for part in self.daemon.parts.values())
+
     def _read_status(self) -> dict[str, Any]:
         daemon = self.daemon
         return {
@@ -47,9 +57,8 @@
             "configuration": str(daemon.plan.path) if daemon.plan is not None else None,
             "listeners": {name: "{}:{}".format(*one.address) for name, one in daemon.listeners.items()},
             "pools": len(daemon.pools), "open": sum(len(p.proxy.open) for p in daemon.pools.values()),
-            "retiring": len(daemon.retiring_pools) + len(daemon.retiring_listeners),
-            "store": None if self._store is None else self._store.read_only or "takes changes",
-        }  # fmt: skip
+            "retiring": daemon.retiring, "store": None,
+        } | {key: value for part in daemon.parts.values() for key, value in part.figures().items()}  # fmt: skip
 
     def _read_pools(self) -> list[dict[str, Any]]:
         return [self._pool(name, pool) for name, pool in self.daemon.pools.items()]
@@ -89,7 +98,7 @@
 
     def _read_keys(self) -> list[dict[str, Any]]:
         """Certificates that serve, the first to end first; then files that do not, and why."""
-        keys = self.daemon.keys
+        keys = cast("Keys | None", self.daemon.parts.get("keys"))
         if keys is None:
             return []
         return [*keys.summary(), *({"where": where, "refused": why} for where, why in keys.refused().items())]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -292,7 +292,7 @@
         async with ground(tmp_path, members, lambda: text(members, MANAGED)) as here:
             control = here.daemon.control
             assert control is not None
-            control.offer_sockets()
+            control.serve()
             offer, loop = offer_path(tmp_path / "s"), asyncio.get_running_loop()
             taken = await loop.run_in_executor(None, take, offer)
             status, found = await call(here, "POST", "cordon", pool="p", member="a")
