A view of the fleet: who lives, kept by the daemons themselves

Need: eight daemons are eight islands; none can say who else there is.

Change: spokemast/fleet/ holds the view as a pure state machine (SWIM with Lifeguard's local health, shortened suspicions and the suspected told first; lives and incarnations; the dead called ever more rarely; two under one name; whole exchanges in pieces), a codec with keyed BLAKE3 and a window against replays, and one file with sockets. [fleet] in the configuration, micastand fleet members | status, the number of instances that decisions count with. standins/processes.py and network.py start real processes and cut what is between them; the model in emulator/fleetview.py runs the same machine in virtual time. The platform's run may not import any of it.

Measured: 60 random schedules of faults and all 4096 fates of a join's first six datagrams settle; five defects are each found. The schedules found a suspicion that a stop had moved into the future, and text that is no UTF-8 escaping the codec.

--- a/benchmarks/upgrading.py
+++ b/benchmarks/upgrading.py
@@ -28,6 +28,7 @@
 import uvloop
 
 from standins.member import Member
+from standins.processes import start
 
 ROOT = Path(__file__).parent.parent
 CONFIG = """\
@@ -100,16 +101,6 @@
         return b"connection: close" not in head.lower()
 
 
-async def start(path: Path, *words: str) -> asyncio.subprocess.Process:
-    made = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "spokemast.cli", "serve", "-c", str(path), *words, stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.DEVNULL, cwd=ROOT,
-    )  # fmt: skip
-    assert made.stdout is not None
-    assert b"listens" in await made.stdout.readline()
-    return made
-
-
 async def call(folder: Path, verb: str, **body: Any) -> tuple[int, Any]:
     reader, writer = await asyncio.open_unix_connection(str(folder / "s"))
     data = json.dumps({"by": "bench", "pool": "p", **body}).encode()
--- a/spokemast/cli/__main__.py
+++ b/spokemast/cli/__main__.py
@@ -6,7 +6,7 @@
 import sys
 from typing import Sequence
 
-from spokemast.cli import check, control, importing, plugin, routes, serve, store, tls, tools, upgrade
+from spokemast.cli import check, control, fleet, importing, plugin, routes, serve, store, tls, tools, upgrade
 from spokemast.cli.words import UseError
 
 
@@ -16,7 +16,7 @@
         epilog="micastand test runs the tests; micastand VERB --help tells more of a verb.",
     )  # fmt: skip
     verbs = top.add_subparsers(dest="verb", metavar="VERB", required=True)
-    for verb in (serve, check, routes, importing, store, control, upgrade, tls, plugin):
+    for verb in (serve, check, routes, importing, store, control, fleet, upgrade, tls, plugin):
         verb.add(verbs)
     tools.add(verbs, parser)
     return top
--- a/spokemast/cli/control.py
+++ b/spokemast/cli/control.py
@@ -45,18 +45,13 @@
 
 def add(verbs: Any) -> None:
     for verb, text in READS.items():
-        one = _common(verbs.add_parser(verb, help=text, description=text), verb)
-        one.add_argument(
-            "--watch", type=float, nargs="?", const=1.0, metavar="SECONDS", help="again and again"
-        )
-        one.add_argument("--count", type=int, metavar="TIMES", help="with --watch: so often (for ever)")
-        one.set_defaults(run=read)
+        add_read(verbs.add_parser(verb, help=text, description=text), verb, verb)
     text = "the decisions of a recent request, by its X-Request-Id"
-    one = _common(verbs.add_parser("why", help=text, description=text), "why")
+    one = common(verbs.add_parser("why", help=text, description=text), "why")
     one.add_argument("request", metavar="REQUEST-ID")
     one.set_defaults(run=why)
     for verb, text in CHANGES.items():
-        one = _common(verbs.add_parser(verb, help=text, description=text), verb)
+        one = common(verbs.add_parser(verb, help=text, description=text), verb)
         if verb == "log":
             one.add_argument("level", choices=("debug", "info", "warning", "error"))
         elif verb != "reload":
@@ -79,7 +74,15 @@
         one.set_defaults(run=change)
 
 
-def _common(one: argparse.ArgumentParser, verb: str) -> argparse.ArgumentParser:
+def add_read(one: argparse.ArgumentParser, verb: str, what: str) -> None:
+    """A verb that shows `what`, once or again and again."""
+    common(one, verb)
+    one.add_argument("--watch", type=float, nargs="?", const=1.0, metavar="SECONDS", help="again and again")
+    one.add_argument("--count", type=int, metavar="TIMES", help="with --watch: so often (for ever)")
+    one.set_defaults(run=read, what=what)
+
+
+def common(one: argparse.ArgumentParser, verb: str) -> argparse.ArgumentParser:
     one.add_argument("--socket", default=os.environ.get(VARIABLE), metavar="PATH", help=f"or ${VARIABLE}")
     one.add_argument(
         "--tcp", default=os.environ.get(ADDRESS), metavar="HOST:PORT", help=f"by TCP; or ${ADDRESS}"
@@ -150,9 +153,9 @@
 
 def read(options: argparse.Namespace) -> int:
     if options.watch is not None:
-        watch(lambda: ask(options, "GET", options.verb)[1], options.watch, options.count)
+        watch(lambda: ask(options, "GET", options.what)[1], options.watch, options.count)
         return 0
-    status, found = ask(options, "GET", options.verb)
+    status, found = ask(options, "GET", options.what)
     return _show(options, status, found)
 
 
--- a/spokemast/config/check.py
+++ b/spokemast/config/check.py
@@ -13,7 +13,8 @@
     ConfigError, Problems, check_members, read_address, read_members_file,
 )  # fmt: skip
 from spokemast.config.types import (
-    AdmissionTable, ClassTable, ListenerTable, ListenerTlsTable, ManagementTable, PoolTable, RouteTable,
+    AdmissionTable, ClassTable, FleetTable, ListenerTable, ListenerTlsTable, ManagementTable, PoolTable, ProcessTable,
+    RouteTable,
 )  # fmt: skip
 from spokemast.routes import ConflictError, Routes, Rule, RuleError, check_rule
 from spokemast.targets import TargetError, normal_path
@@ -63,6 +64,7 @@
     routes = list(_read(values, "route"))
     _check_remembered(values, problems)
     _check_management(values.get("management"), problems)
+    _check_fleet(values.get("fleet"), values.get("process"), folder, problems)
     known = {key: _names(box, key) for key in LISTS}
     effects = {
         cls.name: cls.effect for cls in reversed([*_read(values, "class_")])
@@ -117,6 +119,33 @@
         problems.add("management.address", text)
 
 
+def _check_fleet(table: FleetTable | None, process: ProcessTable | None, folder: Path,
+                 problems: Problems) -> None:  # fmt: skip
+    if not isinstance(table, FleetTable):
+        return
+    if process is not None and process.instances not in (1, table.instances):
+        text = f"{process.instances}, and fleet.instances says {table.instances}; with [fleet] it stands there alone"
+        problems.add("process.instances", text)
+    named = [("bind", table.bind), *([("advertise", table.advertise)] if table.advertise else []),
+             *(("seeds", seed) for seed in table.seeds)]  # fmt: skip
+    for key, text in named:
+        try:
+            host, port = read_address(text)
+            ipaddress.IPv4Address(host)
+        except ValueError as problem:
+            problems.add(f"fleet.{key}", f"{text!r}: {problem}; an IPv4 address and a port are wanted")
+            continue
+        if key != "bind" and (port == 0 or host == "0.0.0.0"):
+            problems.add(f"fleet.{key}", f"{text!r} is nowhere that others can reach")
+    if table.advertise is None and (table.bind.startswith("0.0.0.0:") or table.bind.endswith(":0")):
+        problems.add(
+            "fleet.advertise", f"bind = {table.bind!r} is nowhere that others can reach; say what is"
+        )
+    if not (folder / table.key_file).is_file():
+        text = "is no file; `openssl rand -hex 32` makes a key"
+        problems.add("fleet.key_file", f"{table.key_file!r} in {folder} {text}")
+
+
 def _check_class(cls: ClassTable, problems: Problems) -> None:
     at = f"class[{cls.name}]"
     if not 0 < cls.aim <= cls.deadline:
--- a/spokemast/config/plan.py
+++ b/spokemast/config/plan.py
@@ -252,7 +252,7 @@
     reports = table.dialect == "platform" or table.load_header is not None
     settings = api.Settings(
         classes=classes,
-        n_instances=file.process.instances,
+        n_instances=file.fleet.instances if file.fleet is not None else file.process.instances,
         zone=zones.get(file.process.zone, 0),
         n_zones=max(1, len(zones)),
         tenants=tuple(api.Tenant(t.name, t.share, t.quota_per_s) for t in file.tenant),
--- a/spokemast/config/types.py
+++ b/spokemast/config/types.py
@@ -300,12 +300,28 @@
     )
 
 
+class FleetTable(Struct, frozen=True, kw_only=True):
+    """Which fleet this instance is one of, and how it is reached there."""
+
+    name: Annotated[
+        str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.\-]{0,47}$")
+    ]  # of this instance, and of no other
+    bind: str  # datagrams and exchanges, at one port
+    advertise: str | None = None  # what others are told, where it differs
+    seeds: list[str] = []  # addresses of some others, to begin with
+    key_file: str  # a line of 64 hexadecimal digits, or two while the key changes; for its owner alone
+    zone: Annotated[str, Meta(max_length=48)] = ""
+    instances: Count = 1  # how many there should be
+    profile: Literal["lan", "wan", "swift"] = "lan"
+
+
 class File(Struct, frozen=True, kw_only=True):
     """A whole file."""
 
     process: ProcessTable = ProcessTable()
     store: StoreTable | None = None
     management: ManagementTable | None = None
+    fleet: FleetTable | None = None
     log: LogTable | None = None  # the plain form of the platform if it is not given
     class_: list[ClassTable] = field(name="class", default=[])
     tenant: list[TenantTable] = []
--- a/spokemast/control/learnt.py
+++ b/spokemast/control/learnt.py
@@ -1,7 +1,8 @@
 """What a daemon has learnt, handed to the one that takes over from it. Pure: bytes in and out, times by the caller.
 
 Passes: error shares, utilization, pace and rows of failures of members, how far they have come since their starts, the
-usual times of classes, the level of refusing, marks and moves. Does not pass: requests and what their keys wait for
+usual times of classes, the level of refusing, marks and moves,
+the place in the fleet. Does not pass: requests and what their keys wait for
 (they end where they began; what must outlast them is the store's), connections, frozen sources (each daemon follows
 anew).
 
@@ -19,6 +20,7 @@
 
 from spokemast.choice import Balancer
 from spokemast.decisions.servers import Server
+from spokemast.fleet.facts import Fact
 from spokemast.members.overlay import Mark
 from spokemast.moves import Move
 
@@ -62,9 +64,18 @@
     move: Move | None
 
 
+class FleetNote(Struct, array_like=True):
+    """A place in the fleet. `life`: the number of the life that passes it on; `facts`: what it holds of the others."""
+
+    name: Text
+    life: Annotated[int, Meta(ge=0, lt=1 << 40)]
+    facts: Annotated[list[Fact], Meta(max_length=5_000)]
+
+
 class Snapshot(Struct, array_like=True):
     at: float  # Unix seconds
     pools: Annotated[list[PoolNote], Meta(max_length=5_000)]
+    fleet: FleetNote | None = None
 
 
 def note_pool(
--- a/spokemast/daemon/control.py
+++ b/spokemast/daemon/control.py
@@ -34,6 +34,7 @@
 from spokemast.store.keeper import View
 
 if TYPE_CHECKING:
+    from spokemast.daemon.fleet import Fleet
     from spokemast.daemon.memory import Memory
 
 WORDS = {"drain": "drain", "cordon": "cordon"}
@@ -135,7 +136,8 @@
             note_pool(name, pool.proxy.balancer, pool.proxy.now(), self.marks.get(name, {}), self._move(name))
             for name, pool in self.daemon.pools.items()
         ]
-        return encode(Snapshot(time.time(), pools))
+        fleet = cast("Fleet | None", self.daemon.parts.get("fleet"))
+        return encode(Snapshot(time.time(), pools, fleet.note() if fleet is not None else None))
 
     def _given(self) -> None:
         for listener in self.daemon.listeners.values():
--- /dev/null
+++ b/spokemast/daemon/fleet.py
@@ -0,0 +1,139 @@
+"""The fleet as a part of the daemon: its key, its sockets, what passes at an upgrade, and whom its numbers are for."""
+
+from __future__ import annotations
+
+import random
+import socket
+import time
+from pathlib import Path
+from typing import Any, Callable, Mapping
+
+from spokemast.config.reader import ConfigError, Problem, read_address
+from spokemast.config.types import FleetTable
+from spokemast.control.learnt import FleetNote
+from spokemast.daemon.parts import Part, Runs
+from spokemast.fleet import report
+from spokemast.fleet.events import Action, Leave, Passed
+from spokemast.fleet.link import Link
+from spokemast.fleet.messages import Sealer, read_keys
+from spokemast.fleet.settings import PROFILES, Identity, Settings
+from spokemast.fleet.share import Share
+from spokemast.fleet.view import View
+from spokemast.tls.files import read, stamps
+from spokemast.tls.pairs import PairError
+
+#: How often the key's file is looked at, in seconds.
+KEY_LOOK_S = 1.0
+
+
+def read_sealer(path: Path) -> Sealer:
+    """ValueError says what is wrong with the key's file."""
+    try:
+        return Sealer(read_keys(read(path, private=True).decode("ascii")))
+    except PairError as problem:
+        raise ValueError(str(problem.problems[0])) from None
+    except UnicodeDecodeError:
+        raise ValueError(f"{path}: keys are hexadecimal digits") from None
+
+
+class Fleet(Part):
+    """One for a daemon with `[fleet]`. It owns the link; `end` gives its sockets back."""
+
+    def __init__(self, daemon: Runs, table: FleetTable, base: Path) -> None:
+        """ConfigError where the key or the address can't be had."""
+        self.daemon, self.table, self.complain = daemon, table, daemon.complain
+        self._key_path = base / table.key_file
+        self._key_stamp = stamps([self._key_path])
+        self._key_at = time.monotonic()
+        source = random.SystemRandom()
+        boot = source.getrandbits(62) + 1
+        bound = read_address(table.bind)
+        advertised = read_address(table.advertise) if table.advertise else bound
+        identity = Identity(table.name, boot, advertised, table.zone)
+        seeds = tuple(read_address(text) for text in table.seeds)
+        settings = Settings(seeds, table.instances, PROFILES[table.profile])
+        self.view = View(identity, settings, source.getrandbits(60))
+        self.share = Share(table.instances)
+        self._counted = table.instances
+        self._first: list[Action] = []
+        try:
+            sealer = read_sealer(self._key_path)
+        except ValueError as problem:
+            raise ConfigError([Problem(str(base), "fleet.key_file", str(problem))]) from None
+        note: Callable[[str, str], None] = self.complain
+        taken = daemon.taken
+        claimed = (None, None) if taken is None else (taken.claim_datagrams(bound), taken.claim(bound))
+        self.link = Link(self.view, table.name, boot, sealer, bound, note, claimed)
+
+    def serve(self) -> None:
+        """Take part from now on. Of a place that was taken over, nobody sees a death."""
+        learnt = self.daemon.learnt
+        first: list[Action] = []
+        if learnt is not None and learnt.fleet is not None and learnt.fleet.name == self.table.name:
+            first = self.view.resume(time.monotonic(), learnt.fleet.life, learnt.fleet.facts)
+        self.link.start(first)
+
+    def note(self) -> FleetNote:
+        """What a successor goes on from."""
+        life, facts = self.view.pass_on()
+        return FleetNote(self.table.name, life, facts)
+
+    def look(self) -> None:
+        self._look_at_key()
+        now = time.monotonic()
+        count = self.share.look(now, self.view.fleet, report.is_settled(self.view, now))
+        if count.instances != self._counted:
+            self._counted = count.instances
+            self.complain("fleet: instances counted with", count.instances)
+        for pool in self.daemon.pools.values():
+            pool.count_instances(count.instances)
+
+    def _look_at_key(self) -> None:
+        """Guards against a new key that is half written: what was read last stays in force."""
+        now = time.monotonic()
+        if now - self._key_at < KEY_LOOK_S:
+            return
+        self._key_at = now
+        stamp = stamps([self._key_path])
+        if stamp == self._key_stamp:
+            return
+        self._key_stamp = stamp
+        try:
+            self.link.sealer = read_sealer(self._key_path)
+        except ValueError as problem:
+            self.complain("fleet: the new key is not taken", problem)
+        else:
+            self.complain("fleet: key taken", f"{len(self.link.sealer.keys)} in force")
+
+    def retire(self) -> None:
+        """The successor has the place."""
+        self.link.hand(Passed())
+        self.link.deafen()
+
+    def sockets(self) -> list[socket.socket]:
+        return [self.link.udp, self.link.tcp]
+
+    def figures(self) -> Mapping[str, Any]:
+        found = report.status(self.view, time.monotonic())
+        keys = ("state", "settled", "digest", "living", "suspected", "dead")
+        return {"fleet": {key: found[key] for key in keys}}
+
+    def reads(self) -> Mapping[str, Callable[[], Any]]:
+        return {"fleet/members": self._read_members, "fleet/status": self._read_status}
+
+    def _read_members(self) -> list[dict[str, Any]]:
+        return report.rows(self.view, time.monotonic())
+
+    def _read_status(self) -> dict[str, Any]:
+        now = time.monotonic()
+        found = report.status(self.view, now)
+        count = self.share.look(now, self.view.fleet, bool(found["settled"]))
+        return found | {
+            "counted_with": count.instances, "counted_as": count.standing,
+            "wire": dict(sorted(self.link.counts.items())),
+        }  # fmt: skip
+
+    def end(self) -> None:
+        """Leave politely, unless the place has passed on."""
+        self.link.hand(Leave())
+        self.link.close()
--- a/spokemast/daemon/makers.py
+++ b/spokemast/daemon/makers.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from spokemast.daemon.control import Control
     from spokemast.daemon.extensions import Extensions
+    from spokemast.daemon.fleet import Fleet
     from spokemast.daemon.keys import Keys
     from spokemast.daemon.memory import Memory
 
@@ -99,12 +100,30 @@
     return control
 
 
+def _fleet(plan: Plan, daemon: Runs, made: Mapping[str, Part]) -> Fleet | None:
+    """The place in the fleet; its sockets are there, and nothing is read of them yet."""
+    table, now = plan.file.fleet, cast("Fleet | None", daemon.parts.get("fleet"))
+    if (now.table if now is not None else None) == table:
+        return now
+    if now is not None or daemon.plan is not None:
+        raise _fixed(plan, "fleet")
+    try:
+        from spokemast.daemon.fleet import Fleet
+    except ImportError as problem:
+        text = f"a fleet needs a package that is not there ({problem}): pip install -r requirements-tools.txt"
+        raise ConfigError([Problem(str(plan.path), "fleet", text)]) from None
+
+    assert table is not None
+    return Fleet(daemon, table, plan.path.parent)
+
+
 #: In the order in which they are made, and against which they end.
 MAKERS: Mapping[str, Maker] = {
     "extensions": lambda plan, daemon, made: extensions_of(plan, daemon.complain),
     "keys": lambda plan, daemon, made: keys_of(plan, daemon.complain),
     "store": _store,
     "control": _control,
+    "fleet": _fleet,
 }
 
 
--- a/spokemast/daemon/pools.py
+++ b/spokemast/daemon/pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Callable, Mapping, Union
@@ -144,6 +145,12 @@
         proxy.turns = turns
         proxy.resize(share)
 
+    def count_instances(self, number: int) -> None:
+        """Decisions that divide by the fleet count with so many from now on."""
+        balancer = self.proxy.balancer
+        if balancer.settings.n_instances != number:
+            balancer.settings = replace(balancer.settings, n_instances=number)
+
     def retire(self) -> None:
         """No route leads here any more: members get nothing new but what is on its way, and no connection is
         kept."""
--- a/spokemast/daemon/takeover.py
+++ b/spokemast/daemon/takeover.py
@@ -31,6 +31,8 @@
 LEARNT_MOST = 8 << 20
 #: Bytes of one line of a successor.
 LINE_MOST = 64 << 10
+#: Before the host of a socket of datagrams, where sockets are told by their addresses.
+DATAGRAMS = "udp:"
 
 
 class Lender(Protocol):
@@ -40,6 +42,14 @@
     def take_back(self) -> None: ...
 
 
+def key_of(sock: socket.socket) -> tuple[str, int]:
+    """By which a socket that passes is known: its address; one of datagrams may have that of one that listens."""
+    name = sock.getsockname()
+    if isinstance(name, str):
+        return f"unix:{name}", 0
+    return (DATAGRAMS if sock.type == socket.SOCK_DGRAM else "") + name[0], name[1]
+
+
 @contextmanager
 def learnt_file(data: bytes) -> Iterator[int]:
     """A descriptor of a file in memory that holds it: it passes with the sockets, of whatever length."""
@@ -107,8 +117,7 @@
 
     def _give(self, sock: socket.socket) -> None:
         sockets = self._sockets()
-        names = [one.getsockname() for one in sockets]
-        addresses = [f"unix:{name}" if isinstance(name, str) else f"{name[0]}:{name[1]}" for name in names]
+        addresses = ["{}:{}".format(*key) if key[1] else key[0] for key in map(key_of, sockets)]
         box = {
             "version": VERSION,
             "pid": os.getpid(),
@@ -226,6 +235,10 @@
         """The socket that listens at an address; it is the caller's from here on."""
         return self.sockets.pop(address, None)
 
+    def claim_datagrams(self, address: tuple[str, int]) -> socket.socket | None:
+        """The same for datagrams."""
+        return self.claim((DATAGRAMS + address[0], address[1]))
+
     def borrow_store(self) -> None:
         """Have the old one let go of its store; OSError where it does not. Blocks for some seconds at most: nothing is
         served by this process yet."""
@@ -278,8 +291,7 @@
         for fd in fds:
             one = socket.socket(fileno=fd)
             one.setblocking(False)
-            name = one.getsockname()
-            found[(f"unix:{name}", 0) if isinstance(name, str) else (name[0], name[1])] = one
+            found[key_of(one)] = one
         return Taken(sock, int(box["pid"]), found, learnt, bool(box["store"]))
     except (OSError, ValueError, KeyError, TakeoverError) as problem:
         for fd in fds:
--- /dev/null
+++ b/spokemast/fleet/members.py
@@ -0,0 +1,237 @@
+"""What becomes of each name in the view: taken, suspected, dead, tried again, forgotten. Pure; a part of view.py."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+from typing import Iterator, Sequence
+
+from spokemast.fleet import messages as form
+from spokemast.fleet.events import Action, Exchange, Noted, Tell
+from spokemast.fleet.facts import Fact, Standing, weigh
+from spokemast.fleet.rumours import Rumours
+from spokemast.fleet.settings import Address, Identity, Settings
+from spokemast.fleet.suspicion import Health, lasts
+from spokemast.fleet.table import Peer, Table
+
+#: Of the living, how many check a suspicion that they hear of, on the average: enough to confirm it, and not all.
+CHECKERS = 6.0
+#: Up to this many living an exchange may follow another after `mend`; past it in proportion, as each is larger.
+MEND_FLEET = 40
+
+
+class Members:
+    """The table, what is passed on, and the timers of rows."""
+
+    def __init__(self, identity: Identity, settings: Settings, source: random.Random) -> None:
+        self.identity, self.settings, self.timers = identity, settings, settings.timers
+        self.random = source
+        self.now = self.born = -math.inf
+        self.actions: list[Action] = []
+        self.opening: list[Action] = []  # of a place that was taken over, before any event
+        self.table = Table()
+        self.rumours = Rumours()
+        self.health = Health(settings.timers.health_most)
+        self.counts: Counter[str] = Counter()
+        self.me = self._fact(1, 0)
+        self.inside = False  # whether this instance counts as one of the fleet
+        self._rows_at = math.inf  # no row needs a look before
+        self._tried_at = self._hoped_at = -math.inf
+        self._exchange_at = math.inf  # the next that nothing has called for
+        self._mended_at = -math.inf
+        self._wanted: list[Peer] = []  # to be probed before their turn
+
+    def _fact(self, life: int, incarnation: int, standing: Standing = Standing.ALIVE) -> Fact:
+        mine = self.identity
+        return Fact(mine.name, mine.boot, life, incarnation, standing, *mine.address, mine.zone)
+
+    @property
+    def fleet(self) -> int:
+        """How many live, this instance among them."""
+        return len(self.table.living) + 1
+
+    def facts(self) -> Iterator[Fact]:
+        """All that one who exchanges with us hears: this instance first where it is in."""
+        if self.inside:
+            yield self.me
+        for peer in self.table:
+            yield peer.fact
+
+    # Saying.
+
+    def _note(self, kind: str, text: str) -> None:
+        self.actions.append(Noted(kind, text))
+
+    def _hello(self) -> form.Hello:
+        return form.Hello(*self.identity.address)
+
+    def _tell(self, address: Address, to: int, message: form.Message, first: Sequence[Fact] = (),
+              name: str = "") -> None:  # fmt: skip
+        """With as many words as fit. `first`: those that go in any case. A hello says nothing to whoever hears it."""
+        facts: tuple[Fact, ...] = ()
+        if isinstance(message, form.Here):
+            facts = (self.me,) if self.inside else ()
+        elif not isinstance(message, (form.Hello, form.Clash)):
+            facts = (*first, *self.rumours.take(self.fleet, sum(map(weigh, first)), name))
+        self.actions.append(Tell(address, to, message, facts))
+
+    def _tell_peer(self, peer: Peer, message: form.Message, *further: Fact) -> None:
+        """The suspected and the dead hear first what is held of them."""
+        fact = peer.fact
+        first = (fact, *further) if fact.standing != Standing.ALIVE else further
+        self._tell(fact.address, fact.boot, message, first, fact.name)
+
+    def _spread(self, count: int) -> None:
+        """What is new goes to some at once, and does not wait for the next probe."""
+        living = self.table.living
+        for peer in self.random.sample(living, min(count, len(living))):
+            self._tell_peer(peer, form.Told())
+
+    def _correct(self, packet: form.Packet) -> None:
+        """Who speaks and does not live in this view hears so, that he may refute it. Guards, by its pause, against two
+        that hold one another dead and neither of which refutes it: they would tell each other without end."""
+        peer = self.table.get(packet.sender)
+        if peer is None or peer.fact.boot != packet.boot or peer.fact.standing == Standing.ALIVE:
+            return
+        if self.now - peer.corrected_at >= self.timers.timeout:
+            peer.corrected_at = self.now
+            self._tell_peer(peer, form.Told())
+
+    def _exchange(self, name: str, boot: int, address: Address) -> None:
+        """Not more often than the size of a whole exchange allows; one that is joining may hear several."""
+        rest = self.timers.mend * max(1.0, self.fleet / MEND_FLEET)
+        if not self.inside or self.now - self._mended_at >= rest:
+            self._mended_at = self.now
+            self.counts["exchanges"] += 1
+            self.actions.append(Exchange(name, boot, address))
+
+    # Taking a word.
+
+    def _take(self, fact: Fact) -> None:
+        known = self.table.get(fact.name)
+        if (known is not None and fact.standing == Standing.SUSPECT and known.fact.standing == Standing.SUSPECT
+                and fact.rank == known.fact.rank):  # fmt: skip
+            self._confirm(known, fact)
+            return
+        was = known.fact.standing if known is not None else None
+        peer = self.table.take(fact, self.now)
+        if peer is None:
+            return
+        self.rumours.add(fact)
+        self._turned(peer, was)
+
+    def _turned(self, peer: Peer, was: Standing | None) -> None:
+        """A row has changed. `was`: None for a name that is new."""
+        standing, name = peer.fact.standing, peer.fact.name
+        if standing == Standing.SUSPECT:
+            peer.suspected_at = self.now
+            peer.accusers = {peer.fact.by}
+            self.counts["suspected"] += 1
+            self._check_too(peer)
+        elif standing == Standing.DEAD:
+            self.counts["died"] += 1
+            peer.try_after = self.timers.try_first
+            peer.try_at = self.now + peer.try_after * (0.5 + self.random.random())
+            self._note("an instance is held dead", f"{name}, by {peer.fact.by or 'others'}")
+        elif standing == Standing.LEFT:
+            self._note("an instance has left", name)
+        elif was is None:
+            self._note("an instance has joined", f"{name} at {peer.fact.host}:{peer.fact.port}")
+        elif was in (Standing.DEAD, Standing.LEFT):
+            self.counts["returned"] += 1
+            self._note("an instance is back", name)
+            if was == Standing.DEAD:
+                self._hope()
+        self._rows_at = min(self._rows_at, self._row_due(peer))
+
+    def _hope(self) -> None:
+        """One that was held dead is back: a partition may have healed, and the others are called soon, once."""
+        if self.now < self._hoped_at + self.timers.try_first:
+            return
+        self._hoped_at = self.now
+        for peer in self.table:
+            if peer.fact.standing == Standing.DEAD:
+                peer.try_after = self.timers.try_first
+                peer.try_at = min(peer.try_at, self.now + self.timers.try_first * self.random.random())
+                self._rows_at = min(self._rows_at, peer.try_at)
+
+    def _check_too(self, peer: Peer) -> None:
+        """Hearing of a suspicion, some look for themselves at once: it is confirmed, or refuted, in a period."""
+        if peer.fact.by != self.identity.name and self.random.random() < CHECKERS / self.fleet:
+            self._wanted.append(peer)
+
+    def _confirm(self, peer: Peer, fact: Fact) -> None:
+        """Another one suspects too; a few of them are passed on."""
+        if fact.by in peer.accusers or len(peer.accusers) > self.timers.confirmations:
+            return
+        peer.accusers.add(fact.by)
+        self.rumours.add(fact)
+        self._rows_at = min(self._rows_at, self._row_due(peer))
+
+    def _suspect(self, peer: Peer) -> None:
+        """A probe of our own has failed."""
+        old = peer.fact
+        self._take(self._say(old, Standing.SUSPECT))
+
+    def _say(self, old: Fact, standing: Standing) -> Fact:
+        return Fact(old.name, old.boot, old.life, old.incarnation, standing, old.host, old.port, old.zone,
+                    self.identity.name)  # fmt: skip
+
+    # Time.
+
+    def _row_due(self, peer: Peer) -> float:
+        standing = peer.fact.standing
+        if standing == Standing.SUSPECT:
+            return peer.suspected_at + lasts(self.timers, self.fleet, len(peer.accusers) - 1)
+        if standing == Standing.DEAD:
+            return min(peer.try_at, peer.since + self.timers.forget)
+        return peer.since + self.timers.forget if standing == Standing.LEFT else math.inf
+
+    def _next_row_step(self) -> float:
+        return min(max(self._rows_at, self._tried_at + self.timers.try_each if self._rows_at < self.now else 0.0),
+                   self._exchange_at)  # fmt: skip
+
+    def _step_rows(self) -> None:
+        """Suspicions whose time is over, the dead that are due, those that are forgotten."""
+        if self.now >= self._exchange_at:
+            self._exchange_at = self.now + self.timers.exchange * (0.5 + self.random.random())
+            if self.table.living:
+                self._exchange_with(self.random.choice(self.table.living))
+        if self.now < self._rows_at:
+            return
+        self._rows_at = math.inf
+        for peer in list(self.table):
+            if peer.fact.standing != Standing.ALIVE:
+                if self._row_due(peer) <= self.now:
+                    self._row_step(peer)
+                self._rows_at = min(self._rows_at, self._row_due(peer))
+
+    def _row_step(self, peer: Peer) -> None:
+        if peer.fact.standing == Standing.SUSPECT:
+            self._take(self._say(peer.fact, Standing.DEAD))
+        elif self.now >= peer.since + self.timers.forget:
+            self.table.forget(peer.fact.name)
+            peer.since = math.inf
+        elif self.now >= self._tried_at + self.timers.try_each:
+            self._try(peer)
+
+    def _try(self, peer: Peer) -> None:
+        """Call a dead one, in whatever life it is."""
+        self._tried_at = self.now
+        timers = self.timers
+        old = self.now - peer.since > timers.late_after
+        peer.try_after = min(timers.try_late if old else timers.try_most, peer.try_after * 2)
+        peer.try_at = self.now + peer.try_after * (0.75 + 0.5 * self.random.random())
+        self.counts["tries"] += 1
+        self._tell(peer.fact.address, 0, self._hello())
+
+    def _exchange_with(self, peer: Peer) -> None:
+        self._exchange(peer.fact.name, peer.fact.boot, peer.fact.address)
+
+    def _differs(self, peer: Peer, digest: int) -> None:
+        """What a peer told of its view: where both have had time to settle and differ, hear all of it."""
+        peer.digest, peer.digest_at = digest, self.now
+        own = self.table
+        if digest != own.digest and self.now - own.changed_at > self.timers.period and peer.living:
+            self._exchange_with(peer)
--- a/standins/kills.py
+++ b/standins/kills.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from standins.keyed import Effects, KeyedFleet
+from standins.processes import start
 
 CONFIG = """\
 [store]
@@ -72,7 +73,7 @@
         clients = [asyncio.ensure_future(self.book(number)) for number in range(self.clients)]
         for _ in range(kills):
             await self.life(path)
-        daemon = await self.start(path)
+        daemon = await start(path)
         self.stopped = True
         await asyncio.gather(*clients)
         await self.repeat_all()
@@ -82,19 +83,9 @@
         self.tally.doubled = self.effects.doubled()
         return self.tally
 
-    async def start(self, path: Path) -> asyncio.subprocess.Process:
-        daemon = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "spokemast.cli", "serve", "-c", str(path), stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.DEVNULL, cwd=Path(__file__).parent.parent,
-        )  # fmt: skip
-        assert daemon.stdout is not None
-        line = await asyncio.wait_for(daemon.stdout.readline(), 30)
-        assert b"listens" in line, line
-        return daemon
-
     async def life(self, path: Path) -> None:
         """One daemon, until some answers more have come; then it is killed in the middle of whatever it does."""
-        daemon = await self.start(path)
+        daemon = await start(path)
         wanted = self.tally.acknowledged + self.random.randint(1, 60)
         while self.tally.acknowledged < wanted:
             await asyncio.sleep(0.002)
@@ -109,7 +100,7 @@
         await fleet.start()
         path = self.folder / "micastand.toml"
         path.write_text('[management]\nsocket = "s"\n' + CONFIG.format(port=self.port) + fleet.tables())
-        first = await self.start(path)
+        first = await start(path)
         clients = [asyncio.ensure_future(self.book(number)) for number in range(self.clients)]
         last = first.pid
         for _ in range(count):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -26,6 +26,7 @@
 from standins.kills import CONFIG as KEYED
 from standins.kills import Killing
 from standins.member import Fleet, Member
+from standins.processes import start
 from test_control import MANAGED, call, served_by, text
 
 ROOT = Path(__file__).parent.parent
@@ -61,20 +62,7 @@
 
 
 async def started(path: Path) -> asyncio.subprocess.Process:
-    made = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "spokemast.cli",
-        "serve",
-        "-c",
-        str(path),
-        stdout=asyncio.subprocess.PIPE,
-        cwd=ROOT,
-    )
-    assert made.stdout is not None
-    for _ in range(2):
-        assert b"listens" in await made.stdout.readline()
-    return made
+    return await start(path, listeners=2)
 
 
 async def upgrade(path: Path, *words: str) -> int:
@@ -256,7 +244,7 @@
         path = tmp_path / "micastand.toml"
         path.write_text('[management]\nsocket = "s"\n' + KEYED.format(port=port) + fleet.tables())
         killing = Killing(tmp_path, port, seed=1)
-        old = await killing.start(path)
+        old = await start(path)
         loop = asyncio.get_running_loop()
         assert (await killing.ask("one"))[0] == 200
         taken = await loop.run_in_executor(None, take, offer_path(tmp_path / "s"))
