--- a/spokemast/daemon/fleet.py
+++ b/spokemast/daemon/fleet.py
@@ -130,6 +130,7 @@
         count = self.share.look(now, self.view.fleet, bool(found["settled"]))
         return found | {
             "counted_with": count.instances, "counted_as": count.standing,
+            "keys": [f"{number:02x}" for number in self.link.sealer.keys],
             "wire": dict(sorted(self.link.counts.items())),
         }  # fmt: skip
 
--- a/spokemast/fleet/members.py
+++ b/spokemast/fleet/members.py
@@ -17,6 +17,8 @@
 
 #: Of the living, how many check a suspicion that they hear of, on the average: enough to confirm it, and not all.
 CHECKERS = 6.0
+#: Others that hear at one time of words that wait.
+GOSSIP = 2
 #: Up to this many living an exchange may follow another after `mend`; past it in proportion, as each is larger.
 MEND_FLEET = 40
 
@@ -40,6 +42,7 @@
         self._tried_at = self._hoped_at = -math.inf
         self._exchange_at = math.inf  # the next that nothing has called for
         self._mended_at = -math.inf
+        self._gossip_at = -math.inf  # when words that wait are passed on without a probe
         self._wanted: list[Peer] = []  # to be probed before their turn
 
     def _fact(self, life: int, incarnation: int, standing: Standing = Standing.ALIVE) -> Fact:
@@ -189,8 +192,11 @@
         return peer.since + self.timers.forget if standing == Standing.LEFT else math.inf
 
     def _next_row_step(self) -> float:
-        return min(max(self._rows_at, self._tried_at + self.timers.try_each if self._rows_at < self.now else 0.0),
-                   self._exchange_at)  # fmt: skip
+        gossip = self._gossip_at if len(self.rumours) and self.table.living else math.inf
+        rows = self._rows_at
+        if rows < self.now:  # some dead are due, and wait for their turn
+            rows = max(rows, self._tried_at + self.timers.try_each)
+        return min(gossip, rows, self._exchange_at)
 
     def _step_rows(self) -> None:
         """Suspicions whose time is over, the dead that are due, those that are forgotten."""
@@ -198,6 +204,9 @@
             self._exchange_at = self.now + self.timers.exchange * (0.5 + self.random.random())
             if self.table.living:
                 self._exchange_with(self.random.choice(self.table.living))
+        if self.now >= self._gossip_at and len(self.rumours):
+            self._gossip_at = self.now + self.timers.gossip
+            self._spread(GOSSIP)
         if self.now < self._rows_at:
             return
         self._rows_at = math.inf
--- a/spokemast/fleet/messages.py
+++ b/spokemast/fleet/messages.py
@@ -154,7 +154,7 @@
         """ValueError for none, too many, or one that has not KEY_BYTES."""
         if not 1 <= len(keys) <= KEYS_MOST or any(len(key) != KEY_BYTES for key in keys):
             raise ValueError(f"1 to {KEYS_MOST} keys of {KEY_BYTES} bytes are wanted")
-        self.keys: Mapping[int, bytes] = {key_number(key): key for key in reversed(keys)}
+        self.keys: Mapping[int, bytes] = {key_number(key): key for key in keys}
         self._first = key_number(keys[0])
 
     def seal(self, packet: Packet) -> bytes:
--- a/spokemast/fleet/settings.py
+++ b/spokemast/fleet/settings.py
@@ -20,6 +20,8 @@
     patience: times the least that a suspicion lasts which nobody confirms.
     confirmations: of others after which the least is enough.
     health_most: times by which an instance that is slow itself stretches its own timers, at most.
+    gossip: words that wait go to some others in it, whatever the pace of probes: an instance that doubts itself probes
+        rarely, and must not be the last to know.
     exchange: between two whole exchanges with one peer that nothing has called for.
     mend: the least between two exchanges that a difference has called for.
     try_first, try_most, try_late: the dead are tried after the first, each time later up to the second, and from
@@ -38,6 +40,7 @@
     patience: float = 4.0
     confirmations: int = 3
     health_most: int = 8
+    gossip: float = 0.2
     exchange: float = 30.0
     mend: float = 0.5
     try_first: float = 1.0
@@ -56,11 +59,11 @@
     # One data centre: answers within a few ms, half a second of pause is rare.
     "lan": Timers(),
     # Several of them: a lost datagram is usual, and 100 ms of way too; a crash is found in some 10 s.
-    "wan": replace(Timers(), period=1.0, timeout=0.45, mend=2.0, try_first=2.0, try_most=16.0, joining=5.0, hello=2.0,
-                   hold=5.0),
+    "wan": replace(Timers(), period=1.0, timeout=0.45, gossip=0.5, mend=2.0, try_first=2.0, try_most=16.0, joining=5.0,
+                   hello=2.0, hold=5.0),
     # Tests on one machine that have to wait for deaths: all of it four times as fast, and as impatient.
-    "swift": replace(Timers(), period=0.15, timeout=0.06, mend=0.15, try_first=0.25, try_most=1.0, try_each=0.05,
-                     joining=0.6, hello=0.25, hold=0.5),
+    "swift": replace(Timers(), period=0.15, timeout=0.06, gossip=0.06, mend=0.15, try_first=0.25, try_most=1.0,
+                     try_each=0.05, joining=0.6, hello=0.25, hold=0.5),
 }  # fmt: skip
 
 
--- a/spokemast/fleet/view.py
+++ b/spokemast/fleet/view.py
@@ -114,8 +114,8 @@
             self._step_rows()
 
     def _call_seeds(self) -> None:
-        """Rule 4 for seeds: they are called as long as they are not known to live."""
-        known = {peer.fact.address for peer in self.table.living}
+        """Rule 4 for seeds: they are called as long as they are not known to live, and while this instance is out."""
+        known = {peer.fact.address for peer in self.table.living} if self.inside else set()
         for seed in self.settings.seeds:
             if seed not in known and seed != self.identity.address:
                 self._tell(seed, 0, self._hello())
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -253,4 +253,9 @@
         chosen = among or self.up
         wanted = len(chosen) if living is None else living
         names = ", ".join(one.name for one in chosen)
-        await until(lambda: self.agree(chosen, wanted), f"{names} agree on {wanted} living", patience)
+        try:
+            await until(lambda: self.agree(chosen, wanted), f"{names} agree on {wanted} living", patience)
+        except TimeoutError as problem:
+            keys = ("instance", "state", "living", "suspected", "dead", "digest", "counts")
+            seen = [{key: one[key] for key in keys} for one in await self.statuses(chosen)]
+            raise TimeoutError(f"{problem}: " + "\n".join(map(str, seen))) from None
