--- /dev/null
+++ b/tests/fleet/test_fleet_config.py
@@ -0,0 +1,82 @@
+"""`[fleet]` in the file: what is good, and every error at once with what would be right."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from spokemast.config.plan import load
+from spokemast.config.reader import ConfigError
+
+REST = """
+[[class]]
+name = "c"
+aim = "1s"
+deadline = "2s"
+[[listener]]
+name = "l"
+address = "127.0.0.1:0"
+[[route]]
+name = "r"
+prefix = "/"
+pool = "p"
+class = "c"
+[[pool]]
+name = "p"
+member = [{ id = "m", address = "127.0.0.1:9" }]
+"""
+
+
+def problems(folder: Path, text: str) -> dict[str, str]:
+    path = folder / "micastand.toml"
+    path.write_text(text + REST)
+    with pytest.raises(ConfigError) as caught:
+        load(path)
+    return {problem.key: problem.text for problem in caught.value.problems}
+
+
+def test_all_that_is_wrong_is_told_at_once(tmp_path: Path) -> None:
+    found = problems(
+        tmp_path,
+        """
+[process]
+instances = 4
+[fleet]
+name = "a b"
+bind = "0.0.0.0:0"
+advertise = "unix:/x"
+seeds = ["host:1", "10.0.0.1:0"]
+key_file = "none"
+instances = 8
+profile = "fast"
+sed = []
+""",
+    )
+    assert set(found) == {"fleet.name", "fleet.profile", "fleet.sed"}
+    found = problems(
+        tmp_path,
+        """
+[process]
+instances = 4
+[fleet]
+name = "a"
+bind = "0.0.0.0:0"
+seeds = ["host:1", "10.0.0.1:0"]
+key_file = "none"
+instances = 8
+""",
+    )
+    assert set(found) == {"fleet.advertise", "fleet.seeds", "fleet.key_file", "process.instances"}
+    assert "openssl rand -hex 32" in found["fleet.key_file"]
+
+
+def test_what_is_right_counts_for_decisions_from_the_start(tmp_path: Path) -> None:
+    (tmp_path / "key").write_text("11" * 32)
+    path = tmp_path / "micastand.toml"
+    path.write_text(
+        '[fleet]\nname = "a"\nbind = "127.0.0.1:0"\nadvertise = "127.0.0.1:9"\nkey_file = "key"\ninstances = 8\n'
+        + REST
+    )
+    plan = load(path)
+    assert plan.pools["p"].deployment.settings.n_instances == 8
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -181,7 +181,8 @@
     loaded = set(done.stdout.split())
     assert "uvloop" in loaded
     for name in ("msgspec", "tomllib", "spokemast.config", "spokemast.daemon", "spokemast.routes", "spokemast.targets",
-                 "spokemast.shares", "spokemast.fronts.ordinary", "standins", "argparse"):  # fmt: skip
+                 "spokemast.shares", "spokemast.fronts.ordinary", "standins", "argparse", "spokemast.fleet",
+                 "blake3"):  # fmt: skip
         assert name not in loaded, name
 
 
