--- /dev/null
+++ b/emulator/fleetstate.py
@@ -0,0 +1,226 @@
+"""The versioned state in virtual time: the program's own machine for changes and its fence, over a network and disks
+that do what they like.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+from typing import Any, Callable
+
+from emulator.clock import Clock
+from spokemast.fleet import ballots as form
+from spokemast.fleet.ballots import Met, Vote
+from spokemast.fleet.catchup import Giver, Taker
+from spokemast.fleet.fence import Fence
+from spokemast.fleet.state import Change, Said
+from spokemast.fleet.versions import (
+    Action, Catch, Ended, Event, Heard, Keep, Propose, Say, Tock, Took, TookWhole, Versions,
+)  # fmt: skip
+
+
+class Disk:
+    """What one instance has kept. `store`: its identity; a new disk has another."""
+
+    def __init__(self, store: str) -> None:
+        self.store, self.opened = store, 0
+        self.vote: Vote | None = None
+        self.met: dict[str, Met] = {}
+        self.state: bytes = b""
+        self.log: dict[int, Change] = {}
+
+
+class Instance:
+    """One process over its disk."""
+
+    def __init__(self, model: StateModel, name: str) -> None:
+        self.model, self.name = model, name
+        self.disk = Disk(f"{name}-s1")
+        self.up = self.stopped = False
+        self.lives = 0
+        self.waits: list[Callable[[], None]] = []
+        self.ended: dict[str, Ended] = {}
+        self.drift = 1.0  # seconds of its clock for a true one
+
+    def clock(self) -> float:
+        return self.model.clock.now * self.drift
+
+    def start(self) -> None:
+        self.lives += 1
+        self.up, self.stopped, self.waits = True, False, []
+        disk, model = self.disk, self.model
+        disk.opened += 1
+        said = Said(dict.fromkeys(model.voters, ""))
+        if disk.state:
+            said.take_whole(disk.state)
+        self.fence = Fence(model.stale_most, serves=False)
+        generation = disk.opened << 20 | model.random.getrandbits(20)
+        self.versions = Versions(self.name, disk.store, generation, said, random.Random(model.random.getrandbits(40)),
+                                 self.fence.let_on)  # fmt: skip
+        self.versions.log = dict(disk.log)
+        self.versions.met = dict(disk.met)
+        if disk.vote is not None and disk.vote.slot == said.version + 1:
+            self.versions.vote = copy.deepcopy(disk.vote)
+        self.giver, self.taker = Giver(self.versions), Taker()
+        self.tick(self.lives)
+
+    def kill(self) -> None:
+        self.up = False
+
+    def stop(self) -> None:
+        self.stopped = True
+
+    def lose_disk(self) -> None:
+        """The store is gone; the next start has a new one."""
+        self.up = False
+        self.disk = Disk(f"{self.name}-s{self.lives + 2}")
+
+    def do_later(self, wait: float, call: Callable[..., None], *arguments: Any) -> None:
+        self.model.clock.after(wait, self.run, self.lives, call, arguments)
+
+    def run(self, life: int, call: Callable[..., None], arguments: tuple[Any, ...]) -> None:
+        """In this life, and not while it is stopped."""
+        if not self.up or life != self.lives:
+            return
+        if self.stopped:
+            self.waits.append(lambda: call(*arguments))
+        else:
+            call(*arguments)
+
+    def go_on(self) -> None:
+        self.stopped = False
+        waits, self.waits = self.waits, []
+        for call in waits:
+            call()
+
+    def tick(self, life: int) -> None:
+        if not self.up or life != self.lives:
+            return
+        self.hand(Tock(tuple(one.name for one in self.model.all.values() if one.up and one is not self)))
+        now = self.clock()
+        if now >= self.fence.due:
+            number = self.fence.ask(now)
+            for name in self.versions.said.roster:
+                self.send(name, form.Renew(number, self.versions.said.version))
+        due = min(self.versions.due, self.fence.due)
+        self.do_later(min(0.5, max(0.005, due - now)), self.tick, self.lives)
+
+    def hand(self, event: Event) -> None:
+        for action in self.versions.handle(self.clock(), event):
+            self.do(action)
+
+    def do(self, action: Action) -> None:
+        versions = self.versions
+        if isinstance(action, Say):
+            self.send(action.to, action.message)
+        elif isinstance(action, Keep):
+            self.do_later(self.model.fsync, self.keep, action)
+        elif isinstance(action, (Took, TookWhole)):
+            self.disk.state = versions.said.encode()
+            self.disk.log = dict(versions.log)
+            self.fence.settle(versions.said.majority, versions.said.version)
+            for other in versions.tell_all():
+                self.do(other)
+        elif isinstance(action, Catch):
+            self.do_later(self.model.delay, self.catch, action.name)
+        elif isinstance(action, Ended):
+            self.ended[action.id] = action
+
+    def keep(self, action: Keep) -> None:
+        if action.vote is not None and action.vote.slot == self.versions.said.version + 1:
+            self.disk.vote = copy.deepcopy(action.vote)
+        if action.met is not None:
+            self.disk.met[action.met[0]] = action.met[1]
+        for say in action.then:
+            self.send(say.to, say.message)
+
+    def send(self, to: str, message: Any) -> None:
+        self.model.send(self.name, to, message)
+
+    def receive(self, sender: str, message: Any) -> None:
+        now = self.clock()
+        versions = self.versions
+        if isinstance(message, form.Renew):
+            if versions.votes:
+                self.fence.let(now, sender)
+                self.send(sender, form.Renewed(message.number, versions.accepted_top, now))
+        elif isinstance(message, form.Renewed):
+            self.fence.heard(now, message.number, sender, message.top, message.clock, versions.said.majority,
+                             versions.said.version)  # fmt: skip
+        else:
+            self.hand(Heard(sender, message))
+
+    def catch(self, name: str) -> None:
+        other = self.model.all[name]
+        if not other.up or other.stopped or {(self.name, name), (name, self.name)} & self.model.cut:
+            return
+        for message in other.giver.answer(self.taker.want(self.versions.said.version)):
+            found, last = self.taker.take(message)
+            if found is not None:
+                self.hand(found)
+            if last:
+                break
+
+    def propose(self, change: Change, seconds: float = 5.0, if_version: int = -1) -> None:
+        self.hand(Propose(change, self.clock() + seconds, if_version))
+
+
+class StateModel:
+    """All of them, and a network with loss, delay and cuts by pair and direction."""
+
+    def __init__(self, count: int, seed: int, stale_most: float = 2.0, kept: int = 1024) -> None:
+        self.random = random.Random(seed)
+        self.clock = Clock()
+        self.delay, self.fsync, self.loss, self.doubled = 0.001, 0.002, 0.0, 0.0
+        self.stale_most = stale_most
+        self.cut: set[tuple[str, str]] = set()
+        self.voters = [f"i{number}" for number in range(count)]
+        self.all = {name: Instance(self, name) for name in self.voters}
+
+    def send(self, sender: str, to: str, message: Any) -> None:
+        target = self.all.get(to)
+        if target is None or (sender, to) in self.cut:
+            return
+        if sender == to:
+            target.do_later(0.0, target.receive, sender, message)
+            return
+        for _ in range(2 if self.random.random() < self.doubled else 1):
+            if self.random.random() >= self.loss:
+                late = 20 if self.random.random() < 0.02 else 1
+                wait = self.delay * (1 + self.random.random()) * late
+                self.clock.after(wait, self._arrive, target, sender, message)
+
+    @staticmethod
+    def _arrive(target: Instance, sender: str, message: Any) -> None:
+        """Into whatever life is there then: a message of long ago may come to another one."""
+        target.run(target.lives, target.receive, (sender, message))
+
+    def part(self, *sides: list[str]) -> None:
+        self.cut = {
+            (a, b) for one in sides for other in sides if one is not other for a in one for b in other
+        }
+
+    def heal(self) -> None:
+        self.cut = set()
+
+    def run(self, seconds: float) -> None:
+        self.clock.run(self.clock.second + seconds)
+
+    def until(self, true: Callable[[], bool], most: float, step: float = 0.01) -> float | None:
+        began = self.clock.second
+        while self.clock.second - began < most:
+            if true():
+                return self.clock.second - began
+            self.run(step)
+        return None
+
+    @property
+    def up(self) -> list[Instance]:
+        return [one for one in self.all.values() if one.up and not one.stopped]
+
+    def agree(self) -> bool:
+        return len({one.versions.said.digest() for one in self.up}) == 1
+
+    def open(self) -> bool:
+        """Whether all that are up may act."""
+        return all(one.fence.may_act(one.clock()) for one in self.up)
--- a/spokemast/config/check.py
+++ b/spokemast/config/check.py
@@ -21,6 +21,8 @@
 
 #: Ends of attempts after which another may follow, beside statuses.
 CAUSES = ("connect", "reset", "timeout", "refused")
+#: Instances that vote on operators' words at most.
+VOTERS_MOST = 64
 #: Lists of a file, by the key that they stand under.
 LISTS = {
     "class": "class_", "tenant": "tenant", "plugin": "plugin", "pool": "pool", "route": "route", "listener": "listener",
@@ -64,7 +66,7 @@
     routes = list(_read(values, "route"))
     _check_remembered(values, problems)
     _check_management(values.get("management"), problems)
-    _check_fleet(values.get("fleet"), values.get("process"), folder, problems)
+    _check_fleet(values, folder, problems)
     known = {key: _names(box, key) for key in LISTS}
     effects = {
         cls.name: cls.effect for cls in reversed([*_read(values, "class_")])
@@ -119,8 +121,9 @@
         problems.add("management.address", text)
 
 
-def _check_fleet(table: FleetTable | None, process: ProcessTable | None, folder: Path,
-                 problems: Problems) -> None:  # fmt: skip
+def _check_fleet(values: Mapping[str, Any], folder: Path, problems: Problems) -> None:
+    table: FleetTable | None = values.get("fleet")
+    process: ProcessTable | None = values.get("process")
     if not isinstance(table, FleetTable):
         return
     if process is not None and process.instances not in (1, table.instances):
@@ -141,11 +144,26 @@
         problems.add(
             "fleet.advertise", f"bind = {table.bind!r} is nowhere that others can reach; say what is"
         )
+    _check_voters(table, values.get("store") is not None, problems)
     if not (folder / table.key_file).is_file():
         text = "is no file; `openssl rand -hex 32` makes a key"
         problems.add("fleet.key_file", f"{table.key_file!r} in {folder} {text}")
 
 
+def _check_voters(table: FleetTable, has_store: bool, problems: Problems) -> None:
+    if table.name in table.voters and not has_store:
+        problems.add(
+            "fleet.voters", f"{table.name!r} votes, and its votes need a [store] that outlasts restarts"
+        )
+    if len(set(table.voters)) != len(table.voters) or len(table.voters) > VOTERS_MOST:
+        problems.add("fleet.voters", f"each name once, at most {VOTERS_MOST}; five or seven are usual")
+    if table.stale_most < 1.0:
+        problems.add(
+            "fleet.stale_most",
+            f"{table.stale_most:g}s; at least 1s is wanted, so that some words may be lost",
+        )
+
+
 def _check_class(cls: ClassTable, problems: Problems) -> None:
     at = f"class[{cls.name}]"
     if not 0 < cls.aim <= cls.deadline:
--- a/spokemast/config/types.py
+++ b/spokemast/config/types.py
@@ -313,6 +313,13 @@
     zone: Annotated[str, Meta(max_length=48)] = ""
     instances: Count = 1  # how many there should be
     profile: Literal["lan", "wan", "swift"] = "lan"
+    voters: list[
+        Name
+    ] = []  # instances whose majority decides on operators' words, to begin with; none: each by itself
+    stale_most: Duration = Duration(
+        10.0
+    )  # for so long an instance may act on an older version than the fleet's
+    cut_off: Literal["refuse", "serve"] = "refuse"  # what one does that can't learn the fleet's for so long
 
 
 class File(Struct, frozen=True, kw_only=True):
--- a/spokemast/control/calls.py
+++ b/spokemast/control/calls.py
@@ -22,6 +22,10 @@
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 
 
+#: Seconds for which a fleet's instances are waited for if nobody says, and at most.
+WAIT_S, WAIT_MOST_S = 4.0, 80.0
+
+
 class CallError(ValueError):
     """A call that can't be done; says why. `status`: 400 for its form, 404 for what is not there, 409 for a state."""
 
@@ -45,6 +49,11 @@
     share: Annotated[float, Meta(ge=0, le=1)] | None = None  # of the pool's requests
     level: Literal["debug", "info", "warning", "error"] | None = None  # of the log
     last: bool = False  # also where it leaves a pool without any member
+    here: bool = False  # at this instance alone, where a fleet has one state
+    if_version: Annotated[int, Meta(ge=0)] | None = None  # only right after this version of the fleet's state
+    wait: str | None = None  # a duration for which all are waited for that have not confirmed
+    name: Name | None = None  # of an instance
+    roster: list[Name] = []  # of instances
 
 
 #: What each verb wants beside `by`, and what it does in a line.
@@ -76,6 +85,7 @@
     members: tuple[str, ...]
     until: float
     address: tuple[str, int] | None
+    wait: float = 0.0  # seconds for which those are waited for that have not confirmed
 
 
 class Operated(Protocol):
@@ -87,6 +97,12 @@
     def readable(self, what: str) -> bool:
         """Whether it can be read beside READS."""
 
+    def ask(self, what: str, done: Callable[[Any], None]) -> bool:
+        """Whether it is one of those that others have to be asked for; `done` hears it later."""
+
+    def verbs(self) -> Mapping[str, tuple[frozenset[str], str]]:
+        """Changes beside VERBS."""
+
     def why(self, request: str) -> Any:
         """The decisions of a recent request, by its id; CallError where it is not known."""
 
@@ -95,11 +111,11 @@
         can't be."""
 
 
-def read_change(verb: str, body: bytes) -> Change:
+def read_change(verb: str, body: bytes, verbs: Mapping[str, tuple[frozenset[str], str]] = VERBS) -> Change:
     """CallError with all that is wrong with the form of a call."""
-    wanted = VERBS.get(verb)
+    wanted = verbs.get(verb)
     if wanted is None:
-        raise CallError(404, f"there is no verb {verb!r}; there are: {', '.join(VERBS)}")
+        raise CallError(404, f"there is no verb {verb!r}; there are: {', '.join(verbs)}")
     try:
         order = msgspec.json.decode(body or b"{}", type=Order)
     except (msgspec.ValidationError, msgspec.DecodeError) as problem:
@@ -108,10 +124,11 @@
     members = tuple(dict.fromkeys([*([order.member] if order.member else []), *order.members]))
     given = {
         name
-        for name in ("pool", "weight", "address", "level", "other", "share")
+        for name in ("pool", "weight", "address", "level", "other", "share", "name")
         if getattr(order, name) is not None
     }
     given |= {"member"} if members else set()
+    given |= {"roster"} if order.roster else set()
     if missing := names - given:
         raise CallError(400, f"{verb} wants {', '.join(sorted(missing))}")
     if extra := given - names:
@@ -119,9 +136,10 @@
     try:
         until = float(Duration.read(order.until)) if order.until is not None else 0.0
         address = read_address(order.address) if order.address is not None else None
+        wait = float(Duration.read(order.wait)) if order.wait is not None else WAIT_S
     except ValueError as problem:
         raise CallError(400, str(problem)) from None
-    return Change(verb, order, members, until, address)
+    return Change(verb, order, members, until, address, min(wait, WAIT_MOST_S))
 
 
 class Desk:
@@ -145,16 +163,18 @@
         if method == "GET" and what.startswith("why/"):
             say(_json(200, self.operated.why(unquote(what.removeprefix("why/")))))
         elif method == "GET":
+            if self.operated.ask(what, lambda found: say(_json(200, found))):
+                return
             if what not in READS and not self.operated.readable(what):
                 raise CallError(404, f"{what!r} can't be read; there are: {', '.join(READS)}")
-            verbs = {verb: text for verb, (_, text) in VERBS.items()}
+            verbs = {verb: text for verb, (_, text) in {**VERBS, **self.operated.verbs()}.items()}
             say(_json(200, verbs if what == "verbs" else self.operated.read(what)))
         elif method != "POST":
             raise CallError(405, "GET reads, POST changes")
         elif self.reads_only:
             raise CallError(403, "this is for reading alone")
         else:
-            change = read_change(what, body)
+            change = read_change(what, body, {**VERBS, **self.operated.verbs()})
             if self.by is not None:
                 change = replace(change, order=msgspec.structs.replace(change.order, by=self.by))
             self.operated.change(change, lambda now: say(_json(200, now)))
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -84,6 +84,7 @@
         self.marks: Marks | None = None  # what operators say of members, where they can
         self.fresh = False  # a list has come since the start, or a change to one
         self.closed = False
+        self.fence: Callable[[], bool] | None = None  # whether this instance may act, where a fleet says so
         dialect = dialect or Dialect(
             report_fields=deployment.settings.report_fields, stream_most=STREAM_MOST, close_delimited=True
         )
@@ -241,6 +242,10 @@
             attempt.drop()
             self.finish_attempt(attempt, Result.CANCELLED)
 
+    def is_shut_out(self) -> bool:
+        """Whether the fleet goes on without this instance: what comes is told to return."""
+        return self.fence is not None and not self.fence()
+
     def has_room(self) -> bool:
         """Whether one more request may be open.
 
--- a/spokemast/core/trace.py
+++ b/spokemast/core/trace.py
@@ -8,7 +8,7 @@
 
 import re
 from collections import OrderedDict
-from typing import Any, NamedTuple, Sequence, Union
+from typing import Any, Callable, NamedTuple, Sequence, Union
 
 from spokemast import interface as api
 from spokemast.choice import Balancer
@@ -34,6 +34,7 @@
     at: float  # seconds, on the module's clock
     step: Step
     seen: Seen | None
+    version: int | None = None  # of the fleet's state, under which it was sent
 
 
 class Record:
@@ -61,6 +62,7 @@
         self.most = most
         self._records: OrderedDict[int, Record] = OrderedDict()  # by the pool's own numbers, the oldest first
         self._names: dict[str, int] = {}
+        self.version: Callable[[], int] | None = None  # of the fleet's state, where there is one
 
     def note(self, now: float, event: api.Event, actions: Sequence[api.Action], balancer: Balancer,
              head: bytes) -> None:  # fmt: skip
@@ -73,7 +75,9 @@
         for action in actions:
             number = getattr(action, "request", None)
             if isinstance(number, int) and (record := self._records.get(number)) is not None:
-                record.note(Told(now, action, see(balancer, action)))
+                sent = isinstance(action, api.Send) and self.version is not None
+                version = self.version() if sent and self.version is not None else None
+                record.note(Told(now, action, see(balancer, action), version))
 
     def _begin(self, number: int, head: bytes) -> None:
         match = _ID.search(head)
@@ -123,6 +127,7 @@
         box = {"what": "sent", "member": step.server, "timeout_s": round(step.timeout, 3)}
         if told.seen is not None:
             box |= told.seen._asdict()
+        box["version"] = told.version
     elif isinstance(step, api.Outcome):
         box = {"what": f"attempt {step.attempt} ended", "member": step.server,
                "result": api.Result(step.result).name.lower(), "took_s": round(step.took, 3),
--- /dev/null
+++ b/spokemast/daemon/agreed.py
@@ -0,0 +1,513 @@
+"""What a fleet has agreed on, at one of its daemons: the pure parts (versions, fence, catching up) between the link,
+the store and what operators say here.
+
+A change is in force at an instance before it says so to anybody; a vote is on disk before it is told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Any, Callable, Iterator, cast
+
+import msgspec
+from blake3 import blake3
+
+from spokemast.config.types import FleetTable
+from spokemast.control.calls import CallError
+from spokemast.control.calls import Change as Order
+from spokemast.daemon.parts import Runs
+from spokemast.daemon.votes import Identity, all_items, keep_items, keep_vote, load, open_identity, snapshot
+from spokemast.fleet import ballots as form
+from spokemast.fleet.catchup import Giver, Taker
+from spokemast.fleet.confirm import Confirming
+from spokemast.fleet.epochs import Epoch, describe, merge
+from spokemast.fleet.facts import Standing
+from spokemast.fleet.fence import Fence
+from spokemast.fleet.link import Link
+from spokemast.fleet.messages import Message
+from spokemast.fleet.state import (
+    Change, FreezeBody, MarkBody, MoveBody, RecoverBody, RosterBody, Said, StateError, write_body,
+)  # fmt: skip
+from spokemast.fleet.versions import (
+    Action, Catch, Ended, Event, Heard, Keep, Propose, Say, Tock, Took, TookWhole, Versions,
+)  # fmt: skip
+from spokemast.fleet.view import View as FleetView
+from spokemast.interface import Result
+from spokemast.store.errors import StoreError
+from spokemast.store.keeper import Store, View
+
+if TYPE_CHECKING:
+    from spokemast.daemon.control import Control
+
+#: What instances tell one another of the program that they run.
+BUILD = "0.1.0"
+#: Seconds that a change has to be accepted, beside what its operator waits for those who confirm.
+ACCEPT_S = 3.0
+#: Seconds between two looks at those who have not confirmed, and at what ends by its time.
+CONFIRM_S, ENDS_S = 0.02, 0.5
+#: Versions of which it is kept when they were taken up here.
+HISTORY_MOST = 64
+#: Bytes a second that stragglers get of the state, all together, and those at once.
+GIVE_BYTES_S = 4 << 20
+MARKS = ("drain", "cordon", "uncordon", "weight", "add", "remove")
+
+
+def clock() -> float:
+    """Seconds that also pass while the machine sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Agreed:
+    """One daemon's. The daemon's fleet owns it; `end` stops its timer."""
+
+    def __init__(
+        self, daemon: Runs, table: FleetTable, link: Link, view: FleetView, store: Store | None
+    ) -> None:
+        self.daemon, self.table, self.link, self.view, self.store = daemon, table, link, view, store
+        self.complain = daemon.complain
+        self.name = table.name
+        self.fence = Fence(float(table.stale_most), table.cut_off == "serve")
+        self.said = Said(dict.fromkeys(table.voters, ""))
+        source = random.SystemRandom()
+        identity = Identity("", 0)
+        vote: form.Vote | None = None
+        met: dict[str, form.Met] = {}
+        log: dict[int, Change] = {}
+        if store is not None:
+            kept = View(store.engine)  # before the store's thread has anything to do
+            identity = open_identity(kept, source)
+            vote, met, log = load(kept, self.said)
+            self._identity: Identity | None = identity
+        self.versions = Versions(table.name, "", identity.opened, self.said, random.Random(source.getrandbits(60)),
+                                 self.fence.let_on)  # fmt: skip
+        self.versions.log, self.versions.met = log, met
+        if vote is not None and vote.slot == self.said.version + 1:
+            self.versions.vote = vote
+        self._store_name = identity.store
+        self.giver, self.taker = Giver(self.versions), Taker()
+        first = Epoch(self.said.version, "as kept", "", time.time())
+        self.history: deque[Epoch] = deque([first], maxlen=HISTORY_MOST)
+        self._orders: dict[str, tuple[Order, Callable[[Any], None], float]] = {}
+        self._confirming: list[tuple[Confirming, Order, Callable[[Any], None], float]] = []
+        self._ends: dict[tuple[str, ...], tuple[int, float]] = {}  # what ends by its time: version and when
+        self._ends_at = 0.0
+        self._ids = 0
+        self._tag = f"{table.name}-{source.getrandbits(48):x}"
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._catching: asyncio.Task[None] | None = None
+        self._ended = False
+        link.ruling, link.streams = self._hear, self.answer
+
+    @property
+    def control(self) -> Control:
+        return cast("Control", self.daemon.parts["control"])
+
+    # Life.
+
+    def start(self) -> None:
+        """Vote once it is on disk that this store was opened again."""
+        self._restore()
+        self.versions.card = self._card()
+        if self.store is not None and self._identity is not None:
+            data = self._identity
+
+            def job(view: View) -> None:
+                view.put(b"fleet/store", msgspec.msgpack.encode(data))
+
+            def opened(_: None, problem: StoreError | None) -> None:
+                if problem is None:
+                    self.versions.store = self._store_name
+                else:
+                    self.complain("fleet: this instance does not vote", problem)
+
+            self.store.do(job, opened)
+        self._tick()
+
+    def end(self) -> None:
+        self._ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._catching is not None:
+            self._catching.cancel()
+        for _, done, _ in self._orders.values():
+            done({"error": "this instance ends; it is not known whether the change stands"})
+        self._orders.clear()
+
+    def _restore(self) -> None:
+        """What was kept is in force from the start."""
+        for pool, marks in self.said.marks.items():
+            for member in marks:
+                self._in_force(("mark", pool, member))
+        for pool in self.said.moves:
+            self._in_force(("move", pool))
+        for pool in self.said.frozen:
+            self._in_force(("freeze", pool))
+
+    def _card(self) -> dict[str, str]:
+        """What else this instance runs under, for people."""
+        plan = self.daemon.plan
+        found = {"build": BUILD, "store": self._store_name}
+        if plan is not None:
+            found["config"] = blake3(plan.path.read_bytes()).hexdigest(4)
+        for name, pool in sorted(self.daemon.pools.items())[:8]:
+            listed = ",".join(sorted(pool.overlay.listed()))
+            found[f"list {name}"[:64]] = blake3(listed.encode()).hexdigest(4)
+        return found
+
+    # Time.
+
+    def _tick(self) -> None:
+        if self._ended:
+            return
+        now = clock()
+        living = tuple(
+            peer.fact.name for peer in self.view.table.living if peer.fact.standing == Standing.ALIVE
+        )
+        self._hand(Tock(living))
+        if now >= self.fence.due:
+            number = self.fence.ask(now)
+            for name in self.said.roster:
+                self._send(name, form.Renew(number, self.said.version))
+        if now >= self._ends_at:
+            self._ends_at = now + ENDS_S
+            self._end_by_time(now)
+            self.versions.card = self._card()
+        self._look_at_confirming(now)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._ended:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        due = min(self.versions.due, self.fence.due, self._ends_at)
+        wait = min(max(0.002, due - clock()), CONFIRM_S if self._confirming else ENDS_S)
+        self._timer = self._loop.call_later(wait, self._tick)
+
+    def _end_by_time(self, now: float) -> None:
+        """Whoever sees the end of a mark first says so to all; a word that was said since is not touched."""
+        for key, (version, at) in list(self._ends.items()):
+            if now < at:
+                continue
+            self._ends[key] = version, now + 10.0  # if that comes to nothing
+            if key[0] == "mark":
+                body: Any = MarkBody(key[1], {key[2]: None}, 0.0, version)
+            else:
+                body = MoveBody(key[1], None, 0.0, version)
+            self._propose(
+                Change(self._id(), key[0], write_body(body), self.name, "its time is over", time.time())
+            )
+
+    def _id(self) -> str:
+        self._ids += 1
+        return f"{self._tag}-{self._ids}"
+
+    def _propose(self, change: Change, if_version: int = -1) -> None:
+        self._hand(Propose(change, clock() + ACCEPT_S, if_version))
+        self._schedule()
+
+    # Messages.
+
+    def _send(self, to: str, message: Message) -> None:
+        if to == self.name:
+            self._loop.call_soon(self._hear, to, message)
+            return
+        peer = self.view.table.get(to)
+        if peer is not None:
+            self.link.tell(peer.fact.address, peer.fact.boot, message)
+
+    def _hear(self, sender: str, message: Message) -> None:
+        if self._ended:
+            return
+        now = clock()
+        if isinstance(message, form.Renew):
+            self.versions.at[sender] = max(message.version, self.versions.at.get(sender, 0))
+            if self.versions.votes:
+                self.fence.let(now, sender)
+                self._send(sender, form.Renewed(message.number, self.versions.accepted_top, now))
+        elif isinstance(message, form.Renewed):
+            self.fence.heard(now, message.number, sender, message.top, message.clock, self.said.majority,
+                             self.said.version)  # fmt: skip
+        else:
+            self._hand(Heard(sender, message))  # type: ignore[arg-type]
+            self._look_at_confirming(now)
+            self._schedule()
+
+    def _hand(self, event: Event) -> None:
+        self._do(self.versions.handle(clock(), event))
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Say):
+                self._send(action.to, action.message)
+            elif isinstance(action, Keep):
+                self._keep(action)
+            elif isinstance(action, Took):
+                self._took(action)
+            elif isinstance(action, TookWhole):
+                self._took_whole()
+            elif isinstance(action, Catch):
+                self._catch(action.name)
+            elif isinstance(action, Ended):
+                self._ended_order(action)
+
+    def _keep(self, action: Keep) -> None:
+        """A vote that can't be kept is not told; the proposer asks again, or goes on without this voter."""
+        if self.store is None:
+            return
+
+        def done(_: None, problem: StoreError | None) -> None:
+            if problem is not None:
+                self.complain("fleet: a vote could not be kept", problem)
+                return
+            for say in action.then:
+                self._send(say.to, say.message)
+
+        self.store.do(lambda view: keep_vote(view, action.vote, action.met), done)
+
+    # What is in force.
+
+    def _took(self, action: Took) -> None:
+        change = action.change
+        self.history.append(Epoch(action.version, describe(change), change.by, time.time()))
+        for touched in action.touched:
+            self._in_force(touched)
+        self.fence.settle(self.said.majority, self.said.version)
+        if self.store is not None:
+            items = snapshot(self.said, action.touched)
+            self.store.do(lambda view: keep_items(view, items, action.version, change), self._kept)
+
+    def _took_whole(self) -> None:
+        self.history.append(Epoch(self.said.version, "the whole state", "", time.time()))
+        control = self.control
+        for pool, marks in list(control.marks.items()):
+            for member in list(marks):
+                if member not in self.said.marks.get(pool, {}):
+                    control.put_mark(pool, member, None)
+        for pool in list(control.moves):
+            if pool not in self.said.moves:
+                control.put_move(pool, None)
+        self._restore()
+        self.fence.settle(self.said.majority, self.said.version)
+        if self.store is not None:
+            items, version = all_items(self.said), self.said.version
+            self.store.do(lambda view: keep_items(view, items, version, None), self._kept)
+
+    def _kept(self, _: None, problem: StoreError | None) -> None:
+        if problem is not None:
+            self.complain("fleet: a change is in force and could not be kept", problem)
+
+    def _in_force(self, touched: tuple[str, ...]) -> None:
+        kind, *names = touched
+        stands: Any = None
+        if kind == "mark":
+            stands = self.said.marks.get(names[0], {}).get(names[1])
+            self.control.put_mark(names[0], names[1], stands[0] if stands is not None else None)
+        elif kind == "move":
+            stands = self.said.moves.get(names[0])
+            self.control.put_move(names[0], stands[0] if stands is not None else None)
+        elif kind == "freeze":
+            self.control.put_freeze(names[0], names[0] in self.said.frozen)
+        if stands is not None and stands[1]:
+            self._ends[touched] = stands[2], clock() + stands[1]
+        else:
+            self._ends.pop(touched, None)
+
+    # At each send.
+
+    def bars(self, pool: str, stays: bool) -> Callable[[str], Result | None]:
+        """What a pool asks ahead of each send to a member. `stays`: sessions go on at a draining member."""
+        fence, marks = self.fence, self.control.marks
+
+        def ask(member: str) -> Result | None:
+            now = clock()
+            if not fence.may_act(now):
+                return Result.NOT_SENT
+            mark = marks.get(pool, {}).get(member)
+            if mark is not None and (mark.word == "cordon" or (mark.word == "drain" and not stays)):
+                return Result.NO_CONNECTION  # said while this waited for its connection; others may take it
+            epoch = self.history[-1]
+            epoch.sends += 1
+            epoch.last = now
+            return None
+
+        return ask
+
+    def may_act(self) -> bool:
+        return self.fence.may_act(clock())
+
+    # What operators say here.
+
+    def change(self, order: Order, done: Callable[[Any], None]) -> bool:
+        if order.order.here and order.verb in (*MARKS, "move", "freeze", "thaw"):
+            return False
+        body = self._body(order)
+        if body is None:
+            return False
+        kind, struct = body
+        try:
+            change = Change(
+                self._id(), kind, write_body(struct), order.order.by, order.order.reason, time.time()
+            )
+            self.said.check(change)
+        except StateError as problem:
+            raise CallError(409, str(problem)) from None
+        if kind == "recover":
+            self._recover(change, order, done)
+            return True
+        if_version = -1 if order.order.if_version is None else order.order.if_version
+        self._orders[change.id] = order, done, clock()
+        self._propose(change, if_version)
+        return True
+
+    def _body(self, order: Order) -> tuple[str, msgspec.Struct] | None:
+        said, verb = order.order, order.verb
+        if verb in MARKS:
+            return "mark", MarkBody(said.pool or "", self.control.planned(order), order.until)
+        if verb == "move":
+            return "move", MoveBody(said.pool or "", self.control.planned_move(order), order.until)
+        if verb in ("freeze", "thaw"):
+            return "freeze", FreezeBody(said.pool or "", verb == "freeze")
+        if verb == "fleet/enrol":
+            return "roster", RosterBody(said.name or "", self._store_of(said.name or ""))
+        if verb == "fleet/expel":
+            return "roster", RosterBody(said.name or "", "")
+        if verb == "fleet/recover":
+            return "recover", RecoverBody({name: self.said.roster.get(name, "") for name in said.roster})
+        return None
+
+    def _store_of(self, name: str) -> str:
+        """Of one that is to vote: the store that it has said its votes are kept in."""
+        met = self.versions.cards.get(name, {}).get("store", "")
+        if name == self.name:
+            met = self._store_name
+        if not met:
+            raise CallError(
+                409, f"{name!r} has not said where its votes are kept; it has to live, with a [store]"
+            )
+        return met
+
+    def _recover(self, change: Change, order: Order, done: Callable[[Any], None]) -> None:
+        """The operator's way out after a majority was lost for good. Guards against use while there is one."""
+        if not order.order.last:
+            raise CallError(
+                409, "this lets a minority go on without those who may know more; say last if it is meant"
+            )
+        if self.fence.is_open(clock()):
+            raise CallError(409, "a majority answers; nothing has to be recovered")
+        if self.name not in order.order.roster:
+            raise CallError(409, f"{self.name!r}, where this is said, has to be on the new roster")
+        self._do(self.versions.recover(change))
+        self.complain(
+            "fleet: recovered by an operator", f"{order.order.by}: {', '.join(order.order.roster)} vote now"
+        )
+        done({"version": self.said.version, "holds": True, "roster": dict(self.said.roster)})
+
+    def _ended_order(self, ended: Ended) -> None:
+        found = self._orders.pop(ended.id, None)
+        if found is None:
+            return
+        order, done, began = found
+        if not ended.version:
+            done({"error": ended.why})
+            return
+        accepted = clock()
+        confirming = Confirming(ended.version, accepted, ended.lessees, self.fence.lasts, self.fence.serves)
+        self._confirming.append((confirming, order, done, began + max(order.wait, 0.05)))
+        self._look_at_confirming(accepted)
+
+    def _look_at_confirming(self, now: float) -> None:
+        if not self._confirming:
+            return
+        at = {**self.versions.at, self.name: self.said.version}
+        known = [p.fact.name for p in self.view.table if p.fact.standing != Standing.LEFT]
+        left = [p.fact.name for p in self.view.table if p.fact.standing == Standing.LEFT]
+        waiting = []
+        for item in self._confirming:
+            confirming, order, done, until = item
+            found = confirming.look(now, at, [*known, self.name], left)
+            if not found.holds and now < until:
+                waiting.append(item)
+                continue
+            box: dict[str, Any] = {"version": confirming.version, "holds": found.holds}
+            if not found.holds:
+                box["missing"], box["until_s"] = list(found.missing), found.until
+            done({**self.control.told(order), **box})
+        self._confirming = waiting
+
+    # Those who are behind.
+
+    def _catch(self, name: str) -> None:
+        if self._catching is None or self._catching.done():
+            self._catching = self._loop.create_task(self._catch_up(name))
+
+    async def _catch_up(self, name: str) -> None:
+        """Ask one for what is lacking; what has come outlasts a cut."""
+        peer = self.view.table.get(name)
+        if peer is None:
+            return
+        try:
+            want = self.taker.want(self.said.version)
+            async for message in self.link.ask(peer.fact.address, peer.fact.boot, want):
+                if not isinstance(message, (form.Entries, form.Slice)):
+                    raise ValueError("neither changes nor a state")
+                found, last = self.taker.take(message)
+                if found is not None:
+                    self._hand(found)
+                    self._do(self.versions.tell_all())
+                if last:
+                    break
+        except (OSError, ValueError, asyncio.IncompleteReadError, TimeoutError) as problem:
+            self.link.counts["catching up failed"] += 1
+            self.complain("fleet: catching up was cut", f"{name}: {problem}")
+        self._schedule()
+
+    def answer(self, message: Message) -> Iterator[tuple[Message, float]] | None:
+        """What a stream that begins so gets: each message, and the seconds that are waited after it."""
+        if isinstance(message, form.Want):
+            return ((part, len(part.data) / GIVE_BYTES_S if isinstance(part, form.Slice) else 0.0)
+                    for part in self.giver.answer(message))  # fmt: skip
+        if isinstance(message, form.Asked) and message.what == "fleet/versions":
+            return iter([(form.Answered(msgspec.json.encode(self.local())), 0.0)])
+        return None
+
+    # What operators read.
+
+    def standing(self) -> dict[str, Any]:
+        now, versions = clock(), self.versions
+        return {
+            "version": self.said.version, "known": versions.top, "behind": versions.behind,
+            "why": versions.stuck or None, "votes": versions.votes, "lost_state": versions.lost or None,
+            "shut_out": not self.fence.may_act(now), "lease_s": round(max(0.0, self.fence.until - now), 2),
+            "drift": self.fence.drifts or None, "roster": sorted(self.said.roster),
+        }  # fmt: skip
+
+    def local(self) -> dict[str, Any]:
+        """This instance's part of `fleet versions`."""
+        now, wall = clock(), time.time()
+        rows = [one.row(wall - now) for one in self.history]
+        return {"instance": self.name, **self.standing(), "card": self.versions.card, "epochs": rows}
+
+    def collect(self, done: Callable[[Any], None]) -> None:
+        """All instances' parts; who could not be asked is named."""
+        self._loop.create_task(self._collect(done))
+
+    async def _collect(self, done: Callable[[Any], None]) -> None:
+        peers = [peer for peer in self.view.table if peer.fact.standing != Standing.LEFT]
+        found = await asyncio.gather(*(self._ask(peer.fact.address, peer.fact.boot) for peer in peers))
+        instances = [self.local(), *(one for one in found if one is not None)]
+        unknown = [peer.fact.name for peer, one in zip(peers, found, strict=True) if one is None]
+        done(merge(instances, unknown))
+
+    async def _ask(self, address: tuple[str, int], boot: int) -> dict[str, Any] | None:
+        try:
+            async for message in self.link.ask(address, boot, form.Asked("fleet/versions"), 2.0):
+                if isinstance(message, form.Answered):
+                    return msgspec.json.decode(message.body, type=dict[str, Any])
+        except (OSError, ValueError, asyncio.IncompleteReadError, TimeoutError):
+            pass
+        return None
--- a/spokemast/daemon/fleet.py
+++ b/spokemast/daemon/fleet.py
@@ -8,9 +8,12 @@
 from pathlib import Path
 from typing import Any, Callable, Mapping
 
+from spokemast.config.plan import Plan
 from spokemast.config.reader import ConfigError, Problem, read_address
 from spokemast.config.types import FleetTable
+from spokemast.control.calls import Change
 from spokemast.control.learnt import FleetNote
+from spokemast.daemon.agreed import Agreed
 from spokemast.daemon.parts import Part, Runs
 from spokemast.fleet import report
 from spokemast.fleet.events import Action, Leave, Passed
@@ -22,6 +25,12 @@
 from spokemast.tls.files import read, stamps
 from spokemast.tls.pairs import PairError
 
+#: What operators say of the roster, beside what they say of pools.
+VERBS = {
+    "fleet/enrol": (frozenset(("name",)), "an instance votes from now on, by the store that it has"),
+    "fleet/expel": (frozenset(("name",)), "an instance votes no more"),
+    "fleet/recover": (frozenset(("roster",)), "a minority goes on alone, after a majority was lost for good"),
+}
 #: How often the key's file is looked at, in seconds.
 KEY_LOOK_S = 1.0
 
@@ -39,7 +48,7 @@
 class Fleet(Part):
     """One for a daemon with `[fleet]`. It owns the link; `end` gives its sockets back."""
 
-    def __init__(self, daemon: Runs, table: FleetTable, base: Path) -> None:
+    def __init__(self, daemon: Runs, table: FleetTable, base: Path, made: Mapping[str, Part]) -> None:
         """ConfigError where the key or the address can't be had."""
         self.daemon, self.table, self.complain = daemon, table, daemon.complain
         self._key_path = base / table.key_file
@@ -64,6 +73,12 @@
         taken = daemon.taken
         claimed = (None, None) if taken is None else (taken.claim_datagrams(bound), taken.claim(bound))
         self.link = Link(self.view, table.name, boot, sealer, bound, note, claimed)
+        self.agreed: Agreed | None = None
+        if table.voters:
+            memory: Any = made.get("store")
+            self.agreed = Agreed(
+                daemon, table, self.link, self.view, memory.store if memory is not None else None
+            )
 
     def serve(self) -> None:
         """Take part from now on. Of a place that was taken over, nobody sees a death."""
@@ -72,6 +87,30 @@
         if learnt is not None and learnt.fleet is not None and learnt.fleet.name == self.table.name:
             first = self.view.resume(time.monotonic(), learnt.fleet.life, learnt.fleet.facts)
         self.link.start(first)
+        if self.agreed is not None:
+            self.agreed.start()
+            self.reload(self.daemon.plan)
+
+    def reload(self, plan: Plan | None) -> None:
+        """Pools ask the fence ahead of each send, and give the version to whoever asks why."""
+        agreed = self.agreed
+        if agreed is None or plan is None:
+            return
+        for name, pool in self.daemon.pools.items():
+            stays = plan.pools[name].table.sticky_while_draining
+            pool.proxy.backends.barred = agreed.bars(name, stays)
+            pool.proxy.fence = agreed.may_act
+            if pool.proxy.trace is not None:
+                pool.proxy.trace.version = lambda: agreed.said.version
+
+    def more_verbs(self) -> Mapping[str, tuple[frozenset[str], str]]:
+        return VERBS if self.agreed is not None else {}
+
+    def take_change(self, change: Change, done: Callable[[Any], None]) -> bool:
+        return self.agreed is not None and self.agreed.change(change, done)
+
+    def asks(self) -> Mapping[str, Callable[[Callable[[Any], None]], None]]:
+        return {"fleet/versions": self.agreed.collect} if self.agreed is not None else {}
 
     def note(self) -> FleetNote:
         """What a successor goes on from."""
@@ -116,7 +155,11 @@
     def figures(self) -> Mapping[str, Any]:
         found = report.status(self.view, time.monotonic())
         keys = ("state", "settled", "digest", "living", "suspected", "dead")
-        return {"fleet": {key: found[key] for key in keys}}
+        box = {key: found[key] for key in keys}
+        if self.agreed is not None:
+            standing = self.agreed.standing()
+            box |= {key: standing[key] for key in ("version", "behind", "shut_out")}
+        return {"fleet": box}
 
     def reads(self) -> Mapping[str, Callable[[], Any]]:
         return {"fleet/members": self._read_members, "fleet/status": self._read_status}
@@ -128,6 +171,8 @@
         now = time.monotonic()
         found = report.status(self.view, now)
         count = self.share.look(now, self.view.fleet, bool(found["settled"]))
+        if self.agreed is not None:
+            found["agreed"] = self.agreed.standing()
         return found | {
             "counted_with": count.instances, "counted_as": count.standing,
             "keys": [f"{number:02x}" for number in self.link.sealer.keys],
@@ -136,5 +181,7 @@
 
     def end(self) -> None:
         """Leave politely, unless the place has passed on."""
+        if self.agreed is not None:
+            self.agreed.end()
         self.link.hand(Leave())
         self.link.close()
--- a/spokemast/daemon/parts.py
+++ b/spokemast/daemon/parts.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any, Callable, Mapping, Protocol
 
 from spokemast.config.plan import Plan
+from spokemast.control.calls import Change
 from spokemast.daemon.pools import RunningPool
 from spokemast.fronts.listener import Listener
 from spokemast.limits import Complaints
@@ -51,6 +52,18 @@
         """What operators can read of it, by the path of the call."""
         return {}
 
+    def asks(self) -> Mapping[str, Callable[[Callable[[Any], None]], None]]:
+        """The same of what others have to be asked for: each is handed who hears it, later."""
+        return {}
+
+    def more_verbs(self) -> Mapping[str, tuple[frozenset[str], str]]:
+        """Changes that operators can ask of it: what each wants, and a line about it."""
+        return {}
+
+    def take_change(self, change: Change, done: Callable[[Any], None]) -> bool:
+        """Whether this is its matter; CallError where it can't be done. `done` hears once, later, what is now true."""
+        return False
+
     def end(self) -> None:
         """Give back all that it owns."""
 
--- a/spokemast/daemon/reading.py
+++ b/spokemast/daemon/reading.py
@@ -4,7 +4,7 @@
 
 import os
 import time
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any, Callable, cast
 
 from spokemast.config.types import ManagementTable
 from spokemast.control.calls import CallError
@@ -46,6 +46,18 @@
                 return found()
         return getattr(self, f"_read_{what}")()
 
+    def ask(self, what: str, done: Callable[[Any], None]) -> bool:
+        for part in self.daemon.parts.values():
+            if (found := part.asks().get(what)) is not None:
+                found(done)
+                return True
+        return False
+
+    def verbs(self) -> dict[str, tuple[frozenset[str], str]]:
+        return {
+            verb: found for part in self.daemon.parts.values() for verb, found in part.more_verbs().items()
+        }
+
     def readable(self, what: str) -> bool:
         """Whether it can be read of a part."""
         return any(what in part.reads() for part in self.daemon.parts.values())
--- /dev/null
+++ b/spokemast/fleet/confirm.py
@@ -0,0 +1,46 @@
+"""Whether a change holds at the whole fleet: who has confirmed it, who may act on an older one, and until when. Pure.
+
+Rules:
+
+1. Who may act at all was let go on by a majority of voters, one of which accepted the change; so those that the
+   accepting voters name are all that have to confirm (`lessees`).
+2. Where that is not known, all that the view knows have to, and the time below has to pass.
+3. An instance that does not confirm is shut out by its own clock `lasts` seconds after the change was accepted, but
+   where it goes on all the same (`cut_off = "serve"`): then only its word counts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Collection, Mapping
+
+
+@dataclass(frozen=True, slots=True)
+class Holds:
+    """`missing`: who has not confirmed. `until`: seconds left by which their time is over; None where it never is."""
+
+    holds: bool
+    missing: tuple[str, ...]
+    until: float | None
+
+
+class Confirming:
+    """One change that stands."""
+
+    def __init__(self, version: int, accepted_at: float, lessees: Collection[str] | None, lasts: float,
+                 serves: bool) -> None:  # fmt: skip
+        """`accepted_at`: on the clock of `look`. `serves`: rule 3's exception holds for all of the fleet."""
+        self.version, self.accepted_at, self.lessees = version, accepted_at, lessees
+        self.lasts, self.serves = lasts, serves
+
+    def look(self, now: float, at: Mapping[str, int], known: Collection[str], left: Collection[str]) -> Holds:
+        """`at`: the versions that instances say they act on. `known`: names of the view, but for those that have left
+        (`left`)."""
+        wanted = (set(known) if self.lessees is None or self.serves else set(self.lessees)) - set(left)
+        missing = tuple(sorted(name for name in wanted if at.get(name, 0) < self.version))
+        remains = max(0.0, self.accepted_at + self.lasts - now)
+        over = remains == 0.0 and not self.serves
+        if self.lessees is None and not self.serves and not over:
+            return Holds(False, missing, remains)
+        holds = not missing or over
+        return Holds(holds, missing, 0.0 if holds else None if self.serves else remains)
--- a/spokemast/fleet/link.py
+++ b/spokemast/fleet/link.py
@@ -11,8 +11,9 @@
 import socket
 import time
 from collections import Counter
-from typing import Callable, Iterable, Protocol
+from typing import AsyncIterator, Callable, Iterable, Iterator, Protocol, get_args
 
+from spokemast.fleet.ballots import Ruling, Streamed
 from spokemast.fleet.events import Action, Arrived, Event, Exchange, Noted, Tell, Tick
 from spokemast.fleet.facts import Fact, weigh
 from spokemast.fleet.messages import (
@@ -41,6 +42,10 @@
 PIECE_FACTS = PIECE_MOST - 512
 
 
+#: Kinds of messages that are not the view's.
+RULINGS, STREAMED = get_args(Ruling), (*get_args(Streamed), Piece)
+
+
 class Protocoled(Protocol):
     """The view, as the sockets see it."""
 
@@ -69,6 +74,8 @@
         self._own: asyncio.Task[None] | None = None  # the exchange that we have begun
         self._in: set[asyncio.Task[None]] = set()
         self._reading = self._closed = False
+        self.ruling: Callable[[str, Message], None] | None = None  # who hears of the versioned state
+        self.streams: Callable[[Message], Iterator[tuple[Message, float]] | None] = lambda message: None
 
     def _sockets(
         self, claimed: tuple[socket.socket | None, socket.socket | None]
@@ -169,9 +176,16 @@
         return self.sealer.seal(Packet(self.name, self.boot, to, self._numbers, message, facts))
 
     def _send(self, tell: Tell) -> None:
-        data = self._packet(tell.to, tell.message, tell.facts)
+        self.tell(tell.address, tell.to, tell.message, tell.facts)
+
+    def tell(self, address: Address, to: int, message: Message, facts: tuple[Fact, ...] = ()) -> None:
+        """One datagram."""
+        data = self._packet(to, message, facts)
+        if len(data) > DATAGRAM_MOST:
+            self.counts["datagrams too long"] += 1
+            return
         try:
-            self.udp.sendto(data, tell.address)
+            self.udp.sendto(data, address)
         except OSError:  # it is lost, as any may be; BlockingIOError is one
             self.counts["datagrams not sent"] += 1
             return
@@ -192,10 +206,18 @@
             self.counts["datagrams in"] += 1
             self.counts["bytes in"] += len(data)
             packet = self._open(data, DATAGRAM_MOST)
-            if packet is not None and not isinstance(packet.message, Piece):
-                self.hand(Arrived(packet))
+            if packet is not None:
+                self._take(packet)
         return READ_MOST
 
+    def _take(self, packet: Packet) -> None:
+        """A datagram goes to whom its message is for."""
+        if not isinstance(packet.message, RULINGS):
+            if not isinstance(packet.message, STREAMED):
+                self.hand(Arrived(packet))
+        elif self.ruling is not None and packet.to == self.boot:
+            self.ruling(packet.sender, packet.message)
+
     def _open(self, data: bytes, most: int) -> Packet | None:
         """None for what is not of the fleet, can't be read, or has come before; each is counted."""
         try:
@@ -268,15 +290,58 @@
             self.counts["exchanges failed"] += 1
 
     async def _answer(self, sock: socket.socket) -> None:
-        """Hear all, then give all."""
+        """Hear all and give all, or what the first message asks for."""
         try:
+            reader, writer = await asyncio.open_connection(sock=sock)
+            try:
+                async with asyncio.timeout(FIRST_S):
+                    first = await self._read_message(reader)
+                found = self.streams(first.message)
+                if found is not None:
+                    await self._write_stream(writer, first.boot, found)
+                    return
+                async with asyncio.timeout(EXCHANGE_S):
+                    boot = await self._read_pieces(reader, 0, first)
+                    await self._write_pieces(writer, boot)
+            finally:
+                writer.close()
+        finally:
+            sock.close()
+
+    async def _write_stream(self, writer: asyncio.StreamWriter, to: int,
+                            messages: Iterator[tuple[Message, float]]) -> None:  # fmt: skip
+        """A peer that does not read is left after EXCHANGE_S without a step."""
+        for message, rest in messages:
+            data = self._packet(to, message, ())
+            writer.write(len(data).to_bytes(4, "big") + data)
+            self.counts["bytes out"] += 4 + len(data)
             async with asyncio.timeout(EXCHANGE_S):
+                await writer.drain()
+            if rest:
+                await asyncio.sleep(rest)
+
+    async def ask(self, address: Address, boot: int, message: Message,
+                  seconds: float = EXCHANGE_S) -> AsyncIterator[Message]:  # fmt: skip
+        """Ask a peer over a connection of its own; its messages in order, each within `seconds` of the one before.
+        OSError, TimeoutError or IncompleteReadError where that comes to nothing."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.bind((self._bind[0], 0))
+            async with asyncio.timeout(seconds):
+                await self._loop.sock_connect(sock, address)
                 reader, writer = await asyncio.open_connection(sock=sock)
-                try:
-                    boot = await self._read_pieces(reader, 0)
-                    await self._write_pieces(writer, boot)
-                finally:
-                    writer.close()
+            try:
+                data = self._packet(boot, message, ())
+                writer.write(len(data).to_bytes(4, "big") + data)
+                while True:
+                    async with asyncio.timeout(seconds):
+                        packet = await self._read_message(reader)
+                    if packet.boot != boot or not isinstance(packet.message, STREAMED):
+                        raise ConnectionError("an answer of another life")
+                    yield packet.message
+            finally:
+                writer.close()
         finally:
             sock.close()
 
@@ -288,20 +353,27 @@
             self.counts["bytes out"] += 4 + len(data)
             await writer.drain()
 
-    async def _read_pieces(self, reader: asyncio.StreamReader, boot: int) -> int:
-        """The life of who has sent them: `boot`, if that is given. ConnectionError for anything but pieces to us."""
+    async def _read_message(self, reader: asyncio.StreamReader) -> Packet:
+        """ConnectionError for anything but a message to this life."""
+        length = int.from_bytes(await reader.readexactly(4), "big")
+        if length > PIECE_MOST:
+            raise ConnectionError(f"a message of {length} bytes; at most {PIECE_MOST}")
+        packet = self._open(await reader.readexactly(length), PIECE_MOST)
+        if packet is None or packet.to != self.boot:
+            raise ConnectionError("not a message for this instance")
+        self.counts["bytes in"] += 4 + length
+        return packet
+
+    async def _read_pieces(self, reader: asyncio.StreamReader, boot: int, first: Packet | None = None) -> int:
+        """The life of who has sent them: `boot`, if that is given. ConnectionError for anything but pieces to us.
+        `first`: one that has been read."""
         for number in range(PIECES_MOST):
-            async with asyncio.timeout(FIRST_S if number == 0 else None):
-                length = int.from_bytes(await reader.readexactly(4), "big")
-                if length > PIECE_MOST:
-                    raise ConnectionError(f"a piece of {length} bytes; at most {PIECE_MOST}")
-                packet = self._open(await reader.readexactly(length), PIECE_MOST)
-            if packet is None or not isinstance(packet.message, Piece) or packet.to != self.boot:
-                raise ConnectionError("not a piece for this instance")
+            packet, first = first or await self._read_message(reader), None
+            if not isinstance(packet.message, Piece):
+                raise ConnectionError("not a piece")
             boot = boot or packet.boot
             if packet.boot != boot or packet.message.number != number:
                 raise ConnectionError("a piece of another exchange")
-            self.counts["bytes in"] += 4 + length
             self.hand(Arrived(packet))
             if packet.message.last:
                 return boot
--- a/spokemast/fleet/messages.py
+++ b/spokemast/fleet/messages.py
@@ -18,6 +18,7 @@
 from blake3 import blake3
 from msgspec import Meta, Raw, Struct
 
+from spokemast.fleet.ballots import Ruling, Streamed
 from spokemast.fleet.facts import Count, Fact, Host, Name, Port
 
 MARK, VERSION = b"mS", 1
@@ -102,7 +103,8 @@
     last: bool
 
 
-Message = Union[Hello, Here, Ping, Ack, Ask, Nack, Told, Clash, Piece]
+#: What the view is told, and what the versioned state is (ballots.py).
+Message = Union[Hello, Here, Ping, Ack, Ask, Nack, Told, Clash, Piece, Ruling, Streamed]
 
 
 class Packet(Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/spokemast/fleet/state.py
@@ -0,0 +1,220 @@
+"""What operators have said, as one versioned state that all instances share. Pure.
+
+Rules:
+
+1. A version is the number of changes so far; the same changes in the same order make the same state, byte for byte.
+2. A change of a kind that this build does not know is kept and not applied: the instance is behind from there on, and
+   never drops or guesses what it can't read.
+3. The roster (who votes on changes, by name, with the store that holds its votes) is part of the state; one change
+   moves it by one step, so that a majority before and a majority after always share a voter.
+4. Times at which something ends are durations here: each instance counts them on its own clock from when it took the
+   change up, and the end is a change like any other, so a clock that is hours off ends nothing early.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Mapping
+
+import msgspec
+from blake3 import blake3
+from msgspec import Meta, Struct
+
+from spokemast.members.overlay import Mark
+from spokemast.moves import Move
+
+#: Bytes of one change, so that it goes into a datagram with all that is said about it.
+CHANGE_MOST = 800
+#: Members, pools and names that a state holds at most; past it a change is refused.
+MARKS_MOST = 200_000
+ROSTER_MOST = 64
+
+Text = Annotated[str, Meta(max_length=200)]
+Name = Annotated[str, Meta(min_length=1, max_length=48)]
+
+
+class Change(Struct, frozen=True, array_like=True):
+    """`id`: of whoever proposed it, no other has it. `body`: by kind, MessagePack."""
+
+    id: Annotated[str, Meta(max_length=80)]
+    kind: Annotated[str, Meta(max_length=16)]
+    body: Annotated[bytes, Meta(max_length=CHANGE_MOST)]
+    by: Text = ""
+    reason: Text = ""
+    at: float = 0.0  # Unix time at the proposer, for people
+
+
+class MarkBody(Struct, frozen=True, array_like=True):
+    """What stands of these members of a pool from here on; None takes the mark away. `lasts`: seconds, 0 for no end.
+    `of`: only where it was version `of` that has said what stands; 0 in any case."""
+
+    pool: Text
+    marks: dict[str, Mark | None]
+    lasts: float = 0.0
+    of: int = 0
+
+
+class MoveBody(Struct, frozen=True, array_like=True):
+    pool: Text
+    move: Move | None
+    lasts: float = 0.0
+    of: int = 0
+
+
+class FreezeBody(Struct, frozen=True, array_like=True):
+    pool: Text
+    frozen: bool
+
+
+class RosterBody(Struct, frozen=True, array_like=True):
+    """`store`: the store that holds the votes of `name` from here on; empty takes the name off the roster."""
+
+    name: Name
+    store: Annotated[str, Meta(max_length=40)]
+
+
+class RecoverBody(Struct, frozen=True, array_like=True):
+    """An operator's word after a majority was lost for good: who votes from here on."""
+
+    roster: dict[str, str]
+
+
+class StateError(ValueError):
+    """A change that can't be part of the state; says why."""
+
+
+BODIES: Mapping[str, type[Struct]] = {
+    "mark": MarkBody, "move": MoveBody, "freeze": FreezeBody, "roster": RosterBody, "recover": RecoverBody,
+    "nothing": Struct,
+}  # fmt: skip
+
+
+class Whole(Struct, array_like=True):
+    """A state in one piece. Its bytes are the same at all instances of one version."""
+
+    version: int
+    marks: dict[
+        str, dict[str, tuple[Mark, float, int]]
+    ]  # with how long it lasts, and the version that said so
+    moves: dict[str, tuple[Move, float, int]]
+    frozen: list[str]
+    roster: dict[str, str]
+
+
+class Said:
+    """The state. `touched` tells what a change has changed: ("mark", pool, member), ("move", pool) and the like."""
+
+    def __init__(self, roster: Mapping[str, str]) -> None:
+        self.version = 0
+        self.marks: dict[str, dict[str, tuple[Mark, float, int]]] = {}
+        self.moves: dict[str, tuple[Move, float, int]] = {}
+        self.frozen: set[str] = set()
+        self.roster: dict[str, str] = dict(roster)
+        self._count = 0
+
+    @property
+    def majority(self) -> int:
+        return len(self.roster) // 2 + 1
+
+    def knows(self, change: Change) -> bool:
+        return change.kind in BODIES
+
+    def apply(self, change: Change) -> list[tuple[str, ...]]:
+        """Take up the next change. StateError, and nothing has changed, where this build can't read it."""
+        body = read_body(change)
+        self.version += 1
+        if isinstance(body, MarkBody):
+            touched = [member for member in body.marks if self._is_of(body, member)]
+            for member in touched:
+                self._mark(body.pool, member, body.marks[member], body.lasts)
+            return [("mark", body.pool, member) for member in touched]
+        if isinstance(body, MoveBody):
+            if body.of and self.moves.get(body.pool, (None, 0.0, 0))[2] != body.of:
+                return []
+            self.moves.pop(body.pool, None)
+            if body.move is not None:
+                self.moves[body.pool] = body.move, body.lasts, self.version
+            return [("move", body.pool)]
+        if isinstance(body, FreezeBody):
+            (self.frozen.add if body.frozen else self.frozen.discard)(body.pool)
+            return [("freeze", body.pool)]
+        if isinstance(body, RosterBody):
+            if body.store:
+                self.roster[body.name] = body.store
+            else:
+                self.roster.pop(body.name, None)
+            return [("roster", body.name)]
+        if isinstance(body, RecoverBody):
+            self.roster = dict(body.roster)
+            return [("roster", name) for name in body.roster]
+        return []
+
+    def _is_of(self, body: MarkBody, member: str) -> bool:
+        stands = self.marks.get(body.pool, {}).get(member)
+        return not body.of or (stands is not None and stands[2] == body.of)
+
+    def _mark(self, pool: str, member: str, mark: Mark | None, lasts: float) -> None:
+        marks = self.marks.setdefault(pool, {})
+        self._count -= marks.pop(member, None) is not None
+        if mark is not None:
+            marks[member] = mark, lasts, self.version
+            self._count += 1
+        elif not marks:
+            del self.marks[pool]
+
+    def check(self, change: Change) -> None:
+        """StateError where it may not be proposed now."""
+        body = read_body(change)
+        if isinstance(body, MarkBody) and self._count + len(body.marks) > MARKS_MOST:
+            raise StateError(f"{self._count} marks stand; at most {MARKS_MOST}")
+        if isinstance(body, RosterBody):
+            if body.store and body.name not in self.roster and len(self.roster) >= ROSTER_MOST:
+                raise StateError(f"{len(self.roster)} vote; at most {ROSTER_MOST}")
+            if not body.store and body.name not in self.roster:
+                raise StateError(f"{body.name!r} is not on the roster: {', '.join(sorted(self.roster))}")
+            if not body.store and len(self.roster) == 1:
+                raise StateError("the last one who votes can't be taken off")
+
+    # Whole.
+
+    def encode(self) -> bytes:
+        marks = {pool: dict(sorted(those.items())) for pool, those in sorted(self.marks.items())}
+        roster, moves = dict(sorted(self.roster.items())), dict(sorted(self.moves.items()))
+        return msgspec.msgpack.encode(Whole(self.version, marks, moves, sorted(self.frozen), roster))
+
+    def digest(self) -> str:
+        return blake3(self.encode()).hexdigest(16)
+
+    def take_whole(self, data: bytes) -> None:
+        """StateError, and nothing has changed, for bytes that are no state."""
+        try:
+            found = msgspec.msgpack.decode(data, type=Whole)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as problem:
+            raise StateError(f"no state: {problem}") from None
+        self.version, self.marks, self.moves = found.version, found.marks, found.moves
+        self.frozen, self.roster = set(found.frozen), found.roster
+        self._count = sum(map(len, found.marks.values()))
+
+
+def read_body(change: Change) -> Any:
+    kind = BODIES.get(change.kind)
+    if kind is None:
+        raise StateError(f"a change of kind {change.kind!r}, which this build does not know")
+    if kind is Struct:
+        return None
+    try:
+        return msgspec.msgpack.decode(change.body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as problem:
+        raise StateError(f"a change that can't be read: {problem}") from None
+
+
+def write_body(body: Struct) -> bytes:
+    """StateError where it is too long for one change."""
+    data = msgspec.msgpack.encode(body)
+    if len(data) > CHANGE_MOST:
+        raise StateError(
+            f"{len(data)} bytes in one change; at most {CHANGE_MOST}: name fewer members, or say less"
+        )
+    return data
+
+
+NOTHING = Change("", "nothing", b"")
--- /dev/null
+++ b/spokemast/fleet/versions.py
@@ -0,0 +1,574 @@
+"""How instances agree on the next change: Paxos, version by version, without a leader. Pure: events and a time in,
+actions out. Why this and not another way is in docs/design/fleet-versions.md.
+
+Rules:
+
+1. A version is decided once a majority of the roster of the version before it has accepted one change under one ballot.
+2. A voter answers only once its answer is kept (`Keep`), and votes for the version next to the last that it knows.
+3. A proposer takes up what it finds accepted under the greatest ballot; its own change waits for a later version.
+4. A voter whose store was lost, or is older than others have met, does not vote until the roster has it anew (rule 5).
+5. Its new store is put on the roster by a change that a majority accepts without it.
+6. What has been accepted and not decided for a while is finished by whoever holds it, so that no version hangs.
+7. An instance that is behind asks for what it lacks; what it can't read it keeps, and goes no further.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import Callable, Mapping, Union
+
+from spokemast.fleet import ballots as form
+from spokemast.fleet.ballots import NO_BALLOT, Ballot, Met, Ruling, Vote
+from spokemast.fleet.state import NOTHING, Change, RosterBody, Said, StateError, write_body
+
+#: Seconds after which a question that was not answered is asked again, and a ballot is given up.
+AGAIN_S, BALLOT_S = 0.1, 0.6
+#: Between two ballots of one proposer: drawn, and longer with each, so that two do not chase one another.
+BACK_S, BACK_MOST_S = 0.02, 0.4
+#: What is accepted and not decided for so long is finished by who holds it, after a draw of as much again.
+HANGS_S = 0.5
+#: Changes of this instance that wait for their turn.
+WAITING_MOST = 256
+#: Changes that are held for who is behind; past it the whole state is given.
+KEPT = 1024
+#: Seconds between two words on the version to some others, where nothing changes.
+TELL_S = 1.0
+#: Between two calls to greet a voter that has not answered.
+GREET_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """An operator's change. `if_version`: only if it comes right after this one. `until`: when it is given up."""
+
+    change: Change
+    until: float
+    if_version: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    sender: str
+    message: Ruling
+
+
+@dataclass(frozen=True, slots=True)
+class Tock:
+    """Time has come to `due`. `living`: the names that the view holds alive, without this one's."""
+
+    living: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Caught:
+    """Changes past the version of this instance, in order, that another one has decided upon."""
+
+    first: int
+    changes: tuple[Change, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CaughtWhole:
+    """A whole state, checked by its digest."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    to: str
+    message: Ruling
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Put on disk; then say. `vote`, `met`: None leaves what was there."""
+
+    vote: Vote | None
+    met: tuple[str, Met] | None
+    then: tuple[Say, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Took:
+    """A change is in force here from now on, and is to be kept. `touched`: as state.py has it."""
+
+    version: int
+    change: Change
+    touched: tuple[tuple[str, ...], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TookWhole:
+    """All of the state is another."""
+
+
+@dataclass(frozen=True, slots=True)
+class Catch:
+    """Ask this one for what is lacking."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """What became of a change of this instance. `version`: 0 where it does not stand; `why` says why, or that it is not
+    known. `lessees`: who may act on older versions yet; None where that is not known."""
+
+    id: str
+    version: int
+    why: str = ""
+    lessees: frozenset[str] | None = None
+
+
+Event = Union[Propose, Heard, Tock, Caught, CaughtWhole]
+Action = Union[Say, Keep, Took, TookWhole, Catch, Ended]
+
+
+@dataclass
+class _Ballot:
+    """One round of this instance for the next version. `own`: the change that it is for, None to finish another's."""
+
+    own: Propose | None
+    slot: int
+    ballot: Ballot
+    began: float
+    again_at: float
+    change: Change | None = None  # once it may be accepted
+    promises: dict[str, tuple[Ballot, Change | None]] = field(default_factory=dict)
+    accepts: set[str] = field(default_factory=set)
+    lessees: set[str] = field(default_factory=set)
+    more: bool = False
+
+
+def nobody(now: float) -> tuple[tuple[str, ...], bool]:
+    return (), False
+
+
+class Versions:
+    """One instance's. `lessees` tells who was let go on of late by this voter, and whether that is all."""
+
+    def __init__(self, name: str, store: str, generation: int, said: Said, source: random.Random,
+                 lessees: Callable[[float], tuple[tuple[str, ...], bool]] = nobody) -> None:  # fmt: skip
+        """`store`: empty for one that keeps nothing, and never votes."""
+        self.name, self.store, self.generation = name, store, generation
+        self.said, self.random, self._lessees = said, source, lessees
+        self.log: dict[int, Change] = {}
+        self.vote = Vote(said.version + 1, NO_BALLOT, NO_BALLOT, None)
+        self.met: dict[str, Met] = {}
+        self.top = said.version  # the greatest version that is known to be decided somewhere
+        self.stuck = ""  # why it can't go on
+        self.greeted: set[str] = set()
+        self.lost = ""  # why its votes do not count
+        self.counts: Counter[str] = Counter()
+        self.at: dict[str, int] = {}  # the versions that others say they act on
+        self.cards: dict[str, Mapping[str, str]] = {}
+        self.card: dict[str, str] = {}
+        self.now = 0.0
+        self.living: tuple[str, ...] = ()
+        self.actions: list[Action] = []
+        self._queue: deque[Propose] = deque()
+        self._round = 0
+        self._ballot: _Ballot | None = None
+        self._begin_at = -math.inf
+        self._back = BACK_S
+        self._hangs_at = math.inf
+        self._tell_at = self._greet_at = self._caught_at = -math.inf
+        self._restored = False  # a change that puts our new store on the roster is under way
+        self._react: dict[type, Callable[..., None]] = {
+            form.Prepare: self._on_prepare, form.Promise: self._on_promise, form.Accept: self._on_accept,
+            form.Accepted: self._on_accepted, form.Decided: self._on_decided, form.At: self._on_at,
+            form.Greet: self._on_greet, form.Greeted: self._on_greeted,
+        }  # fmt: skip
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        self.now = max(self.now, now)
+        self.actions = []
+        if isinstance(event, Heard):
+            react = self._react.get(type(event.message))
+            if react is not None:
+                react(event.sender, event.message)
+        elif isinstance(event, Tock):
+            self.living = event.living
+            self._step()
+        elif isinstance(event, Propose):
+            self._propose(event)
+        elif isinstance(event, Caught):
+            for number, change in enumerate(event.changes):
+                if event.first + number == self.said.version + 1 and not self.stuck:
+                    self._take(change)
+        else:
+            self._take_whole(event.data)
+        return self.actions
+
+    @property
+    def due(self) -> float:
+        wanted = [self._tell_at]
+        if self._ballot is not None:
+            wanted.append(min(self._ballot.again_at, self._ballot.began + BALLOT_S))
+        elif (self._queue or self._hangs_at < math.inf) and not self.behind:
+            wanted.append(max(self._begin_at, self._hangs_at if not self._queue else -math.inf))
+        if self._queue:
+            wanted.append(min(one.until for one in self._queue))
+        if self.store and not self.votes:
+            wanted.append(self._greet_at)
+        return min(wanted)
+
+    @property
+    def votes(self) -> bool:
+        """Whether this instance's vote counts. One of a fleet of one has nobody to ask."""
+        mine = self.said.roster.get(self.name)
+        if not self.store or mine is None or self.lost:
+            return False
+        return mine in ("", self.store) and len(self.greeted | {self.name}) >= self.said.majority
+
+    @property
+    def behind(self) -> bool:
+        return bool(self.stuck) or self.top > self.said.version
+
+    def _say(self, to: str, message: Ruling) -> None:
+        self.actions.append(Say(to, message))
+
+    # Time.
+
+    def _step(self) -> None:
+        for one in [one for one in self._queue if self.now >= one.until]:
+            self._give_up(one)
+        ballot = self._ballot
+        if ballot is not None:
+            if self.now >= ballot.began + BALLOT_S:
+                self._end_ballot()
+            elif self.now >= ballot.again_at:
+                self._ask(ballot)
+        if self._ballot is None and self.now >= self._begin_at and not self.behind:
+            if self._queue:
+                self._begin(self._queue[0])
+            elif self.now >= self._hangs_at:
+                self._begin(None)
+        if self.now >= self._tell_at:
+            self._tell()
+        if self.store and not self.votes and self.now >= self._greet_at:
+            self._greet()
+
+    def _give_up(self, one: Propose) -> None:
+        """Its time is over. Whether it stands is not known where a voter may have accepted it."""
+        self._queue.remove(one)
+        begun = self._ballot is not None and self._ballot.own is one and self._ballot.change is not None
+        if self._ballot is not None and self._ballot.own is one:
+            self._ballot = None
+        why = "no majority has answered in its time" + (
+            "; it may stand yet" if begun else "; it does not stand"
+        )
+        self.actions.append(Ended(one.change.id, 0, why))
+
+    def _tell(self) -> None:
+        self._tell_at = self.now + TELL_S * (0.75 + 0.5 * self.random.random())
+        for name in self.random.sample(self.living, min(3, len(self.living))):
+            self._say(name, form.At(self.said.version, self.card))
+
+    def recover(self, change: Change) -> list[Action]:
+        """An operator's word after a majority was lost for good: in force here without anybody's vote, and told to all
+        that can be reached. Harm: who comes back with more has another history, and must begin anew."""
+        self.actions = []
+        self._take(change)
+        for name in self.living:
+            self._say(name, form.Decided(self.said.version, change))
+        return self.actions
+
+    def tell_all(self) -> list[Action]:
+        """Say to all at once which version this instance acts on."""
+        return [Say(name, form.At(self.said.version, self.card)) for name in self.living]
+
+    # Proposing.
+
+    def _propose(self, event: Propose) -> None:
+        try:
+            self.said.check(event.change)
+        except StateError as problem:
+            self.actions.append(Ended(event.change.id, 0, f"{problem}; it does not stand"))
+            return
+        if len(self._queue) >= WAITING_MOST:
+            self.actions.append(Ended(event.change.id, 0, f"{WAITING_MOST} changes wait; it does not stand"))
+            return
+        self._queue.append(event)
+        if self._ballot is None and self.now >= self._begin_at and not self.behind:
+            self._begin(self._queue[0])
+
+    def _begin(self, own: Propose | None) -> None:
+        slot = self.said.version + 1
+        if own is not None and own.if_version >= 0 and own.if_version != slot - 1:
+            self._queue.popleft()
+            why = f"the state is at version {slot - 1}, not {own.if_version}; it does not stand"
+            self.actions.append(Ended(own.change.id, 0, why))
+            return
+        self._round = max(self._round, self.vote.promised[0], self.vote.accepted[0]) + 1
+        self._ballot = _Ballot(own, slot, (self._round, self.name), self.now, self.now)
+        self.counts["ballots"] += 1
+        self._ask(self._ballot)
+
+    def _ask(self, ballot: _Ballot) -> None:
+        """Those voters that have not answered."""
+        ballot.again_at = self.now + AGAIN_S
+        done = ballot.accepts if ballot.change is not None else ballot.promises.keys()
+        for name in self.said.roster:
+            if name in done:
+                continue
+            if ballot.change is not None:
+                self._say(name, form.Accept(ballot.slot, ballot.ballot, ballot.change))
+            else:
+                self._say(name, form.Prepare(ballot.slot, ballot.ballot))
+
+    def _end_ballot(self, held: Ballot = NO_BALLOT) -> None:
+        """It came to nothing; the next begins after a draw."""
+        self._ballot = None
+        self._round = max(self._round, held[0])
+        self._begin_at = self.now + self._back * (0.5 + self.random.random())
+        self._back = min(BACK_MOST_S, 2 * self._back)
+        if self._hangs_at < math.inf:
+            self._hangs_at = max(self._hangs_at, self._begin_at)
+
+    def _on_promise(self, sender: str, message: form.Promise) -> None:
+        ballot = self._ballot
+        if (
+            ballot is None
+            or ballot.ballot != message.ballot
+            or ballot.slot != message.slot
+            or ballot.change is not None
+        ):
+            return
+        if not message.ok:
+            self._end_ballot(message.held)
+            return
+        if sender in self.said.roster:
+            ballot.promises[sender] = message.accepted, message.change
+        if len(ballot.promises) < self.said.majority:
+            return
+        found, change = max(ballot.promises.values(), key=lambda one: one[0])
+        if found != NO_BALLOT and change is not None:
+            ballot.change = change  # rule 3
+        else:
+            ballot.change = ballot.own.change if ballot.own is not None else NOTHING
+        self._ask(ballot)
+
+    def _on_accepted(self, sender: str, message: form.Accepted) -> None:
+        ballot = self._ballot
+        if (
+            ballot is None
+            or ballot.ballot != message.ballot
+            or ballot.slot != message.slot
+            or ballot.change is None
+        ):
+            return
+        if not message.ok:
+            self._end_ballot(message.held)
+            return
+        if sender not in self.said.roster:
+            return
+        ballot.accepts.add(sender)
+        ballot.lessees.update(message.lessees)
+        ballot.more |= message.more
+        if len(ballot.accepts) >= self.said.majority:
+            self._decide(ballot)
+
+    def _decide(self, ballot: _Ballot) -> None:
+        assert ballot.change is not None
+        self._ballot, self._back, self._begin_at = None, BACK_S, -math.inf
+        decided = form.Decided(ballot.slot, ballot.change)
+        for name in dict.fromkeys((*self.said.roster, *self.living)):
+            if name != self.name:
+                self._say(name, decided)
+        self._take(ballot.change, None if ballot.more else frozenset(ballot.lessees))
+        if self._queue and not self.behind:
+            self._begin(self._queue[0])
+
+    # Voting.
+
+    def _level(self, sender: str, slot: int) -> bool:
+        """Whether the question is on the version that this voter votes on now. Who is behind is told, or we ask him."""
+        version = self.said.version
+        if slot <= version:
+            for number in range(slot, min(version, slot + 3) + 1):
+                if number in self.log:
+                    self._say(sender, form.Decided(number, self.log[number]))
+            if slot not in self.log:
+                self._say(sender, form.At(version, self.card))
+        elif slot > version + 1:
+            self._lacks(sender, slot - 1)
+        return slot == version + 1 and not self.stuck and self.votes
+
+    def _on_prepare(self, sender: str, message: form.Prepare) -> None:
+        if not self._level(sender, message.slot):
+            return
+        vote = self.vote
+        ok = message.ballot >= vote.promised
+        if ok:
+            vote.promised = message.ballot
+        answer = form.Promise(message.slot, message.ballot, ok, vote.promised, vote.accepted, vote.change)
+        self._answer(ok, sender, answer)
+
+    def _on_accept(self, sender: str, message: form.Accept) -> None:
+        if not self._level(sender, message.slot):
+            return
+        vote = self.vote
+        ok = message.ballot >= vote.promised
+        if ok:
+            vote.promised = vote.accepted = message.ballot
+            vote.change = message.change
+            self._hangs_at = self.now + HANGS_S * (1 + self.random.random())
+        names, more = self._lessees(self.now)
+        answer = form.Accepted(message.slot, message.ballot, ok, vote.promised, names, more)
+        self._answer(ok, sender, answer)
+
+    def _answer(self, changed: bool, to: str, message: Ruling) -> None:
+        """Rule 2."""
+        if changed:
+            vote = Vote(self.vote.slot, self.vote.promised, self.vote.accepted, self.vote.change)
+            self.actions.append(Keep(vote, None, (Say(to, message),)))
+        else:
+            self._say(to, message)
+
+    @property
+    def accepted_top(self) -> int:
+        """The greatest version that this voter knows of, decided or not."""
+        return max(self.top, self.vote.slot if self.vote.change is not None else 0)
+
+    # Learning.
+
+    def _take(self, change: Change, lessees: frozenset[str] | None = None) -> None:
+        """The next version is decided."""
+        try:
+            touched = self.said.apply(change)
+        except StateError as problem:
+            self.stuck, self.top = str(problem), max(self.top, self.said.version + 1)
+            self.counts["stuck"] += 1
+            return
+        version = self.said.version
+        self.top = max(self.top, version)
+        self.log[version] = change
+        self.log.pop(version - KEPT, None)
+        self._fresh()
+        self.actions.append(Took(version, change, tuple(touched)))
+        if self._queue and self._queue[0].change.id == change.id:
+            self._queue.popleft()
+            self.actions.append(Ended(change.id, version, "", lessees))
+        for kind, *names in touched:
+            if kind == "roster":
+                self._listed(names[0])
+
+    def _listed(self, name: str) -> None:
+        """The roster says another thing of a voter: its store is the one that counts from here on."""
+        store = self.said.roster.get(name)
+        if store:
+            self.met[name] = Met(store, 0)
+        if name == self.name and store == self.store:
+            self.lost, self._restored = "", False
+
+    def _fresh(self) -> None:
+        """Nothing is voted on yet for the next version."""
+        self.vote = Vote(self.said.version + 1, NO_BALLOT, NO_BALLOT, None)
+        self._hangs_at = math.inf
+        if self._ballot is not None and self._ballot.slot <= self.said.version:
+            self._ballot = None
+
+    def _take_whole(self, data: bytes) -> None:
+        before = self.said.version
+        self.said.take_whole(data)
+        if self.said.version < before:
+            raise AssertionError("a state of an older version was asked for by nobody")
+        self.log.clear()
+        self.top, self.stuck = max(self.top, self.said.version), ""
+        self._fresh()
+        self.actions.append(TookWhole())
+        for name in self.said.roster:
+            self._listed(name)
+
+    def _on_decided(self, sender: str, message: form.Decided) -> None:
+        if message.version == self.said.version + 1 and not self.stuck:
+            self._take(message.change)
+            self._say(sender, form.At(self.said.version, self.card))
+            if self._ballot is None and self._queue and not self.behind:
+                self._begin(self._queue[0])
+        elif message.version > self.said.version:
+            self._lacks(sender, message.version)
+        else:
+            self._say(sender, form.At(self.said.version, self.card))
+
+    def _on_at(self, sender: str, message: form.At) -> None:
+        self.at[sender] = max(message.version, self.at.get(sender, 0))
+        self.cards[sender] = message.card
+        if message.version > self.said.version:
+            self._lacks(sender, message.version)
+
+    def _lacks(self, sender: str, version: int) -> None:
+        """Rule 7."""
+        self.top = max(self.top, version)
+        if self.now >= self._caught_at + AGAIN_S and not self.stuck:
+            self._caught_at = self.now
+            self.actions.append(Catch(sender))
+
+    # Stores that are lost.
+
+    def _greet(self) -> None:
+        self._greet_at = self.now + GREET_S
+        mine = self.said.roster.get(self.name)
+        if mine is None:
+            return
+        if mine not in ("", self.store):
+            self.lost = self.lost or "another store holds this name's votes"
+        if self.lost and not self._restored and not self.behind:
+            self._restore()
+        for name in self.said.roster:
+            if name != self.name and name not in self.greeted:
+                self._say(name, form.Greet(self.store, self.generation))
+
+    def _restore(self) -> None:
+        """Rule 5; this instance has all changes that the others know of by now."""
+        if len(self.greeted) < self.said.majority:
+            return
+        self._restored = True
+        change = Change(f"{self.name}-{self.store}-{self.said.version}", "roster",
+                        write_body(RosterBody(self.name, self.store)), self.name, "its store was lost")  # fmt: skip
+        self._queue.append(Propose(change, self.now + 10.0))
+
+    def _on_greet(self, sender: str, message: form.Greet) -> None:
+        """Whether votes of this store may count: it is the one on the roster, or was met, and is not older."""
+        if not self.store or sender not in self.said.roster:
+            return
+        known, listed = self.met.get(sender), self.said.roster.get(sender)
+        why = ""
+        if known is not None and known.store != message.store and listed != message.store:
+            why = f"{sender} had another store, {known.store}"
+        elif (
+            known is not None
+            and known.store == message.store
+            and is_older(message.generation, known.generation)
+        ):
+            why = f"an older copy of store {message.store}: others have met a later one"
+        answer = form.Greeted(message.store, message.generation, not why, why)
+        met = Met(message.store, message.generation)
+        if why or known == met:
+            self._say(sender, answer)
+            return
+        self.met[sender] = met
+        self.actions.append(Keep(None, (sender, met), (Say(sender, answer),)))
+
+    def _on_greeted(self, sender: str, message: form.Greeted) -> None:
+        if message.store != self.store or message.generation != self.generation:
+            return
+        self.greeted.add(sender)
+        if not message.ok:
+            self.lost = message.why
+
+
+def is_older(generation: int, met: int) -> bool:
+    """Whether a store that was opened so is older than, or beside, the one that was met: the number of openings, and a
+    draw at each, which tells two openings of one copy apart."""
+    count, before = generation >> DRAW_BITS, met >> DRAW_BITS
+    return count < before or (count == before and generation != met)
+
+
+#: Bits of a generation that are drawn at each opening.
+DRAW_BITS = 20
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -353,6 +353,8 @@
                 self._turn_away(item, 503, b"too many connections\n")
             elif item.proxy.is_known(item.request):
                 self._turn_away(item, 409, b"this X-Txn has been used\n")
+            elif item.proxy.is_shut_out():
+                self._turn_away(item, 503, b"this proxy is cut off from its fleet\n", False, RETURN)
             elif not item.proxy.has_room():
                 self._turn_away(item, 503, b"this pool has all it can hold\n", False)
             elif not self.may_ask():
--- a/spokemast/fronts/ordinary.py
+++ b/spokemast/fronts/ordinary.py
@@ -235,7 +235,9 @@
         return self.routes.find(target.host, target.segments, head.method.decode("latin-1"), value)
 
     def _ready(self) -> tuple[int, str]:
-        ready = not self.draining and all(proxy.listed for proxy in self.proxies())
+        ready = not self.draining and all(
+            proxy.listed and not proxy.is_shut_out() for proxy in self.proxies()
+        )
         return (200, "ready") if ready else (503, "not ready")
 
     # The whole request.
--- a/spokemast/management/server.py
+++ b/spokemast/management/server.py
@@ -20,6 +20,8 @@
 CALLERS_MOST = 16
 #: A call has this long to come whole; callers may take 4 s over one.
 CALL_S = 6.0
+#: And what it asks for, of which some wait for others.
+ANSWER_S = 90.0
 #: An answered connection is read to its end for this long, so that what is still coming does not reset it before
 #: the caller has read the answer.
 LINGER_S = 1.0
@@ -92,6 +94,7 @@
         if self.whole:
             if not self.asked:
                 self.asked = True
+                self._within(ANSWER_S, self._late)
                 self._call()
         elif self.received > CALL_MOST:
             self._say(Said(413, b"a call is shorter than this\n"))
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -204,6 +204,9 @@
         self.free_descriptor: Callable[[], bool] = lambda: (
             False
         )  # frees one on the spot where the system has none
+        self.barred: Callable[[str], Result | None] | None = (
+            None  # how an attempt ends that may not leave now
+        )
 
     def resize(self, sockets: int) -> None:
         """Another number of descriptors; idle connections past it are closed."""
@@ -233,7 +236,18 @@
         self.table[server].wanted = False
         self.close_idle(server)
 
+    def _bars(self, attempt: Attempt) -> bool:
+        """Asked right before anything leaves. Guards what a fleet has agreed on against a process that was stopped
+        between its decision and its send, and against a mark that came while a connection opened. Harm: none, the
+        request has not run."""
+        result = self.barred(attempt.server) if self.barred is not None else None
+        if result is not None:
+            self.owner.finish_attempt(attempt, result)
+        return result is not None
+
     def send(self, attempt: Attempt) -> None:
+        if self._bars(attempt):
+            return
         backend = self.table.get(attempt.server)
         if backend is None:  # it went between the decision and now
             self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
@@ -334,6 +348,8 @@
             self.owner.finish_attempt(attempt, result)
         elif attempt.ended:  # while this waited for its turn
             self.park(connection)
+        elif self._bars(attempt):
+            self.park(connection)
         else:
             connection.start(attempt)
 
--- a/standins/askers.py
+++ b/standins/askers.py
@@ -46,9 +46,11 @@
     try:
         head = "".join(f"{line}\r\n" for line in ("Host: h", "Connection: close", *lines))
         writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode())
-        found = await reader.read()
-        return found[9:12].decode() if found else "lost"
-    except OSError:
+        found = await reader.readuntil(b"\r\n\r\n")
+        length = found.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
+        await reader.readexactly(int(length or 0))
+        return found[9:12].decode()
+    except (OSError, asyncio.IncompleteReadError):
         return "lost"
     finally:
         writer.close()
--- a/tests/fleet/scenes.py
+++ b/tests/fleet/scenes.py
@@ -5,10 +5,10 @@
 import asyncio
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any, AsyncIterator, Awaitable, Callable
+from typing import Any, AsyncIterator, Awaitable, Callable, Sequence
 
 from standins.member import Fleet as Members
-from standins.processes import Fleet, until
+from standins.processes import CONFIG, Fleet, One, until
 
 #: Seconds that one test may take, on however busy a machine.
 TEST_S = 150.0
@@ -52,3 +52,41 @@
         return found is not None and found["state"] == state
 
     await until(so, f"{asked.name} holds {name} {state}")
+
+
+@asynccontextmanager
+async def agreeing(folder: Path, size: int, *numbers: int, members: Members | None = None, stale: str = "2s",
+                   voters: int = 5, cut_off: str = "refuse", **more: Any) -> AsyncIterator[Fleet]:  # fmt: skip
+    """A fleet with one state; it is left once all may act, where all are started."""
+    names = ", ".join(f'"i{number}"' for number in range(min(size, voters)))
+    words = f'voters = [{names}]\nstale_most = "{stale}"\ncut_off = "{cut_off}"'
+    config = '[store]\nfolder = "state"\n' + CONFIG
+    async with fleet(
+        folder, size, *numbers, members=members, config=config, fleet_more=words, **more
+    ) as made:
+        if not numbers:
+            await acting(made.all)
+        yield made
+
+
+async def standing(one: One) -> dict[str, Any]:
+    return dict((await one.read("fleet/status"))["agreed"])
+
+
+async def acting(among: Sequence[One], version: int = 0) -> None:
+    """Wait until all of these may act, on this version or a later one."""
+
+    async def so() -> bool:
+        found = await asyncio.gather(*(standing(one) for one in among))
+        return all(not one["shut_out"] and one["version"] >= version and not one["behind"] for one in found)
+
+    await until(so, f"{', '.join(one.name for one in among)} act on version {version}")
+
+
+async def on(one: One, version: int) -> None:
+    """Wait until one acts on this version."""
+
+    async def so() -> bool:
+        return int((await standing(one))["version"]) >= version
+
+    await until(so, f"{one.name} is on version {version}")
