--- a/spokemast/cli/control.py
+++ b/spokemast/cli/control.py
@@ -19,6 +19,8 @@
 VARIABLE = "MICASTAND_SOCKET"
 #: The same by TCP, and the file that holds the token.
 ADDRESS, TOKEN = "MICASTAND_ADDRESS", "MICASTAND_TOKEN_FILE"
+#: Seconds that a daemon waits at most for those who have not confirmed.
+WAIT_MOST_S = 80.0
 READS = {
     "status": "what runs, since when, under which file",
     "pools": "each pool: members, open requests, counts",
@@ -71,7 +73,18 @@
         one.add_argument("--reason", default="")
         one.add_argument("--until", metavar="DURATION", help="how long it holds, such as 30m")
         one.add_argument("--last", action="store_true", help="also if it leaves the pool without members")
-        one.set_defaults(run=change)
+        if verb not in ("reload", "log"):
+            add_fleet_words(one)
+            one.add_argument("--here", action="store_true", help="at this instance alone, not at its fleet")
+        one.set_defaults(run=change, what=verb)
+
+
+def add_fleet_words(one: argparse.ArgumentParser) -> None:
+    """What a change of a fleet's one state takes."""
+    one.add_argument(
+        "--if-version", type=int, metavar="N", help="only right after this version of the fleet's state"
+    )
+    one.add_argument("--wait", metavar="DURATION", help="for those that have not confirmed it (4s)")
 
 
 def add_read(one: argparse.ArgumentParser, verb: str, what: str) -> None:
@@ -167,23 +180,28 @@
 def change(options: argparse.Namespace) -> int:
     """0 once it is done and kept, 1 where the daemon refuses it."""
     order: dict[str, Any] = {"by": options.by or getpass.getuser()}
-    for key in ("pool", "member", "members", "weight", "address", "until", "level", "other", "share"):
+    for key in ("pool", "member", "members", "weight", "address", "until", "level", "other", "share", "if_version",
+                "wait", "name", "roster"):  # fmt: skip
         if (value := getattr(options, key, None)) is not None:
             order[key] = value
     if options.reason:
         order["reason"] = options.reason
-    if options.last:
-        order["last"] = True
-    status, found = ask(options, "POST", options.verb, json.dumps(order).encode())
+    for key in ("last", "here"):
+        if getattr(options, key, False):
+            order[key] = True
+    if getattr(options, "wait", None):
+        options.timeout += WAIT_MOST_S
+    status, found = ask(options, "POST", options.what, json.dumps(order).encode())
     return _show(options, status, found)
 
 
 def _show(options: argparse.Namespace, status: int, found: Any) -> int:
     failed = status >= 300 or (isinstance(found, dict) and "error" in found)
+    open_yet = isinstance(found, dict) and found.get("holds") is False
     if options.json:
         print(json.dumps(found, indent=1))
     elif failed:
         sys.stderr.write(f"micastand {options.verb}: {found.get('error', found)}\n")
     else:
         show(found)
-    return 1 if failed else 0
+    return 1 if failed or open_yet else 0
--- a/spokemast/cli/fleet.py
+++ b/spokemast/cli/fleet.py
@@ -1,14 +1,22 @@
-"""`micastand fleet members | status`: what a daemon holds of its fleet."""
+"""`micastand fleet ...`: what a daemon holds of its fleet, who acted on which version, and who votes on changes."""
 
 from __future__ import annotations
 
+import argparse
+import os
 from typing import Any
 
-from spokemast.cli.control import add_read
+from spokemast.cli.control import add_fleet_words, add_read, change, common
 
 READS = {
     "members": "each instance: whether it lives, its life, since when, who suspects it, its last word",
     "status": "the view in figures: settled or not, the digest, how many live, what goes over the wire",
+    "versions": "each version of the fleet's state: who took it up when, who is behind and why, who is shut out",
+}
+CHANGES = {
+    "enrol": "an instance votes on changes from now on, by the store that it has",
+    "expel": "an instance votes on changes no more",
+    "recover": "go on with these voters alone, after a majority was lost for good",
 }
 
 
@@ -19,3 +27,22 @@
     for name, words in READS.items():
         one = parts.add_parser(name, help=words, description=f"{words[:1].upper()}{words[1:]}.")
         add_read(one, "fleet", f"fleet/{name}")
+    for name, words in CHANGES.items():
+        one = common(
+            parts.add_parser(name, help=words, description=f"{words[:1].upper()}{words[1:]}."), "fleet"
+        )
+        _add_change(one, name)
+
+
+def _add_change(one: argparse.ArgumentParser, name: str) -> None:
+    if name == "recover":
+        one.add_argument("roster", nargs="+", metavar="INSTANCE")
+        one.add_argument(
+            "--last", action="store_true", help="it is meant: those that are not named may know more"
+        )
+    else:
+        one.add_argument("name", metavar="INSTANCE")
+        add_fleet_words(one)
+    one.add_argument("--by", default=os.environ.get("SUDO_USER"), help="who you are (the user's name)")
+    one.add_argument("--reason", default="")
+    one.set_defaults(run=change, what=f"fleet/{name}")
--- a/spokemast/cli/show.py
+++ b/spokemast/cli/show.py
@@ -17,7 +17,10 @@
     """A table of what is a list, names and values of what is not; plain."""
     if isinstance(found, dict) and (key := _table_in(found)):
         kept = "kept over restarts" if found.get("kept") else "not kept: there is no [store]"
-        return [*lines(found[key]), kept]
+        return [*lines(found[key]), kept, *_standing(found)]
+    if isinstance(found, dict) and "versions" in found:
+        return [*lines(found["versions"]), "", *lines(found["instances"]),
+                f"not known: {text(found['not_known'])}"]  # fmt: skip
     if isinstance(found, dict):
         return [f"{key:14} {text(value)}" for key, value in found.items()]
     if not found:
@@ -29,6 +32,18 @@
     ]
 
 
+def _standing(found: dict[str, Any]) -> list[str]:
+    """Whether a change holds at the whole fleet; nothing where there is none."""
+    if "version" not in found:
+        return []
+    if found.get("holds"):
+        return [f"version {found['version']}: holds at the whole fleet"]
+    until = found.get("until_s")
+    left = "until they are told" if until is None else f"for {until:.1f} s at most"
+    missing = text(found.get("missing")) if found.get("missing") else "some that are not known"
+    return [f"version {found['version']} stands; {missing} may act on the one before {left}"]
+
+
 def _table_in(found: dict[str, Any]) -> str | None:
     return next((key for key in ("members", "moves") if isinstance(found.get(key), list)), None)
 
--- a/spokemast/daemon/agreed.py
+++ b/spokemast/daemon/agreed.py
@@ -10,26 +10,24 @@
 import random
 import time
 from collections import deque
-from typing import TYPE_CHECKING, Any, Callable, Iterator, cast
+from typing import TYPE_CHECKING, Any, Callable, cast
 
 import msgspec
 from blake3 import blake3
 
 from spokemast.config.types import FleetTable
-from spokemast.control.calls import CallError
-from spokemast.control.calls import Change as Order
+from spokemast.daemon.orders import Orders
 from spokemast.daemon.parts import Runs
+from spokemast.daemon.reaching import Reaching
 from spokemast.daemon.votes import Identity, all_items, keep_items, keep_vote, load, open_identity, snapshot
 from spokemast.fleet import ballots as form
-from spokemast.fleet.catchup import Giver, Taker
-from spokemast.fleet.confirm import Confirming
-from spokemast.fleet.epochs import Epoch, describe, merge
+from spokemast.fleet.epochs import Epoch, describe
 from spokemast.fleet.facts import Standing
 from spokemast.fleet.fence import Fence
 from spokemast.fleet.link import Link
 from spokemast.fleet.messages import Message
 from spokemast.fleet.state import (
-    Change, FreezeBody, MarkBody, MoveBody, RecoverBody, RosterBody, Said, StateError, write_body,
+    Change, MarkBody, MoveBody, Said, write_body,
 )  # fmt: skip
 from spokemast.fleet.versions import (
     Action, Catch, Ended, Event, Heard, Keep, Propose, Say, Tock, Took, TookWhole, Versions,
@@ -50,9 +48,6 @@
 CONFIRM_S, ENDS_S = 0.02, 0.5
 #: Versions of which it is kept when they were taken up here.
 HISTORY_MOST = 64
-#: Bytes a second that stragglers get of the state, all together, and those at once.
-GIVE_BYTES_S = 4 << 20
-MARKS = ("drain", "cordon", "uncordon", "weight", "add", "remove")
 
 
 def clock() -> float:
@@ -60,7 +55,7 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class Agreed:
+class Agreed(Orders, Reaching):
     """One daemon's. The daemon's fleet owns it; `end` stops its timer."""
 
     def __init__(
@@ -87,18 +82,16 @@
         if vote is not None and vote.slot == self.said.version + 1:
             self.versions.vote = vote
         self._store_name = identity.store
-        self.giver, self.taker = Giver(self.versions), Taker()
+        Orders.__init__(self, clock)
+        Reaching.__init__(self, self.versions)
         first = Epoch(self.said.version, "as kept", "", time.time())
         self.history: deque[Epoch] = deque([first], maxlen=HISTORY_MOST)
-        self._orders: dict[str, tuple[Order, Callable[[Any], None], float]] = {}
-        self._confirming: list[tuple[Confirming, Order, Callable[[Any], None], float]] = []
         self._ends: dict[tuple[str, ...], tuple[int, float]] = {}  # what ends by its time: version and when
         self._ends_at = 0.0
         self._ids = 0
         self._tag = f"{table.name}-{source.getrandbits(48):x}"
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
-        self._catching: asyncio.Task[None] | None = None
         self._ended = False
         link.ruling, link.streams = self._hear, self.answer
 
@@ -106,6 +99,9 @@
     def control(self) -> Control:
         return cast("Control", self.daemon.parts["control"])
 
+    def _clock(self) -> float:
+        return clock()
+
     # Life.
 
     def start(self) -> None:
@@ -133,9 +129,7 @@
             self._timer.cancel()
         if self._catching is not None:
             self._catching.cancel()
-        for _, done, _ in self._orders.values():
-            done({"error": "this instance ends; it is not known whether the change stands"})
-        self._orders.clear()
+        self._end_orders()
 
     def _restore(self) -> None:
         """What was kept is in force from the start."""
@@ -339,175 +333,3 @@
 
     def may_act(self) -> bool:
         return self.fence.may_act(clock())
-
-    # What operators say here.
-
-    def change(self, order: Order, done: Callable[[Any], None]) -> bool:
-        if order.order.here and order.verb in (*MARKS, "move", "freeze", "thaw"):
-            return False
-        body = self._body(order)
-        if body is None:
-            return False
-        kind, struct = body
-        try:
-            change = Change(
-                self._id(), kind, write_body(struct), order.order.by, order.order.reason, time.time()
-            )
-            self.said.check(change)
-        except StateError as problem:
-            raise CallError(409, str(problem)) from None
-        if kind == "recover":
-            self._recover(change, order, done)
-            return True
-        if_version = -1 if order.order.if_version is None else order.order.if_version
-        self._orders[change.id] = order, done, clock()
-        self._propose(change, if_version)
-        return True
-
-    def _body(self, order: Order) -> tuple[str, msgspec.Struct] | None:
-        said, verb = order.order, order.verb
-        if verb in MARKS:
-            return "mark", MarkBody(said.pool or "", self.control.planned(order), order.until)
-        if verb == "move":
-            return "move", MoveBody(said.pool or "", self.control.planned_move(order), order.until)
-        if verb in ("freeze", "thaw"):
-            return "freeze", FreezeBody(said.pool or "", verb == "freeze")
-        if verb == "fleet/enrol":
-            return "roster", RosterBody(said.name or "", self._store_of(said.name or ""))
-        if verb == "fleet/expel":
-            return "roster", RosterBody(said.name or "", "")
-        if verb == "fleet/recover":
-            return "recover", RecoverBody({name: self.said.roster.get(name, "") for name in said.roster})
-        return None
-
-    def _store_of(self, name: str) -> str:
-        """Of one that is to vote: the store that it has said its votes are kept in."""
-        met = self.versions.cards.get(name, {}).get("store", "")
-        if name == self.name:
-            met = self._store_name
-        if not met:
-            raise CallError(
-                409, f"{name!r} has not said where its votes are kept; it has to live, with a [store]"
-            )
-        return met
-
-    def _recover(self, change: Change, order: Order, done: Callable[[Any], None]) -> None:
-        """The operator's way out after a majority was lost for good. Guards against use while there is one."""
-        if not order.order.last:
-            raise CallError(
-                409, "this lets a minority go on without those who may know more; say last if it is meant"
-            )
-        if self.fence.is_open(clock()):
-            raise CallError(409, "a majority answers; nothing has to be recovered")
-        if self.name not in order.order.roster:
-            raise CallError(409, f"{self.name!r}, where this is said, has to be on the new roster")
-        self._do(self.versions.recover(change))
-        self.complain(
-            "fleet: recovered by an operator", f"{order.order.by}: {', '.join(order.order.roster)} vote now"
-        )
-        done({"version": self.said.version, "holds": True, "roster": dict(self.said.roster)})
-
-    def _ended_order(self, ended: Ended) -> None:
-        found = self._orders.pop(ended.id, None)
-        if found is None:
-            return
-        order, done, began = found
-        if not ended.version:
-            done({"error": ended.why})
-            return
-        accepted = clock()
-        confirming = Confirming(ended.version, accepted, ended.lessees, self.fence.lasts, self.fence.serves)
-        self._confirming.append((confirming, order, done, began + max(order.wait, 0.05)))
-        self._look_at_confirming(accepted)
-
-    def _look_at_confirming(self, now: float) -> None:
-        if not self._confirming:
-            return
-        at = {**self.versions.at, self.name: self.said.version}
-        known = [p.fact.name for p in self.view.table if p.fact.standing != Standing.LEFT]
-        left = [p.fact.name for p in self.view.table if p.fact.standing == Standing.LEFT]
-        waiting = []
-        for item in self._confirming:
-            confirming, order, done, until = item
-            found = confirming.look(now, at, [*known, self.name], left)
-            if not found.holds and now < until:
-                waiting.append(item)
-                continue
-            box: dict[str, Any] = {"version": confirming.version, "holds": found.holds}
-            if not found.holds:
-                box["missing"], box["until_s"] = list(found.missing), found.until
-            done({**self.control.told(order), **box})
-        self._confirming = waiting
-
-    # Those who are behind.
-
-    def _catch(self, name: str) -> None:
-        if self._catching is None or self._catching.done():
-            self._catching = self._loop.create_task(self._catch_up(name))
-
-    async def _catch_up(self, name: str) -> None:
-        """Ask one for what is lacking; what has come outlasts a cut."""
-        peer = self.view.table.get(name)
-        if peer is None:
-            return
-        try:
-            want = self.taker.want(self.said.version)
-            async for message in self.link.ask(peer.fact.address, peer.fact.boot, want):
-                if not isinstance(message, (form.Entries, form.Slice)):
-                    raise ValueError("neither changes nor a state")
-                found, last = self.taker.take(message)
-                if found is not None:
-                    self._hand(found)
-                    self._do(self.versions.tell_all())
-                if last:
-                    break
-        except (OSError, ValueError, asyncio.IncompleteReadError, TimeoutError) as problem:
-            self.link.counts["catching up failed"] += 1
-            self.complain("fleet: catching up was cut", f"{name}: {problem}")
-        self._schedule()
-
-    def answer(self, message: Message) -> Iterator[tuple[Message, float]] | None:
-        """What a stream that begins so gets: each message, and the seconds that are waited after it."""
-        if isinstance(message, form.Want):
-            return ((part, len(part.data) / GIVE_BYTES_S if isinstance(part, form.Slice) else 0.0)
-                    for part in self.giver.answer(message))  # fmt: skip
-        if isinstance(message, form.Asked) and message.what == "fleet/versions":
-            return iter([(form.Answered(msgspec.json.encode(self.local())), 0.0)])
-        return None
-
-    # What operators read.
-
-    def standing(self) -> dict[str, Any]:
-        now, versions = clock(), self.versions
-        return {
-            "version": self.said.version, "known": versions.top, "behind": versions.behind,
-            "why": versions.stuck or None, "votes": versions.votes, "lost_state": versions.lost or None,
-            "shut_out": not self.fence.may_act(now), "lease_s": round(max(0.0, self.fence.until - now), 2),
-            "drift": self.fence.drifts or None, "roster": sorted(self.said.roster),
-        }  # fmt: skip
-
-    def local(self) -> dict[str, Any]:
-        """This instance's part of `fleet versions`."""
-        now, wall = clock(), time.time()
-        rows = [one.row(wall - now) for one in self.history]
-        return {"instance": self.name, **self.standing(), "card": self.versions.card, "epochs": rows}
-
-    def collect(self, done: Callable[[Any], None]) -> None:
-        """All instances' parts; who could not be asked is named."""
-        self._loop.create_task(self._collect(done))
-
-    async def _collect(self, done: Callable[[Any], None]) -> None:
-        peers = [peer for peer in self.view.table if peer.fact.standing != Standing.LEFT]
-        found = await asyncio.gather(*(self._ask(peer.fact.address, peer.fact.boot) for peer in peers))
-        instances = [self.local(), *(one for one in found if one is not None)]
-        unknown = [peer.fact.name for peer, one in zip(peers, found, strict=True) if one is None]
-        done(merge(instances, unknown))
-
-    async def _ask(self, address: tuple[str, int], boot: int) -> dict[str, Any] | None:
-        try:
-            async for message in self.link.ask(address, boot, form.Asked("fleet/versions"), 2.0):
-                if isinstance(message, form.Answered):
-                    return msgspec.json.decode(message.body, type=dict[str, Any])
-        except (OSError, ValueError, asyncio.IncompleteReadError, TimeoutError):
-            pass
-        return None
--- a/spokemast/daemon/control.py
+++ b/spokemast/daemon/control.py
@@ -23,6 +23,7 @@
 from spokemast.daemon.parts import Part, Runs
 from spokemast.daemon.pools import RunningPool
 from spokemast.daemon.reading import Reading
+from spokemast.daemon.told import Told
 from spokemast.daemon.takeover import Offer, offer_path, place, remove_own
 from spokemast.fronts.sockets import bind
 from spokemast.interface import ServerState
@@ -40,7 +41,7 @@
 WORDS = {"drain": "drain", "cordon": "cordon"}
 
 
-class Control(Part, Reading):
+class Control(Part, Reading, Told):
     """One for a daemon with `[management]`. It owns its sockets; `close` gives them back."""
 
     def __init__(self, daemon: Runs, table: ManagementTable, base: Path, complain: Complaints) -> None:
@@ -231,57 +232,6 @@
         else:
             self._mark(change, done)
 
-    # What the fleet has agreed on.
-
-    def _noted(self, change: Change, done: Callable[[Any], None], now: Any) -> None:
-        self.audit.note(
-            change, f"not done: {now['error']}" if "error" in now else f"version {now.get('version')}"
-        )
-        done(now)
-
-    def planned(self, change: Change) -> dict[str, Mark | None]:
-        """What would stand of its members; None for nothing."""
-        kept = self.marks.get(change.order.pool or "", {})
-        found = {member: self._said(change, kept.get(member), time.time(), 0.0) for member in change.members}
-        return {member: None if mark.says_nothing() else mark for member, mark in found.items()}
-
-    def planned_move(self, change: Change) -> Move | None:
-        order = change.order
-        assert order.other is not None and order.share is not None
-        return (
-            Move(order.other, order.share, 0.0, order.by, order.reason, time.time()) if order.share else None
-        )
-
-    def put_mark(self, name: str, member: str, mark: Mark | None) -> None:
-        """In force from now on, also of a pool that is not there."""
-        pool, kept = self.daemon.pools.get(name), self.marks.setdefault(name, {})
-        if pool is not None:
-            self._put(pool, kept, member, mark or Mark())
-        elif mark is None:
-            kept.pop(member, None)
-        else:
-            kept[member] = mark
-        self._tell_before(name, member, mark)
-
-    def put_move(self, pool: str, move: Move | None) -> None:
-        self._say_move(pool, move)
-
-    def put_freeze(self, name: str, frozen: bool) -> None:
-        pool = self.daemon.pools.get(name)
-        if pool is not None:
-            pool.overlay.freeze(frozen)
-
-    def told(self, change: Change) -> dict[str, Any]:
-        """What is now true of what it was about."""
-        pool = self.daemon.pools.get(change.order.pool or "")
-        if pool is None or not change.members:
-            return {"kept": self._store is not None}
-        name = change.order.pool or ""
-        return {
-            "members": [self._member(name, pool, member) for member in change.members],
-            "kept": self._store is not None,
-        }
-
     def _say_move(self, pool: str, move: Move | None) -> None:
         self.moves.setdefault(pool, Moves(self._window)).say(move, time.time())
         self.daemon.retarget()
--- /dev/null
+++ b/spokemast/daemon/orders.py
@@ -0,0 +1,159 @@
+"""What operators say at one daemon of a fleet: into a change, through the vote, and back once all have confirmed."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, Callable
+
+import msgspec
+
+from spokemast.control.calls import CallError
+from spokemast.control.calls import Change as Order
+from spokemast.daemon.parts import Runs
+from spokemast.fleet.confirm import Confirming
+from spokemast.fleet.facts import Standing
+from spokemast.fleet.fence import Fence
+from spokemast.fleet.state import (
+    Change, FreezeBody, MarkBody, MoveBody, RecoverBody, RosterBody, Said, StateError, write_body,
+)  # fmt: skip
+from spokemast.fleet.versions import Action, Ended, Versions
+from spokemast.fleet.view import View as FleetView
+from spokemast.limits import Complaints
+
+if TYPE_CHECKING:
+    from spokemast.daemon.control import Control
+
+MARKS = ("drain", "cordon", "uncordon", "weight", "add", "remove")
+
+
+class Orders:
+    """The part of `Agreed` that speaks with operators."""
+
+    name: str
+    daemon: Runs
+    said: Said
+    versions: Versions
+    fence: Fence
+    view: FleetView
+    complain: Complaints
+    _store_name: str
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self._orders: dict[str, tuple[Order, Callable[[Any], None], float]] = {}
+        self._confirming: list[tuple[Confirming, Order, Callable[[Any], None], float]] = []
+
+    @property
+    def control(self) -> Control:
+        raise NotImplementedError
+
+    def _id(self) -> str:
+        raise NotImplementedError
+
+    def _propose(self, change: Change, if_version: int = -1) -> None:
+        raise NotImplementedError
+
+    def _do(self, actions: list[Action]) -> None:
+        raise NotImplementedError
+
+    def _end_orders(self) -> None:
+        for _, done, _ in self._orders.values():
+            done({"error": "this instance ends; it is not known whether the change stands"})
+        self._orders.clear()
+
+    def change(self, order: Order, done: Callable[[Any], None]) -> bool:
+        if order.order.here and order.verb in (*MARKS, "move", "freeze", "thaw"):
+            return False
+        body = self._body(order)
+        if body is None:
+            return False
+        kind, struct = body
+        try:
+            change = Change(
+                self._id(), kind, write_body(struct), order.order.by, order.order.reason, time.time()
+            )
+            self.said.check(change)
+        except StateError as problem:
+            raise CallError(409, str(problem)) from None
+        if kind == "recover":
+            self._recover(change, order, done)
+            return True
+        if_version = -1 if order.order.if_version is None else order.order.if_version
+        self._orders[change.id] = order, done, self.clock()
+        self._propose(change, if_version)
+        return True
+
+    def _body(self, order: Order) -> tuple[str, msgspec.Struct] | None:
+        said, verb = order.order, order.verb
+        if verb in MARKS:
+            return "mark", MarkBody(said.pool or "", self.control.planned(order), order.until)
+        if verb == "move":
+            return "move", MoveBody(said.pool or "", self.control.planned_move(order), order.until)
+        if verb in ("freeze", "thaw"):
+            return "freeze", FreezeBody(said.pool or "", verb == "freeze")
+        if verb == "fleet/enrol":
+            return "roster", RosterBody(said.name or "", self._store_of(said.name or ""))
+        if verb == "fleet/expel":
+            return "roster", RosterBody(said.name or "", "")
+        if verb == "fleet/recover":
+            return "recover", RecoverBody({name: self.said.roster.get(name, "") for name in said.roster})
+        return None
+
+    def _store_of(self, name: str) -> str:
+        """Of one that is to vote: the store that it has said its votes are kept in."""
+        met = self.versions.cards.get(name, {}).get("store", "")
+        if name == self.name:
+            met = self._store_name
+        if not met:
+            raise CallError(
+                409, f"{name!r} has not said where its votes are kept; it has to live, with a [store]"
+            )
+        return met
+
+    def _recover(self, change: Change, order: Order, done: Callable[[Any], None]) -> None:
+        """The operator's way out after a majority was lost for good. Guards against use while there is one."""
+        if not order.order.last:
+            raise CallError(
+                409, "this lets a minority go on without those who may know more; say last if it is meant"
+            )
+        if self.fence.is_open(self.clock()):
+            raise CallError(409, "a majority answers; nothing has to be recovered")
+        if self.name not in order.order.roster:
+            raise CallError(409, f"{self.name!r}, where this is said, has to be on the new roster")
+        self._do(self.versions.recover(change))
+        self.complain(
+            "fleet: recovered by an operator", f"{order.order.by}: {', '.join(order.order.roster)} vote now"
+        )
+        done({"version": self.said.version, "holds": True, "roster": dict(self.said.roster)})
+
+    def _ended_order(self, ended: Ended) -> None:
+        found = self._orders.pop(ended.id, None)
+        if found is None:
+            return
+        order, done, began = found
+        if not ended.version:
+            done({"error": ended.why})
+            return
+        accepted = self.clock()
+        confirming = Confirming(ended.version, accepted, ended.lessees, self.fence.lasts, self.fence.serves)
+        self._confirming.append((confirming, order, done, began + max(order.wait, 0.05)))
+        self._look_at_confirming(accepted)
+
+    def _look_at_confirming(self, now: float) -> None:
+        if not self._confirming:
+            return
+        at = {**self.versions.at, self.name: self.said.version}
+        known = [p.fact.name for p in self.view.table if p.fact.standing != Standing.LEFT]
+        left = [p.fact.name for p in self.view.table if p.fact.standing == Standing.LEFT]
+        waiting = []
+        for item in self._confirming:
+            confirming, order, done, until = item
+            found = confirming.look(now, at, [*known, self.name], left)
+            if not found.holds and now < until:
+                waiting.append(item)
+                continue
+            box: dict[str, Any] = {"version": confirming.version, "holds": found.holds}
+            if not found.holds:
+                box["missing"], box["until_s"] = list(found.missing), found.until
+            done({**self.control.told(order), **box})
+        self._confirming = waiting
--- /dev/null
+++ b/spokemast/daemon/reaching.py
@@ -0,0 +1,128 @@
+"""How one daemon of a fleet reaches others for more than a datagram: to catch up, and to ask what they acted on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from typing import Any, Callable, Iterator
+
+import msgspec
+
+from spokemast.fleet import ballots as form
+from spokemast.fleet.catchup import Giver, Taker
+from spokemast.fleet.epochs import Epoch, merge
+from spokemast.fleet.facts import Standing
+from spokemast.fleet.fence import Fence
+from spokemast.fleet.link import Link
+from spokemast.fleet.messages import Message
+from spokemast.fleet.state import Said
+from spokemast.fleet.versions import Action, Event, Versions
+from spokemast.fleet.view import View as FleetView
+from spokemast.limits import Complaints
+
+#: Bytes a second that stragglers get of the state, each.
+GIVE_BYTES_S = 4 << 20
+#: Seconds that another has to answer what operators ask.
+ASK_S = 2.0
+
+
+class Reaching:
+    """The part of `Agreed` that owns its streams."""
+
+    name: str
+    said: Said
+    versions: Versions
+    fence: Fence
+    view: FleetView
+    link: Link
+    complain: Complaints
+    history: deque[Epoch]
+    _loop: asyncio.AbstractEventLoop
+
+    def __init__(self, versions: Versions) -> None:
+        self.giver, self.taker = Giver(versions), Taker()
+        self._catching: asyncio.Task[None] | None = None
+
+    def _hand(self, event: Event) -> None:
+        raise NotImplementedError
+
+    def _do(self, actions: list[Action]) -> None:
+        raise NotImplementedError
+
+    def _schedule(self) -> None:
+        raise NotImplementedError
+
+    def _clock(self) -> float:
+        raise NotImplementedError
+
+    def _catch(self, name: str) -> None:
+        if self._catching is None or self._catching.done():
+            self._catching = self._loop.create_task(self._catch_up(name))
+
+    async def _catch_up(self, name: str) -> None:
+        """Ask one for what is lacking; what has come outlasts a cut."""
+        peer = self.view.table.get(name)
+        if peer is None:
+            return
+        try:
+            want = self.taker.want(self.said.version)
+            async for message in self.link.ask(peer.fact.address, peer.fact.boot, want):
+                if not isinstance(message, (form.Entries, form.Slice)):
+                    raise ValueError("neither changes nor a state")
+                found, last = self.taker.take(message)
+                if found is not None:
+                    self._hand(found)
+                    self._do(self.versions.tell_all())
+                if last:
+                    break
+        except (OSError, ValueError, asyncio.IncompleteReadError, TimeoutError) as problem:
+            self.link.counts["catching up failed"] += 1
+            self.complain("fleet: catching up was cut", f"{name}: {problem}")
+        self._schedule()
+
+    def answer(self, message: Message) -> Iterator[tuple[Message, float]] | None:
+        """What a stream that begins so gets: each message, and the seconds that are waited after it."""
+        if isinstance(message, form.Want):
+            return ((part, len(part.data) / GIVE_BYTES_S if isinstance(part, form.Slice) else 0.0)
+                    for part in self.giver.answer(message))  # fmt: skip
+        if isinstance(message, form.Asked) and message.what == "fleet/versions":
+            return iter([(form.Answered(msgspec.json.encode(self.local())), 0.0)])
+        return None
+
+    # What operators read.
+
+    def standing(self) -> dict[str, Any]:
+        now, versions = self._clock(), self.versions
+        return {
+            "version": self.said.version, "known": versions.top, "behind": versions.behind,
+            "why": versions.stuck or None, "votes": versions.votes, "lost_state": versions.lost or None,
+            "shut_out": not self.fence.may_act(now), "lease_s": round(max(0.0, self.fence.until - now), 2),
+            "drift": self.fence.drifts or None, "roster": sorted(self.said.roster),
+        }  # fmt: skip
+
+    def local(self) -> dict[str, Any]:
+        """This instance's part of `fleet versions`."""
+        now, wall = self._clock(), time.time()
+        rows = [one.row(wall - now) for one in self.history]
+        return {"instance": self.name, **self.standing(), "card": self.versions.card, "epochs": rows}
+
+    def collect(self, done: Callable[[Any], None]) -> None:
+        """All instances' parts; who could not be asked is named."""
+        self._loop.create_task(self._collect(done))
+
+    async def _collect(self, done: Callable[[Any], None]) -> None:
+        peers = [peer for peer in self.view.table if peer.fact.standing != Standing.LEFT]
+        found = await asyncio.gather(*(self._ask(peer.fact.address, peer.fact.boot) for peer in peers))
+        instances = [self.local(), *(one for one in found if one is not None)]
+        unknown = [peer.fact.name for peer, one in zip(peers, found, strict=True) if one is None]
+        done(merge(instances, unknown))
+
+    async def _ask(self, address: tuple[str, int], boot: int) -> dict[str, Any] | None:
+        try:
+            async for message in self.link.ask(address, boot, form.Asked("fleet/versions"), ASK_S):
+                if isinstance(message, form.Answered):
+                    return msgspec.json.decode(message.body, type=dict[str, Any])
+        except (OSError, ValueError, asyncio.IncompleteReadError, TimeoutError):
+            pass
+        return None
