Roll out a configuration over the fleet in steps, and take it back by itself

Need: a configuration goes to each daemon by hand, and a bad one shows only after it is everywhere.

Change: fleet/rollout.py is the table of stages and what ends each; daemon/rolling.py fetches the file by its digest, checks it whole as a reload would, takes it up and back. What is an instance's own (its [fleet], [store], [management], addresses, keys) stays its own. Any voter drives, so a roll-out that lost its operator ends one way. micastand fleet roll | rollout | halt | back.

--- /dev/null
+++ b/benchmarks/fleetversions.py
@@ -0,0 +1,179 @@
+"""One state for the fleet, measured.
+
+python -m benchmarks.fleetversions [force | straggler | cost | model ...]
+
+force: eight real processes, five of which vote: milliseconds from an operator's call to the answer that a change holds
+    at all; then changes a second, said at all eight at once.
+straggler: bytes and seconds for an instance that is 10, 1,000 and 100,000 changes behind.
+cost: requests a second of one instance of a fleet with the state beside a fleet without, in turns in one run.
+model: 200 instances, 7 of which vote, in virtual time: when a change is in force at all.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import statistics
+import sys
+import tempfile
+import time
+from functools import partial
+from pathlib import Path
+from typing import Any, Sequence
+
+import msgspec
+
+from benchmarks.fleetview import pool_of, quantile, rate
+from emulator.fleetstate import StateModel
+from spokemast.fleet.catchup import Giver, Taker
+from spokemast.fleet.state import Change, MarkBody, Said, write_body
+from spokemast.fleet.versions import Caught, Versions
+from spokemast.members.overlay import Mark
+from standins.member import Fleet as Members
+from standins.processes import CONFIG, Fleet, until
+
+STORED = '[store]\nfolder = "state"\n' + CONFIG
+VOTERS = 'voters = ["i0", "i1", "i2", "i3", "i4"]\nstale_most = "10s"'
+THREE = VOTERS.replace(', "i3", "i4"', "")
+
+
+async def all_act(fleet: Fleet) -> None:
+    async def so() -> bool:
+        found = await fleet.statuses()
+        return all(not one["agreed"]["shut_out"] for one in found)
+
+    await until(so, "all may act")
+
+
+async def force_part(rounds: int) -> None:
+    members = Members(4)
+    pool = await pool_of(members)
+    took: list[float] = []
+    held = 0
+    with tempfile.TemporaryDirectory() as folder:
+        async with Fleet(Path(folder), 8, pool, profile="lan", config=STORED, fleet_more=VOTERS) as fleet:
+            await fleet.open()
+            await fleet.settled()
+            await all_act(fleet)
+            await asyncio.sleep(
+                11
+            )  # voters that have just begun name nobody, and the whole time would be waited
+            for number in range(rounds):
+                verb = "uncordon" if number % 2 else "cordon"
+                began = time.perf_counter()
+                _, found = await fleet.all[number % 8].say(verb, pool="p", member="m1", wait="5s")
+                took.append(1e3 * (time.perf_counter() - began))
+                held += bool(found.get("holds"))
+            print(f"force: {rounds} changes at 8 processes, 5 vote: p50 {quantile(took, 0.5):.1f} ms, p99 "
+                  f"{quantile(took, 0.99):.1f} ms, most {max(took):.1f} ms; {held} held at all")  # fmt: skip
+            began = time.perf_counter()
+
+            async def sayer(place: int) -> int:
+                stands = 0
+                for number in range(25):
+                    _, found = await fleet.all[place].say(
+                        "cordon", pool="p", member=f"m{1 + number % 3}", wait="50ms"
+                    )
+                    stands += "version" in found
+                return stands
+
+            stands = sum(await asyncio.gather(*(sayer(place) for place in range(8))))
+            took_s = time.perf_counter() - began
+            print(
+                f"rate: {stands} of 200 changes said at eight at once stand, {stands / took_s:.0f}/s",
+                flush=True,
+            )
+    await members.stop()
+
+
+def mark_change(number: int) -> Change:
+    body = MarkBody("pool", {f"member-{number}": Mark(word="drain", by="operator", reason="a reason")})
+    return Change(f"edge-1-0123456789ab-{number}", "mark", write_body(body), "operator", "a reason", 1.7e9)
+
+
+def straggler_part() -> None:
+    for count in (10, 1_000, 100_000):
+        ahead = Versions("a", "s", 1, Said({"a": ""}), random.Random(1))
+        for number in range(count):
+            ahead.handle(0.0, Caught(number + 1, (mark_change(number),)))
+        behind, taker, size = Versions("b", "", 0, Said({"a": ""}), random.Random(1)), Taker(), 0
+        began, parts = time.perf_counter(), 0
+        for part in Giver(ahead).answer(taker.want(0)):
+            size += len(msgspec.msgpack.encode(part))
+            parts += 1
+            found, _ = taker.take(part)
+            if found is not None:
+                behind.handle(1.0, found)
+        took = time.perf_counter() - began
+        assert behind.said.digest() == ahead.said.digest()
+        print(f"straggler: {count:7} behind: {size:10} bytes in {parts} messages, {took:.2f} s of processor time, "
+              f"{size / (4 << 20):.2f} s at 4 MiB/s", flush=True)  # fmt: skip
+
+
+async def cost_part(pairs: int) -> None:
+    members = Members(4)
+    pool = await pool_of(members)
+    ratios: list[float] = []
+    with tempfile.TemporaryDirectory() as one, tempfile.TemporaryDirectory() as two:
+        async with (
+            Fleet(Path(one), 3, pool, profile="lan", config=STORED, fleet_more=THREE) as with_state,
+            Fleet(Path(two), 3, pool, profile="lan", config=STORED) as without,
+        ):
+            for fleet in (with_state, without):
+                await fleet.open()
+                await fleet.settled()
+            await all_act(with_state)
+            for turn in range(pairs):
+                order = [with_state.all[0].port, without.all[0].port]
+                rates = {port: await rate(port, 4.0) for port in (order if turn % 2 else order[::-1])}
+                ratios.append(rates[order[0]] / rates[order[1]])
+                print(f"  pair {turn}: {rates[order[0]]:.0f} with, {rates[order[1]]:.0f} without", flush=True)
+    print(
+        f"cost: requests a second with the state over without: {statistics.median(ratios):.3f} (median of {pairs})"
+    )
+    await members.stop()
+
+
+def in_force(model: StateModel) -> bool:
+    return all(one.versions.said.version == 1 for one in model.up)
+
+
+def model_part(runs: int) -> None:
+    took: list[float] = []
+    for seed in range(runs):
+        model = StateModel(7, seed, stale_most=10.0)
+        model.join(193)
+        for one in model.all.values():
+            one.start()
+        model.run(2)
+        model.loss = 0.01
+        model.all["i3"].propose(mark_change(1))
+        found = model.until(partial(in_force, model), 30.0, 0.005)
+        took.append(1e3 * (found if found is not None else 99.0))
+    print(f"model: 200 instances, 7 vote, 1 % loss: in force at all p50 {quantile(took, 0.5):.0f} ms, most "
+          f"{max(took):.0f} ms of {runs}")  # fmt: skip
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parts = ("force", "straggler", "cost", "model")
+    parser.add_argument("parts", nargs="*", metavar="PART", default=parts, help=", ".join(parts))
+    parser.add_argument("--rounds", type=int, default=200)
+    parser.add_argument("--pairs", type=int, default=8)
+    options: Any = parser.parse_args(arguments)
+    if "force" in options.parts:
+        asyncio.run(force_part(options.rounds))
+    if "straggler" in options.parts:
+        straggler_part()
+    if "cost" in options.parts:
+        asyncio.run(cost_part(options.pairs))
+    if "model" in options.parts:
+        model_part(20)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/emulator/fleetstate.py
+++ b/emulator/fleetstate.py
@@ -177,6 +177,12 @@
         self.voters = [f"i{number}" for number in range(count)]
         self.all = {name: Instance(self, name) for name in self.voters}
 
+    def join(self, count: int) -> None:
+        """So many more, which do not vote and keep nothing."""
+        for number in range(len(self.all), len(self.all) + count):
+            one = self.all[f"i{number}"] = Instance(self, f"i{number}")
+            one.disk.store = ""
+
     def send(self, sender: str, to: str, message: Any) -> None:
         target = self.all.get(to)
         if target is None or (sender, to) in self.cut:
--- a/spokemast/cli/fleet.py
+++ b/spokemast/cli/fleet.py
@@ -11,11 +11,15 @@
 READS = {
     "members": "each instance: whether it lives, its life, since when, who suspects it, its last word",
     "status": "the view in figures: settled or not, the digest, how many live, what goes over the wire",
+    "rollout": "the latest roll-out: its stage, and what each instance runs",
     "versions": "each version of the fleet's state: who took it up when, who is behind and why, who is shut out",
 }
 CHANGES = {
     "enrol": "an instance votes on changes from now on, by the store that it has",
     "expel": "an instance votes on changes no more",
+    "roll": "roll out a configuration: checked at all, taken up in steps, taken back if it serves worse",
+    "halt": "leave a roll-out as it is",
+    "back": "take a roll-out back",
     "recover": "go on with these voters alone, after a majority was lost for good",
 }
 
@@ -40,9 +44,12 @@
         one.add_argument(
             "--last", action="store_true", help="it is meant: those that are not named may know more"
         )
-    else:
+    elif name == "roll":
+        one.add_argument("path", type=os.path.abspath, metavar="FILE")
+        one.add_argument("--soak", dest="until", metavar="DURATION", help="that each step serves (10s)")
+    elif name not in ("halt", "back"):
         one.add_argument("name", metavar="INSTANCE")
         add_fleet_words(one)
     one.add_argument("--by", default=os.environ.get("SUDO_USER"), help="who you are (the user's name)")
     one.add_argument("--reason", default="")
-    one.set_defaults(run=change, what=f"fleet/{name}")
+    one.set_defaults(run=change, what="fleet/rollout" if name == "roll" else f"fleet/{name}")
--- a/spokemast/control/calls.py
+++ b/spokemast/control/calls.py
@@ -53,6 +53,7 @@
     if_version: Annotated[int, Meta(ge=0)] | None = None  # only right after this version of the fleet's state
     wait: str | None = None  # a duration for which all are waited for that have not confirmed
     name: Name | None = None  # of an instance
+    path: Annotated[str, Meta(max_length=1000)] | None = None  # of a file beside the daemon
     roster: list[Name] = []  # of instances
 
 
@@ -124,7 +125,7 @@
     members = tuple(dict.fromkeys([*([order.member] if order.member else []), *order.members]))
     given = {
         name
-        for name in ("pool", "weight", "address", "level", "other", "share", "name")
+        for name in ("pool", "weight", "address", "level", "other", "share", "name", "path")
         if getattr(order, name) is not None
     }
     given |= {"member"} if members else set()
--- a/spokemast/daemon/agreed.py
+++ b/spokemast/daemon/agreed.py
@@ -10,6 +10,7 @@
 import random
 import time
 from collections import deque
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, Callable, cast
 
 import msgspec
@@ -19,6 +20,7 @@
 from spokemast.daemon.orders import Orders
 from spokemast.daemon.parts import Runs
 from spokemast.daemon.reaching import Reaching
+from spokemast.daemon.rolling import Rolling
 from spokemast.daemon.votes import Identity, all_items, keep_items, keep_vote, load, open_identity, snapshot
 from spokemast.fleet import ballots as form
 from spokemast.fleet.epochs import Epoch, describe
@@ -26,6 +28,7 @@
 from spokemast.fleet.fence import Fence
 from spokemast.fleet.link import Link
 from spokemast.fleet.messages import Message
+from spokemast.fleet.rollout import OPEN, Report, follows
 from spokemast.fleet.state import (
     Change, MarkBody, MoveBody, Said, write_body,
 )  # fmt: skip
@@ -59,7 +62,13 @@
     """One daemon's. The daemon's fleet owns it; `end` stops its timer."""
 
     def __init__(
-        self, daemon: Runs, table: FleetTable, link: Link, view: FleetView, store: Store | None
+        self,
+        daemon: Runs,
+        table: FleetTable,
+        link: Link,
+        view: FleetView,
+        store: Store | None,
+        base_path: Path,
     ) -> None:
         self.daemon, self.table, self.link, self.view, self.store = daemon, table, link, view, store
         self.complain = daemon.complain
@@ -93,6 +102,10 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._ended = False
+        self._drive_at = 0.0
+        self._stage_began = (0, 0.0)
+        path = daemon.plan.path if daemon.plan is not None else base_path
+        self.rolling = Rolling(daemon, table.name, path, self.ask_named, self._requests, self._changed)
         link.ruling, link.streams = self._hear, self.answer
 
     @property
@@ -129,6 +142,7 @@
             self._timer.cancel()
         if self._catching is not None:
             self._catching.cancel()
+        self.rolling.close()
         self._end_orders()
 
     def _restore(self) -> None:
@@ -147,7 +161,9 @@
         found = {"build": BUILD, "store": self._store_name}
         if plan is not None:
             found["config"] = blake3(plan.path.read_bytes()).hexdigest(4)
-        for name, pool in sorted(self.daemon.pools.items())[:8]:
+        if report := self.rolling.report(self.said.plan):
+            found["plan"] = report
+        for name, pool in sorted(self.daemon.pools.items())[:4]:
             listed = ",".join(sorted(pool.overlay.listed()))
             found[f"list {name}"[:64]] = blake3(listed.encode()).hexdigest(4)
         return found
@@ -169,6 +185,7 @@
         if now >= self._ends_at:
             self._ends_at = now + ENDS_S
             self._end_by_time(now)
+            self._roll(now)
             self.versions.card = self._card()
         self._look_at_confirming(now)
         self._schedule()
@@ -196,6 +213,43 @@
                 Change(self._id(), key[0], write_body(body), self.name, "its time is over", time.time())
             )
 
+    # A roll-out.
+
+    def _requests(self) -> tuple[int, int]:
+        """All that have ended so far, and those refused or failed."""
+        ended = [pool.proxy.figures.ended for pool in self.daemon.pools.values()]
+        served = sum(one[0] for counts in ended for one in counts)
+        bad = sum(one[1] + one[2] for counts in ended for one in counts)
+        return served + bad, bad
+
+    def _changed(self) -> None:
+        self.versions.card = self._card()
+        self._do(self.versions.tell_all())
+
+    def _roll(self, now: float) -> None:
+        """Do this instance's part; the first of the living voters also says what follows."""
+        plan = self.said.plan
+        names = sorted({self.name, *(peer.fact.name for peer in self.view.table
+                                     if peer.fact.standing != Standing.LEFT)})  # fmt: skip
+        self.rolling.look(plan, names)
+        if plan is None or plan.stage not in OPEN:
+            return
+        self._do(self.versions.tell_all() if now >= self._drive_at + 1.0 else [])
+        if self._stage_began[0] != plan.version:
+            self._stage_began = plan.version, now
+        living = [self.name, *(peer.fact.name for peer in self.view.table.living)]
+        voters = sorted(name for name in living if name in self.said.roster)
+        if not voters or voters[0] != self.name or now < self._drive_at + 1.0:
+            return
+        self._drive_at = now
+        cards = {**self.versions.cards, self.name: self._card()}
+        reports = {name: found for name, card in cards.items()
+                   if (found := Report.read(card.get("plan", ""), plan.id)) is not None}  # fmt: skip
+        dead = [name for name in names if name not in living]
+        body = follows(plan, reports, living, dead, now - self._stage_began[1])
+        if body is not None:
+            self._propose(Change(self._id(), "stage", write_body(body), self.name, body.why, time.time()))
+
     def _id(self) -> str:
         self._ids += 1
         return f"{self._tag}-{self._ids}"
--- a/spokemast/daemon/daemon.py
+++ b/spokemast/daemon/daemon.py
@@ -332,6 +332,10 @@
 
     # Reloading.
 
+    @property
+    def reloading(self) -> bool:
+        return self._reloading is not None
+
     def reload(self) -> None:
         """Take the file anew; for a signal. One that comes while another is under way follows it."""
         if self._reloading is not None:
--- a/spokemast/daemon/fleet.py
+++ b/spokemast/daemon/fleet.py
@@ -15,6 +15,7 @@
 from spokemast.control.learnt import FleetNote
 from spokemast.daemon.agreed import Agreed
 from spokemast.daemon.parts import Part, Runs
+from spokemast.daemon.rolling import rows
 from spokemast.fleet import report
 from spokemast.fleet.events import Action, Leave, Passed
 from spokemast.fleet.link import Link
@@ -29,6 +30,12 @@
 VERBS = {
     "fleet/enrol": (frozenset(("name",)), "an instance votes from now on, by the store that it has"),
     "fleet/expel": (frozenset(("name",)), "an instance votes no more"),
+    "fleet/rollout": (
+        frozenset(("path",)),
+        "a configuration for all, in steps; until: how long each step serves",
+    ),
+    "fleet/halt": (frozenset(), "a roll-out stays as it is"),
+    "fleet/back": (frozenset(), "a roll-out is taken back"),
     "fleet/recover": (frozenset(("roster",)), "a minority goes on alone, after a majority was lost for good"),
 }
 #: How often the key's file is looked at, in seconds.
@@ -48,10 +55,10 @@
 class Fleet(Part):
     """One for a daemon with `[fleet]`. It owns the link; `end` gives its sockets back."""
 
-    def __init__(self, daemon: Runs, table: FleetTable, base: Path, made: Mapping[str, Part]) -> None:
+    def __init__(self, daemon: Runs, table: FleetTable, path: Path, made: Mapping[str, Part]) -> None:
         """ConfigError where the key or the address can't be had."""
         self.daemon, self.table, self.complain = daemon, table, daemon.complain
-        self._key_path = base / table.key_file
+        self._key_path = path.parent / table.key_file
         self._key_stamp = stamps([self._key_path])
         self._key_at = time.monotonic()
         source = random.SystemRandom()
@@ -64,11 +71,10 @@
         self.view = View(identity, settings, source.getrandbits(60))
         self.share = Share(table.instances)
         self._counted = table.instances
-        self._first: list[Action] = []
         try:
             sealer = read_sealer(self._key_path)
         except ValueError as problem:
-            raise ConfigError([Problem(str(base), "fleet.key_file", str(problem))]) from None
+            raise ConfigError([Problem(str(path), "fleet.key_file", str(problem))]) from None
         note: Callable[[str, str], None] = self.complain
         taken = daemon.taken
         claimed = (None, None) if taken is None else (taken.claim_datagrams(bound), taken.claim(bound))
@@ -76,9 +82,8 @@
         self.agreed: Agreed | None = None
         if table.voters:
             memory: Any = made.get("store")
-            self.agreed = Agreed(
-                daemon, table, self.link, self.view, memory.store if memory is not None else None
-            )
+            store = memory.store if memory is not None else None
+            self.agreed = Agreed(daemon, table, self.link, self.view, store, path)
 
     def serve(self) -> None:
         """Take part from now on. Of a place that was taken over, nobody sees a death."""
@@ -162,7 +167,17 @@
         return {"fleet": box}
 
     def reads(self) -> Mapping[str, Callable[[], Any]]:
-        return {"fleet/members": self._read_members, "fleet/status": self._read_status}
+        found: dict[str, Callable[[], Any]] = {
+            "fleet/members": self._read_members, "fleet/status": self._read_status,
+        }  # fmt: skip
+        if self.agreed is not None:
+            found["fleet/rollout"] = self._read_rollout
+        return found
+
+    def _read_rollout(self) -> dict[str, Any]:
+        agreed = self.agreed
+        assert agreed is not None
+        return rows(agreed.said.plan, {**agreed.versions.cards, self.table.name: agreed.versions.card})
 
     def _read_members(self) -> list[dict[str, Any]]:
         return report.rows(self.view, time.monotonic())
--- a/spokemast/daemon/makers.py
+++ b/spokemast/daemon/makers.py
@@ -114,7 +114,7 @@
         raise ConfigError([Problem(str(plan.path), "fleet", text)]) from None
 
     assert table is not None
-    return Fleet(daemon, table, plan.path.parent, made)
+    return Fleet(daemon, table, plan.path, made)
 
 
 #: In the order in which they are made, and against which they end.
--- a/spokemast/daemon/orders.py
+++ b/spokemast/daemon/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, Callable
 
 import msgspec
@@ -10,9 +11,11 @@
 from spokemast.control.calls import CallError
 from spokemast.control.calls import Change as Order
 from spokemast.daemon.parts import Runs
+from spokemast.daemon.rolling import Rolling
 from spokemast.fleet.confirm import Confirming
 from spokemast.fleet.facts import Standing
 from spokemast.fleet.fence import Fence
+from spokemast.fleet.rollout import PlanBody, StageBody
 from spokemast.fleet.state import (
     Change, FreezeBody, MarkBody, MoveBody, RecoverBody, RosterBody, Said, StateError, write_body,
 )  # fmt: skip
@@ -23,6 +26,8 @@
 if TYPE_CHECKING:
     from spokemast.daemon.control import Control
 
+#: Seconds that each step of a roll-out serves before the next, if nobody says.
+SOAK_S = 10.0
 MARKS = ("drain", "cordon", "uncordon", "weight", "add", "remove")
 
 
@@ -36,6 +41,7 @@
     fence: Fence
     view: FleetView
     complain: Complaints
+    rolling: Rolling
     _store_name: str
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -95,10 +101,30 @@
             return "roster", RosterBody(said.name or "", self._store_of(said.name or ""))
         if verb == "fleet/expel":
             return "roster", RosterBody(said.name or "", "")
+        if verb == "fleet/rollout":
+            return "plan", self._plan_of(order)
+        if verb in ("fleet/halt", "fleet/back"):
+            plan = self.said.plan
+            if plan is None or plan.stage in ("done", "ended"):
+                raise CallError(409, "no roll-out is under way")
+            return "stage", StageBody(plan.id, plan.stage, verb.removeprefix("fleet/") + "ed" * (verb == "fleet/halt"),
+                                      f"by {said.by}"[:200], plan.old_bad)  # fmt: skip
         if verb == "fleet/recover":
             return "recover", RecoverBody({name: self.said.roster.get(name, "") for name in said.roster})
         return None
 
+    def _plan_of(self, order: Order) -> PlanBody:
+        """A file beside this daemon, as its operator names it. Harm: whoever may call may have any file checked as a
+        configuration; so calls by TCP, whose holders have tokens alone, name none."""
+        path = Path(order.order.path or "")
+        if not path.is_absolute():
+            raise CallError(400, f"{path}: an absolute path is wanted")
+        try:
+            digest = self.rolling.offer(path.read_bytes())
+        except (OSError, ValueError) as problem:
+            raise CallError(400, f"{path}: {problem}") from None
+        return PlanBody(f"r{self.said.version + 1}", digest, self.name, order.until or SOAK_S)
+
     def _store_of(self, name: str) -> str:
         """Of one that is to vote: the store that it has said its votes are kept in."""
         met = self.versions.cards.get(name, {}).get("store", "")
--- a/spokemast/daemon/parts.py
+++ b/spokemast/daemon/parts.py
@@ -84,6 +84,10 @@
     def retiring(self) -> int:
         """Pools and listeners that a reload took out, and that are not closed yet."""
 
+    @property
+    def reloading(self) -> bool:
+        """Whether the file is being taken anew."""
+
     def reload(self) -> None:
         """Take the file anew; for a signal. One that comes while another is under way follows it."""
 
--- a/spokemast/daemon/reaching.py
+++ b/spokemast/daemon/reaching.py
@@ -5,10 +5,11 @@
 import asyncio
 import time
 from collections import deque
-from typing import Any, Callable, Iterator
+from typing import Any, AsyncIterator, Callable, Iterator
 
 import msgspec
 
+from spokemast.daemon.rolling import Rolling
 from spokemast.fleet import ballots as form
 from spokemast.fleet.catchup import Giver, Taker
 from spokemast.fleet.epochs import Epoch, merge
@@ -38,6 +39,7 @@
     link: Link
     complain: Complaints
     history: deque[Epoch]
+    rolling: Rolling
     _loop: asyncio.AbstractEventLoop
 
     def __init__(self, versions: Versions) -> None:
@@ -88,8 +90,18 @@
                     for part in self.giver.answer(message))  # fmt: skip
         if isinstance(message, form.Asked) and message.what == "fleet/versions":
             return iter([(form.Answered(msgspec.json.encode(self.local())), 0.0)])
+        if isinstance(message, form.Asked) and message.what.startswith("plan/"):
+            return ((part, 0.0) for part in self.rolling.answer(message.what.removeprefix("plan/")))
         return None
 
+    async def ask_named(self, name: str, message: Message) -> AsyncIterator[Message]:
+        """Ask an instance by its name; ConnectionError where it is not known."""
+        peer = self.view.table.get(name)
+        if peer is None:
+            raise ConnectionError(f"{name} is not known")
+        async for found in self.link.ask(peer.fact.address, peer.fact.boot, message):
+            yield found
+
     # What operators read.
 
     def standing(self) -> dict[str, Any]:
--- a/spokemast/daemon/votes.py
+++ b/spokemast/daemon/votes.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from spokemast.fleet.ballots import Met, Vote
+from spokemast.fleet.rollout import Plan
 from spokemast.fleet.state import Change, Said, Whole
 from spokemast.fleet.versions import DRAW_BITS, KEPT
 from spokemast.members.overlay import Mark
@@ -32,6 +33,7 @@
     version: int
     roster: dict[str, str]
     frozen: list[str]
+    plan: Plan | None = None
 
 
 def open_identity(view: View, source: random.Random) -> Identity:
@@ -57,7 +59,7 @@
         moves = {
             key[len(MOVE) :].decode(): _item(view, key, tuple[Move, float, int]) for key in view.keys(MOVE)
         }
-        whole = Whole(head.version, marks, moves, head.frozen, head.roster)
+        whole = Whole(head.version, marks, moves, head.frozen, head.roster, head.plan)
         said.take_whole(msgspec.msgpack.encode(whole))
     vote = _item(view, VOTE, Vote) if view.get(VOTE) else None
     met = {key[len(MET) :].decode(): _item(view, key, Met) for key in view.keys(MET)}
@@ -90,7 +92,7 @@
         elif kind == "move":
             moved = said.moves.get(names[0])
             found.append((MOVE + names[0].encode(), msgspec.msgpack.encode(moved) if moved else None))
-    head = Head(said.version, dict(said.roster), sorted(said.frozen))
+    head = Head(said.version, dict(said.roster), sorted(said.frozen), said.plan)
     found.append((HEAD, msgspec.msgpack.encode(head)))
     return found
 
--- a/spokemast/fleet/epochs.py
+++ b/spokemast/fleet/epochs.py
@@ -4,6 +4,7 @@
 
 from typing import Any, Sequence
 
+from spokemast.fleet.rollout import PlanBody, StageBody
 from spokemast.fleet.state import (
     Change, FreezeBody, MarkBody, MoveBody, RecoverBody, RosterBody, StateError, read_body,
 )  # fmt: skip
@@ -43,6 +44,10 @@
         return f"{body.pool}: {'frozen' if body.frozen else 'thawed'}"
     if isinstance(body, RosterBody):
         return f"roster: {body.name} {'votes' if body.store else 'votes no more'}"
+    if isinstance(body, PlanBody):
+        return f"roll-out {body.id} of {body.digest[:8]}"
+    if isinstance(body, StageBody):
+        return f"roll-out {body.id}: {body.frm} to {body.to}" + (f", {body.why}" if body.why else "")
     if isinstance(body, RecoverBody):
         return f"recovered: {', '.join(sorted(body.roster))} vote"
     return "nothing"
--- a/spokemast/fleet/state.py
+++ b/spokemast/fleet/state.py
@@ -13,12 +13,13 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any, Mapping
+from typing import Annotated, Any, Callable, Mapping
 
 import msgspec
 from blake3 import blake3
 from msgspec import Meta, Struct
 
+from spokemast.fleet.rollout import OPEN, Plan, PlanBody, StageBody
 from spokemast.members.overlay import Mark
 from spokemast.moves import Move
 
@@ -84,7 +85,7 @@
 
 BODIES: Mapping[str, type[Struct]] = {
     "mark": MarkBody, "move": MoveBody, "freeze": FreezeBody, "roster": RosterBody, "recover": RecoverBody,
-    "nothing": Struct,
+    "plan": PlanBody, "stage": StageBody, "nothing": Struct,
 }  # fmt: skip
 
 
@@ -98,6 +99,7 @@
     moves: dict[str, tuple[Move, float, int]]
     frozen: list[str]
     roster: dict[str, str]
+    plan: Plan | None = None
 
 
 class Said:
@@ -108,8 +110,14 @@
         self.marks: dict[str, dict[str, tuple[Mark, float, int]]] = {}
         self.moves: dict[str, tuple[Move, float, int]] = {}
         self.frozen: set[str] = set()
+        self.plan: Plan | None = None  # the latest roll-out
         self.roster: dict[str, str] = dict(roster)
         self._count = 0
+        self._takes: Mapping[type, Callable[[Any], list[tuple[str, ...]]]] = {
+            MarkBody: self._take_marks, MoveBody: self._take_move, FreezeBody: self._take_freeze,
+            RosterBody: self._take_roster, RecoverBody: self._take_recover, PlanBody: self._take_plan,
+            StageBody: self._stage,
+        }  # fmt: skip
 
     @property
     def majority(self) -> int:
@@ -122,31 +130,48 @@
         """Take up the next change. StateError, and nothing has changed, where this build can't read it."""
         body = read_body(change)
         self.version += 1
-        if isinstance(body, MarkBody):
-            touched = [member for member in body.marks if self._is_of(body, member)]
-            for member in touched:
-                self._mark(body.pool, member, body.marks[member], body.lasts)
-            return [("mark", body.pool, member) for member in touched]
-        if isinstance(body, MoveBody):
-            if body.of and self.moves.get(body.pool, (None, 0.0, 0))[2] != body.of:
-                return []
-            self.moves.pop(body.pool, None)
-            if body.move is not None:
-                self.moves[body.pool] = body.move, body.lasts, self.version
-            return [("move", body.pool)]
-        if isinstance(body, FreezeBody):
-            (self.frozen.add if body.frozen else self.frozen.discard)(body.pool)
-            return [("freeze", body.pool)]
-        if isinstance(body, RosterBody):
-            if body.store:
-                self.roster[body.name] = body.store
-            else:
-                self.roster.pop(body.name, None)
-            return [("roster", body.name)]
-        if isinstance(body, RecoverBody):
-            self.roster = dict(body.roster)
-            return [("roster", name) for name in body.roster]
-        return []
+        take = self._takes.get(type(body))
+        return take(body) if take is not None else []
+
+    def _take_marks(self, body: MarkBody) -> list[tuple[str, ...]]:
+        touched = [member for member in body.marks if self._is_of(body, member)]
+        for member in touched:
+            self._mark(body.pool, member, body.marks[member], body.lasts)
+        return [("mark", body.pool, member) for member in touched]
+
+    def _take_move(self, body: MoveBody) -> list[tuple[str, ...]]:
+        if body.of and self.moves.get(body.pool, (None, 0.0, 0))[2] != body.of:
+            return []
+        self.moves.pop(body.pool, None)
+        if body.move is not None:
+            self.moves[body.pool] = body.move, body.lasts, self.version
+        return [("move", body.pool)]
+
+    def _take_freeze(self, body: FreezeBody) -> list[tuple[str, ...]]:
+        (self.frozen.add if body.frozen else self.frozen.discard)(body.pool)
+        return [("freeze", body.pool)]
+
+    def _take_roster(self, body: RosterBody) -> list[tuple[str, ...]]:
+        if body.store:
+            self.roster[body.name] = body.store
+        else:
+            self.roster.pop(body.name, None)
+        return [("roster", body.name)]
+
+    def _take_recover(self, body: RecoverBody) -> list[tuple[str, ...]]:
+        self.roster = dict(body.roster)
+        return [("roster", name) for name in body.roster]
+
+    def _take_plan(self, body: PlanBody) -> list[tuple[str, ...]]:
+        self.plan = Plan(body.id, body.digest, body.origin, body.soak, version=self.version)
+        return [("plan",)]
+
+    def _stage(self, body: StageBody) -> list[tuple[str, ...]]:
+        plan = self.plan
+        if plan is None or plan.id != body.id or plan.stage != body.frm:
+            return []  # another has been there first
+        plan.stage, plan.why, plan.old_bad, plan.version = body.to, body.why, body.old_bad, self.version
+        return [("plan",)]
 
     def _is_of(self, body: MarkBody, member: str) -> bool:
         stands = self.marks.get(body.pool, {}).get(member)
@@ -166,6 +191,8 @@
         body = read_body(change)
         if isinstance(body, MarkBody) and self._count + len(body.marks) > MARKS_MOST:
             raise StateError(f"{self._count} marks stand; at most {MARKS_MOST}")
+        if isinstance(body, PlanBody) and self.plan is not None and self.plan.stage in (*OPEN, "halted"):
+            raise StateError(f"roll-out {self.plan.id} is under way ({self.plan.stage}); take it back first")
         if isinstance(body, RosterBody):
             if body.store and body.name not in self.roster and len(self.roster) >= ROSTER_MOST:
                 raise StateError(f"{len(self.roster)} vote; at most {ROSTER_MOST}")
@@ -179,7 +206,9 @@
     def encode(self) -> bytes:
         marks = {pool: dict(sorted(those.items())) for pool, those in sorted(self.marks.items())}
         roster, moves = dict(sorted(self.roster.items())), dict(sorted(self.moves.items()))
-        return msgspec.msgpack.encode(Whole(self.version, marks, moves, sorted(self.frozen), roster))
+        return msgspec.msgpack.encode(
+            Whole(self.version, marks, moves, sorted(self.frozen), roster, self.plan)
+        )
 
     def digest(self) -> str:
         return blake3(self.encode()).hexdigest(16)
@@ -191,7 +220,7 @@
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as problem:
             raise StateError(f"no state: {problem}") from None
         self.version, self.marks, self.moves = found.version, found.marks, found.moves
-        self.frozen, self.roster = set(found.frozen), found.roster
+        self.frozen, self.roster, self.plan = set(found.frozen), found.roster, found.plan
         self._count = sum(map(len, found.marks.values()))
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -44,12 +44,12 @@
     return made
 
 
-async def call(sock: Path, method: str, path: str, **body: Any) -> tuple[int, Any]:
+async def call(sock: Path, method: str, what: str, /, **body: Any) -> tuple[int, Any]:
     """Status and what a daemon answers at its operators' socket; ConnectionError where it does not."""
     data = json.dumps(body).encode() if body else b""
     reader, writer = await asyncio.open_unix_connection(str(sock))
     try:
-        head = f"{method} /v1/{path} HTTP/1.1\r\nContent-Length: {len(data)}\r\n\r\n"
+        head = f"{method} /v1/{what} HTTP/1.1\r\nContent-Length: {len(data)}\r\n\r\n"
         writer.write(head.encode() + data)
         found = await reader.read()
     finally:
@@ -136,7 +136,7 @@
     async def read(self, what: str) -> Any:
         return (await call(self.sock, "GET", what))[1]
 
-    async def say(self, verb: str, **body: Any) -> tuple[int, Any]:
+    async def say(self, verb: str, /, **body: Any) -> tuple[int, Any]:
         return await call(self.sock, "POST", verb, **({"by": "test"} | body))
 
 
