Coming back: phases that are told, lessons of several survivors, a pace for connections

Need: after most proxies restart at once each begins as a stranger, opens connections together, and nobody can say when service is full again.

--- a/benchmarks/fleetview.py
+++ b/benchmarks/fleetview.py
@@ -9,7 +9,8 @@
     and 40 idle ones.
 deaths: eight processes under full load and 1 % loss for so many minutes: how many were held dead, and suspected.
 cost: requests a second of one process with the fleet on beside off, in turns in one run.
-half: half of eight killed: connections that members are asked for, with the view's number beside a number that stands.
+half: three and four of eight killed: connections that members are asked for, with the view's number beside one that
+    stands.
 """
 
 from __future__ import annotations
@@ -261,6 +262,8 @@
             port = fleet._place(99, "127.0.0.1", 99).port
             head, _, rest = text.partition("[fleet]")
             rest = "[[class]]" + rest.partition("[[class]]")[2]
+            # The number of instances decides which connections are kept, so both count with the same.
+            head = f"[process]\ninstances = {len(fleet.all)}\n" + head
             alone.write_text(head + rest.replace(str(fleet.all[0].port), str(port)))
             other = await start(alone)
             for turn in range(pairs):
@@ -297,35 +300,31 @@
 
 
 async def half_part() -> None:
-    """Eight instances, 12 members, a fixed load on all; then four are killed and the rest gets it all."""
-    print("half of eight killed, 12 members: connections opened at members for each request, counted by them, before\n"
-          "and in spans of 10 s after")  # fmt: skip
+    """Eight instances, 12 members, 7 requests a second at each; then three, or four, are killed."""
+    print("of eight killed, 12 members, 7 requests a second at each: connections opened at members for each request,\n"
+          "counted by them, before and in spans of 10 s after")  # fmt: skip
     stands = "from spokemast.fleet.share import Share; Share._move = lambda self, now: None"
-    for name, prelude in (("the view's number", ""), ("a number that stands", stands)):
-        members = Members(12)
-        pool = await pool_of(members)
-        with tempfile.TemporaryDirectory() as folder:
-            async with Fleet(Path(folder), 8, pool, profile="lan") as fleet:
-                for one in fleet.all:
-                    one.prelude = prelude
-                await fleet.open()
-                await fleet.settled()
-                rows = []
-                askers = Askers([one.port for one in fleet.all for _ in range(2)], pause=0.02)
-                askers.start()
-                await asyncio.sleep(5)
-                rows.append(await span(members, 10))
-                await asyncio.gather(*(one.kill() for one in fleet.all[4:]))
-                for _ in range(3):
-                    rows.append(await span(members, 10))
-                counted = [one["counted_with"] for one in await fleet.statuses()]
-                await askers.stop()
-        print(
-            f"  {name:22}"
-            + "  ".join(f"{opened:.3f} of {requests:.0f}/s" for opened, requests in rows)
-            + f"; counted with {counted}"
-        )
-        await members.stop()
+    for killed in (3, 4):
+        for name, prelude in (("the view's number", ""), ("a number that stands", stands)):
+            members = Members(12)
+            pool = await pool_of(members)
+            with tempfile.TemporaryDirectory() as folder:
+                async with Fleet(Path(folder), 8, pool, profile="lan") as fleet:
+                    for one in fleet.all:
+                        one.prelude = prelude
+                    await fleet.open()
+                    await fleet.settled()
+                    askers = Askers([one.port for one in fleet.all], pause=1 / 7)
+                    askers.start()
+                    await asyncio.sleep(5)
+                    rows = [await span(members, 10)]
+                    await asyncio.gather(*(one.kill() for one in fleet.all[8 - killed :]))
+                    rows += [await span(members, 10) for _ in range(3)]
+                    counted = [one["counted_with"] for one in await fleet.statuses()]
+                    await askers.stop()
+            words = "  ".join(f"{opened:.2f} of {requests:.0f}/s" for opened, requests in rows)
+            print(f"  {killed} killed, {name:21}{words}; counted with {counted[0]}", flush=True)
+            await members.stop()
 
 
 async def span(members: Members, seconds: float) -> tuple[float, float]:
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -85,6 +85,7 @@
         self.fresh = False  # a list has come since the start, or a change to one
         self.closed = False
         self.fence: Callable[[], bool] | None = None  # whether this instance may act, where a fleet says so
+        self.return_s = 1  # after which a client may come back that is told so for its sake
         dialect = dialect or Dialect(
             report_fields=deployment.settings.report_fields, stream_most=STREAM_MOST, close_delimited=True
         )
--- a/spokemast/daemon/agreed.py
+++ b/spokemast/daemon/agreed.py
@@ -106,7 +106,7 @@
         self._stage_began = (0, 0.0)
         path = daemon.plan.path if daemon.plan is not None else base_path
         self.rolling = Rolling(daemon, table.name, path, self.ask_named, self._requests, self._changed)
-        link.ruling, link.streams = self._hear, self.answer
+        link.ruling = self._hear
 
     @property
     def control(self) -> Control:
--- a/spokemast/daemon/fleet.py
+++ b/spokemast/daemon/fleet.py
@@ -6,7 +6,7 @@
 import socket
 import time
 from pathlib import Path
-from typing import Any, Callable, Mapping
+from typing import Any, Callable, Iterator, Mapping
 
 from spokemast.config.plan import Plan
 from spokemast.config.reader import ConfigError, Problem, read_address
@@ -15,11 +15,12 @@
 from spokemast.control.learnt import FleetNote
 from spokemast.daemon.agreed import Agreed
 from spokemast.daemon.parts import Part, Runs
+from spokemast.daemon.returning import Returning
 from spokemast.daemon.rolling import rows
 from spokemast.fleet import report
 from spokemast.fleet.events import Action, Leave, Passed
 from spokemast.fleet.link import Link
-from spokemast.fleet.messages import Sealer, read_keys
+from spokemast.fleet.messages import Message, Sealer, read_keys
 from spokemast.fleet.settings import PROFILES, Identity, Settings
 from spokemast.fleet.share import Share
 from spokemast.fleet.view import View
@@ -84,6 +85,10 @@
             memory: Any = made.get("store")
             store = memory.store if memory is not None else None
             self.agreed = Agreed(daemon, table, self.link, self.view, store, path)
+        kept = self.agreed is not None and self.agreed.said.version > 0
+        may_act = self.agreed.may_act if self.agreed is not None else lambda: True
+        self.returning = Returning(daemon, table.name, self.link, self.view, kept, may_act)
+        self.link.streams = self._answer
 
     def serve(self) -> None:
         """Take part from now on. Of a place that was taken over, nobody sees a death."""
@@ -92,10 +97,16 @@
         if learnt is not None and learnt.fleet is not None and learnt.fleet.name == self.table.name:
             first = self.view.resume(time.monotonic(), learnt.fleet.life, learnt.fleet.facts)
         self.link.start(first)
+        self.returning.start(bool(first))
         if self.agreed is not None:
             self.agreed.start()
             self.reload(self.daemon.plan)
 
+    def _answer(self, message: Message) -> Iterator[tuple[Message, float]] | None:
+        """What a stream of another instance gets that begins so."""
+        found = self.returning.answer(message)
+        return found if found is not None or self.agreed is None else self.agreed.answer(message)
+
     def reload(self, plan: Plan | None) -> None:
         """Pools ask the fence ahead of each send, and give the version to whoever asks why."""
         agreed = self.agreed
@@ -124,6 +135,7 @@
 
     def look(self) -> None:
         self._look_at_key()
+        self.returning.look()
         now = time.monotonic()
         count = self.share.look(now, self.view.fleet, report.is_settled(self.view, now))
         if count.instances != self._counted:
@@ -188,6 +200,7 @@
         count = self.share.look(now, self.view.fleet, bool(found["settled"]))
         if self.agreed is not None:
             found["agreed"] = self.agreed.standing()
+        found["coming_back"] = self.returning.report()
         return found | {
             "counted_with": count.instances, "counted_as": count.standing,
             "keys": [f"{number:02x}" for number in self.link.sealer.keys],
@@ -198,5 +211,6 @@
         """Leave politely, unless the place has passed on."""
         if self.agreed is not None:
             self.agreed.end()
+        self.returning.end()
         self.link.hand(Leave())
         self.link.close()
--- /dev/null
+++ b/spokemast/daemon/returning.py
@@ -0,0 +1,161 @@
+"""How one daemon of a fleet comes back: what fleet/comeback.py decides, done with the pools, the link and the log."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any, Callable, Iterator
+
+from spokemast.control.learnt import LearntError, PoolNote, Snapshot, decode, encode, note_pool, restore_pool
+from spokemast.control.lessons import combine
+from spokemast.daemon.parts import Runs
+from spokemast.fleet import ballots as form
+from spokemast.fleet.comeback import Comeback, Learn, Pace, Phase, Seen, Turned, is_full, return_after
+from spokemast.fleet.link import Link
+from spokemast.fleet.messages import Message
+from spokemast.fleet.table import NOT_HEARD
+from spokemast.fleet.view import View
+from spokemast.upstreams.pacing import Pacer
+
+#: Seconds between two looks until the instance is full, and that a survivor has to tell.
+LOOK_S, TELL_S = 0.05, 1.5
+#: Bytes of what was learnt in one message.
+PART = 12 << 10
+
+
+class Returning:
+    """One daemon's. It owns a timer until the instance is full, and the task that asks survivors."""
+
+    def __init__(self, daemon: Runs, name: str, link: Link, view: View, kept: bool,
+                 may_act: Callable[[], bool]) -> None:  # fmt: skip
+        self.daemon, self.link, self.view, self._kept, self._may_act = daemon, link, view, kept, may_act
+        self.comeback = Comeback(name, time.monotonic())
+        self.view.phase = Phase.FINDING
+        self._random = random.Random()
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._asking: asyncio.Task[None] | None = None
+        self._lessons: Snapshot | None = None  # for pools whose members are not listed yet
+        self.asked: dict[str, str] = {}  # survivors, and what became of it
+        self._ended = False
+
+    def start(self, upgraded: bool) -> None:
+        """`upgraded`: in the place of a process that has passed on all that it knew."""
+        if upgraded:
+            self.comeback.phase = Phase.FULL
+            self.view.phase = Phase.FULL
+        else:
+            self._tick()
+
+    def end(self) -> None:
+        self._ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._asking is not None:
+            self._asking.cancel()
+
+    def _tick(self) -> None:
+        if self._ended:
+            return
+        self.look()
+        if self.comeback.phase != Phase.FULL:
+            self._timer = self._loop.call_later(LOOK_S, self._tick)
+
+    def look(self) -> None:
+        """Also a few times a second once it is full: who is told to return hears how many come back."""
+        now, seen = time.monotonic(), self._seen()
+        for wish in self.comeback.look(now, seen):
+            if isinstance(wish, Turned):
+                self.view.phase = wish.phase
+                text = f"{wish.phase.name.lower()} after {wish.took:.2f} s: {wish.why}"
+                self.daemon.complain(f"fleet: coming back: {wish.phase.name.lower()}", text)
+            elif isinstance(wish, Learn):
+                self._asking = self._loop.create_task(self._learn(wish.names))
+            elif isinstance(wish, Pace):
+                self._pace(wish)
+        for pool in self.daemon.pools.values():
+            pool.proxy.return_s = return_after(self._random.random(), len(seen.coming))
+        self._use()
+
+    def _seen(self) -> Seen:
+        living = [peer for peer in self.view.table.living]
+        heard = [peer for peer in living if peer.phase != NOT_HEARD]
+        full = tuple(peer.fact.name for peer in heard if is_full(peer.phase))
+        coming = tuple(peer.fact.name for peer in heard if not is_full(peer.phase))
+        served = ended = 0
+        for pool in self.daemon.pools.values():
+            for counts in pool.proxy.figures.ended:
+                served, ended = served + counts[0], ended + sum(counts)
+        return Seen(self.view.inside, self._may_act(), self._kept, full, coming,
+                    len(living) - len(heard), served, ended)  # fmt: skip
+
+    def _pace(self, wish: Pace) -> None:
+        for pool in self.daemon.pools.values():
+            if wish.per_member_s is None:
+                pool.proxy.backends.set_pace(None)
+            else:
+                rate = wish.per_member_s * max(1, len(pool.proxy.listed))
+                pool.proxy.backends.set_pace(Pacer(rate, time.monotonic()))
+
+    # What survivors have learnt.
+
+    async def _learn(self, names: tuple[str, ...]) -> None:
+        found = await asyncio.gather(*(self._ask(name) for name in names))
+        known = [one for one in found if one is not None]
+        self._lessons = combine(known, time.time())
+        self._use()
+        self.comeback.learnt()
+
+    async def _ask(self, name: str) -> Snapshot | None:
+        peer = self.view.table.get(name)
+        if peer is None:
+            return None
+        data = b""
+        try:
+            async with asyncio.timeout(TELL_S):
+                async for message in self.link.ask(peer.fact.address, peer.fact.boot, form.Asked("learnt")):
+                    if not isinstance(message, form.Answered) or not message.body:
+                        break
+                    data += message.body
+            found = decode(data)
+        except (OSError, ValueError, asyncio.IncompleteReadError, TimeoutError, LearntError) as problem:
+            self.asked[name] = f"nothing: {problem}"
+            return None
+        # Ages are on clocks that may differ: what was told now counts as of now.
+        found.at = time.time()
+        self.asked[name] = f"{sum(len(pool.members) for pool in found.pools)} members"
+        return found
+
+    def _use(self) -> None:
+        """What was learnt, once a pool's members are listed."""
+        if self._lessons is None:
+            return
+        passed = max(0.0, time.time() - self._lessons.at)
+        waiting: list[PoolNote] = []
+        for note in self._lessons.pools:
+            pool = self.daemon.pools.get(note.name)
+            if pool is not None and not pool.proxy.listed:
+                waiting.append(note)
+            elif pool is not None:
+                restore_pool(note, pool.proxy.balancer, pool.proxy.now(), passed)
+        self._lessons = Snapshot(self._lessons.at, waiting) if waiting and passed < TELL_S * 4 else None
+
+    def answer(self, message: Message) -> Iterator[tuple[Message, float]] | None:
+        """What one that comes back hears of this one; nothing of one that has just begun itself."""
+        if not isinstance(message, form.Asked) or message.what != "learnt":
+            return None
+        data = b""
+        if self.comeback.phase == Phase.FULL:
+            pools = [note_pool(name, pool.proxy.balancer, pool.proxy.now(), {}, None)
+                     for name, pool in self.daemon.pools.items()]  # fmt: skip
+            data = encode(Snapshot(time.time(), pools))
+        parts = [data[at : at + PART] for at in range(0, len(data), PART)]
+        return iter([(form.Answered(part), 0.0) for part in (*parts, b"")])
+
+    def report(self) -> dict[str, Any]:
+        """This instance's, and the fleet's: full once all that live are."""
+        seen = self._seen()
+        found = self.comeback.report(time.monotonic())
+        fleet_full = not seen.coming and self.comeback.phase == Phase.FULL
+        return found | {"survivors": self.asked, "coming_back": list(seen.coming), "fleet_full": fleet_full}
--- a/spokemast/fleet/members.py
+++ b/spokemast/fleet/members.py
@@ -37,6 +37,7 @@
         self.health = Health(settings.timers.health_most)
         self.counts: Counter[str] = Counter()
         self.me = self._fact(1, 0)
+        self.phase = 0  # of coming back, as it is told to others
         self.inside = False  # whether this instance counts as one of the fleet
         self._rows_at = math.inf  # no row needs a look before
         self._tried_at = self._hoped_at = -math.inf
--- a/spokemast/fleet/messages.py
+++ b/spokemast/fleet/messages.py
@@ -57,16 +57,21 @@
 
     host: Host
     port: Port
+    phase: Annotated[int, Meta(ge=0, le=255)] = 0
 
 
 class Ping(Struct, frozen=True, array_like=True, tag=2):
+    """`phase`: how far the sender has come back (comeback.py); 0 of a build that does not say."""
+
     number: Count
     digest: Digest
+    phase: Annotated[int, Meta(ge=0, le=255)] = 0
 
 
 class Ack(Struct, frozen=True, array_like=True, tag=3):
     number: Count
     digest: Digest
+    phase: Annotated[int, Meta(ge=0, le=255)] = 0
 
 
 class Ask(Struct, frozen=True, array_like=True, tag=4):
--- a/spokemast/fleet/probes.py
+++ b/spokemast/fleet/probes.py
@@ -106,7 +106,7 @@
 
     def _ping(self, peer: Peer) -> int:
         self._numbers += 1
-        self._tell_peer(peer, form.Ping(self._numbers, self.table.digest))
+        self._tell_peer(peer, form.Ping(self._numbers, self.table.digest, self.phase))
         return self._numbers
 
     def _ask_others(self) -> None:
@@ -121,7 +121,7 @@
         for one in chosen:
             self._tell_peer(one, form.Ask(probe.number, probe.peer.fact.name))
         # And the direct way again, with our own word: it may be that we are not known there.
-        self._tell_peer(probe.peer, form.Ping(probe.number, self.table.digest), self.me)
+        self._tell_peer(probe.peer, form.Ping(probe.number, self.table.digest, self.phase), self.me)
 
     def _end_turn(self) -> None:
         """Silence to its end: the other is suspected; helpers that were silent too speak against this instance."""
@@ -139,13 +139,15 @@
         peer = self.table.get(packet.sender)
         if peer is None or peer.fact.boot != packet.boot:
             return  # it is not known in this life yet; its word that it lives comes with it or soon
-        self._tell_peer(peer, form.Ack(message.number, self.table.digest))
+        peer.phase = message.phase
+        self._tell_peer(peer, form.Ack(message.number, self.table.digest, self.phase))
         self._differs(peer, message.digest)
 
     def _on_ack(self, packet: form.Packet, message: form.Ack) -> None:
         number = message.number
         peer = self.table.get(packet.sender)
         if peer is not None and peer.fact.boot == packet.boot:
+            peer.phase = message.phase
             self._differs(peer, message.digest)
         asked = self._for.pop(number, None)
         if asked is not None:
@@ -159,7 +161,7 @@
     def _pass_ack(self, asked: _Asked) -> None:
         asker = self.table.get(asked.asker)
         if asker is not None:
-            self._tell_peer(asker, form.Ack(asked.number, self.table.digest))
+            self._tell_peer(asker, form.Ack(asked.number, self.table.digest, self.phase))
 
     def _on_ask(self, packet: form.Packet, message: form.Ask) -> None:
         target = self.table.get(message.target)
--- a/spokemast/fleet/table.py
+++ b/spokemast/fleet/table.py
@@ -16,13 +16,17 @@
 from spokemast.fleet.facts import DIGESTS, LIVING, Fact, Standing, digest_of
 
 NAMES_MOST = 4_096
+#: The phase of a life that has just begun, until it says more (comeback.py).
+COMING = 1
+#: Of one that has not said anything itself.
+NOT_HEARD = -1
 
 
 class Peer:
     """One name as it is held here. Times on the clock that is handed in."""
 
     __slots__ = (
-        "accusers", "corrected_at", "digest", "digest_at", "fact", "heard_at", "ring", "since", "suspected_at",
+        "accusers", "corrected_at", "digest", "digest_at", "fact", "heard_at", "phase", "ring", "since", "suspected_at",
         "try_after", "try_at",
     )  # fmt: skip
 
@@ -31,6 +35,7 @@
         self.since = now  # that it stands as it does
         self.heard_at = -math.inf  # a message of its own
         self.digest, self.digest_at = -1, -math.inf  # that it told last
+        self.phase = NOT_HEARD  # of its coming back, as it told last
         self.corrected_at = -math.inf  # when it last heard what is held of it
         self.accusers: set[str] = set()
         self.suspected_at = now
@@ -94,7 +99,7 @@
         if before.standing != fact.standing or before.boot != fact.boot:
             peer.since = now
         if before.boot != fact.boot:
-            peer.digest, peer.digest_at, peer.heard_at = -1, -math.inf, -math.inf
+            peer.digest, peer.digest_at, peer.heard_at, peer.phase = -1, -math.inf, -math.inf, COMING
         was_living = peer.living
         peer.fact = fact
         if fact.standing != Standing.SUSPECT:
--- a/spokemast/fleet/view.py
+++ b/spokemast/fleet/view.py
@@ -151,7 +151,7 @@
             self._tell(peer.fact.address, packet.boot, self._here())
 
     def _here(self) -> form.Here:
-        return form.Here(*self.identity.address)
+        return form.Here(*self.identity.address, self.phase)
 
     def _on_hello(self, packet: form.Packet, message: form.Hello) -> None:
         self._tell((message.host, message.port), packet.boot, self._here())
@@ -159,6 +159,8 @@
     def _on_here(self, packet: form.Packet, message: form.Here) -> None:
         """One that is there and does not live in this view, or lives in another life: hear all of it."""
         peer = self.table.get(packet.sender)
+        if peer is not None and peer.fact.boot == packet.boot:
+            peer.phase = message.phase
         if not self.inside or peer is None or not peer.living or peer.fact.boot != packet.boot:
             self._exchange(packet.sender, packet.boot, (message.host, message.port))
         self._correct(packet)
--- a/spokemast/fronts/fastcgi.py
+++ b/spokemast/fronts/fastcgi.py
@@ -209,7 +209,7 @@
         elif proxy.is_known(item.request):
             status, why = 409, "this X-Txn has been used"
         elif proxy.is_shut_out():
-            status, why = 503, "this proxy is cut off from its fleet"
+            status, why = 503, "this proxy is not of its fleet now"
         elif not proxy.has_room():
             status, why = 503, "this pool has all it can hold"
         elif not self.may_ask():
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -354,7 +354,8 @@
             elif item.proxy.is_known(item.request):
                 self._turn_away(item, 409, b"this X-Txn has been used\n")
             elif item.proxy.is_shut_out():
-                self._turn_away(item, 503, b"this proxy is cut off from its fleet\n", False, RETURN)
+                lines = (b"Retry-After: %d\r\n" % item.proxy.return_s,)
+                self._turn_away(item, 503, b"this proxy is not of its fleet now\n", False, lines)
             elif not item.proxy.has_room():
                 self._turn_away(item, 503, b"this pool has all it can hold\n", False)
             elif not self.may_ask():
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -9,12 +9,14 @@
 import errno
 import socket
 import time
+from collections import deque
 from functools import partial
 from typing import TYPE_CHECKING, Callable, Mapping, NamedTuple, Protocol
 
 from spokemast.streams import Giver, Stream
 from spokemast.tunnels import End, Tunnel
 from spokemast.uploads import Upload
+from spokemast.upstreams.pacing import Pacer
 from spokemast.interface import Result
 from spokemast.limits import Budget, Complaints
 
@@ -174,7 +176,7 @@
 class Backend:
     """One backend's address and connections."""
 
-    __slots__ = ("life", "name", "idle", "shared", "wanted", "gone", "open", "heard")
+    __slots__ = ("life", "name", "idle", "shared", "wanted", "gone", "open", "heard", "waiting", "due")
 
     def __init__(self, life: Life, name: str = "") -> None:
         self.life, self.name = life, name
@@ -184,6 +186,8 @@
         self.gone = False
         self.open = 0
         self.heard = 0.0  # when any of its connections last had something to read
+        self.waiting: deque[Attempt] = deque()  # for a connection, while these are opened at a pace
+        self.due = False  # one of them is to open one
 
 
 class Backends:
@@ -204,6 +208,7 @@
         self.free_descriptor: Callable[[], bool] = lambda: (
             False
         )  # frees one on the spot where the system has none
+        self.pacer: Pacer | None = None  # while many proxies come back at once
         self.barred: Callable[[str], Result | None] | None = (
             None  # how an attempt ends that may not leave now
         )
@@ -255,6 +260,42 @@
         if (kept := self._shared(backend) or self._kept(backend)) is not None:
             kept.start(attempt)
             return
+        if self.pacer is not None:
+            backend.waiting.append(attempt)
+            self._next(backend)
+            return
+        self._open(backend, attempt)
+
+    def _next(self, backend: Backend) -> None:
+        """The first that waits opens a connection once the pace allows it; another may be free before.
+
+        Guards members against all proxies that open theirs in the same moment, after most have restarted. Harm: a
+        request waits for its turn, inside its time, while its member has no connection of ours."""
+        while backend.waiting and backend.waiting[0].ended:
+            backend.waiting.popleft()
+        if not backend.waiting or backend.due:
+            return
+        wait = self.pacer.take(time.monotonic()) if self.pacer is not None else 0.0
+        if wait > 0:
+            backend.due = True
+            asyncio.get_running_loop().call_later(wait, self._due, backend)
+        else:
+            self._open(backend, backend.waiting.popleft())
+
+    def _due(self, backend: Backend) -> None:
+        backend.due = False
+        self._next(backend)
+
+    def set_pace(self, pacer: Pacer | None) -> None:
+        """None ends it: all that wait open theirs."""
+        self.pacer = pacer
+        for backend in self.table.values() if pacer is None else ():
+            while backend.waiting:
+                self._next(backend)
+                if backend.due:  # its timer comes, and finds no pace
+                    break
+
+    def _open(self, backend: Backend, attempt: Attempt) -> None:
         if self.open >= self.sockets and not self._close_one_idle():
             self.complain("no descriptor left for a backend", attempt.server)
             self.owner.finish_attempt(attempt, Result.NO_CONNECTION)
@@ -360,6 +401,11 @@
         if not backend.wanted or connection.life != backend.life:
             connection.drop()
             return
+        while backend.waiting:
+            attempt = backend.waiting.popleft()
+            if not attempt.ended and not self._bars(attempt):
+                connection.start(attempt)
+                return
         if len(backend.idle) >= self.idle_most:
             backend.idle[0].drop()
         connection.idle_since = time.monotonic()
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -22,7 +22,7 @@
 
 ROOT = Path(__file__).parent.parent
 #: Seconds after which a test that waits for an event gives up.
-PATIENCE = 60.0
+PATIENCE = 15.0
 RUN = "import sys; from spokemast.cli.__main__ import main; sys.exit(main(sys.argv[1:]))"
 _rigs = count()
 
