Measure coming back beside each measure left out; cost by processor time of the process itself

Change: both count with eight; requests for each second of the daemon's own processor time beside requests a second. benchmarks/comeback.py kills seven of eight and starts them, in turns with each measure switched off.

--- /dev/null
+++ b/benchmarks/comeback.py
@@ -0,0 +1,226 @@
+"""Most proxies killed and started at once, measured at the stand-ins.
+
+python -m benchmarks.comeback [--rounds 3]
+
+Eight daemons before ten members, of which one fails half of its requests and one is cordoned, 880 requests a second on
+new connections; seven are killed and started. In one run, in turns: this build, the build before (no state, no
+learning, no pace), each measure switched off alone, and one instance restarted alone. Told, as medians of the rounds:
+
+full     seconds from the start of the processes until all have served 98 % in each of ten spans of 100 ms in a row
+said     the same, as the program says it (the latest of all)
+lost     requests that no process answered, beside those at closed doors; refused: 503 of the proxies
+peak     most connections opened at members in 100 ms, over the usual most
+sick     the failing member's share of requests in the 3 s after the start, over its share before
+cordoned requests to the cordoned member after the start
+survivor share that it served, and its 99th over before
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import statistics
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, Sequence
+
+from benchmarks.fleetview import quantile
+from standins.member import Behaviour, Member
+from standins.processes import CONFIG, Fleet, until
+
+STORED = '[store]\nfolder = "state"\n' + CONFIG
+VOTERS = 'voters = ["i0", "i1", "i2", "i3", "i4"]\nstale_most = "2s"'
+#: Seconds between two requests of each of the clients at one daemon; ten a daemon.
+PAUSE, CLIENTS = 0.08, 10
+SPAN = 0.1
+NO_PACE = "from spokemast.daemon.returning import Returning as R; R._pace = lambda self, wish: None\n"
+NO_LESSONS = ("from spokemast.daemon.returning import Returning as R\n"
+              "async def _none(self, names): self.comeback.learnt()\nR._learn = _none\n")  # fmt: skip
+#: By name: what runs ahead of the program, and whether there is one state.
+BUILDS = {
+    "this build": ("", True),
+    "the build before": (NO_PACE + NO_LESSONS, False),
+    "without the state": ("", False),
+    "without lessons": (NO_LESSONS, True),
+    "without the pace": (NO_PACE, True),
+}
+
+
+class Load:
+    """Open clients: each sends at its times, whether or not the one before was answered."""
+
+    def __init__(self, ports: Sequence[int]) -> None:
+        self.ends: list[
+            tuple[float, int, str, float]
+        ] = []  # when sent, port, what was heard, how long it took
+        self._open: set[asyncio.Task[None]] = set()
+        self._clients = [
+            asyncio.ensure_future(self._client(port, n)) for port in ports for n in range(CLIENTS)
+        ]
+
+    async def _client(self, port: int, number: int) -> None:
+        await asyncio.sleep(PAUSE * number / CLIENTS)
+        while True:
+            task = asyncio.ensure_future(self._ask(port))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+            await asyncio.sleep(PAUSE)
+
+    async def _ask(self, port: int) -> None:
+        began = time.perf_counter()
+        heard = "lost"
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        except OSError:
+            heard = "closed"
+        else:
+            try:
+                writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                async with asyncio.timeout(4):
+                    heard = (await reader.readuntil(b"\r\n\r\n"))[9:12].decode()
+            except (OSError, asyncio.IncompleteReadError, TimeoutError):
+                pass
+            finally:
+                writer.close()
+        self.ends.append((began, port, heard, time.perf_counter() - began))
+
+    async def stop(self) -> None:
+        for client in self._clients:
+            client.cancel()
+        await asyncio.gather(*self._clients, return_exceptions=True)
+        await asyncio.gather(*self._open)
+
+
+class Openings:
+    """Connections opened at members and requests there, by span of 100 ms."""
+
+    def __init__(self, members: Sequence[Member]) -> None:
+        self.members = members
+        self.spans: list[tuple[float, int]] = []
+        self._task = asyncio.ensure_future(self._run())
+
+    async def _run(self) -> None:
+        before = sum(m.counts.connected for m in self.members)
+        while True:
+            await asyncio.sleep(SPAN)
+            now = sum(m.counts.connected for m in self.members)
+            self.spans.append((time.perf_counter(), now - before))
+            before = now
+
+    def most(self, begin: float, end: float) -> int:
+        return max((count for at, count in self.spans if begin <= at < end), default=0)
+
+    def stop(self) -> None:
+        self._task.cancel()
+
+
+def full_after(load: Load, began: float, ports: Sequence[int]) -> float:
+    """Of ten spans in a row in which each of the ports served 98 %: the begin of the first, in seconds from `began`."""
+    spans: dict[int, Counter[bool]] = {}
+    for sent, port, heard, _ in load.ends:
+        if port in ports and sent >= began:
+            spans.setdefault(int((sent - began) / SPAN), Counter())[heard in ("200", "500")] += 1
+    run = 0
+    for number in range(max(spans, default=0)):
+        found = spans.get(number, Counter())
+        run = run + 1 if found[True] >= 0.98 * sum(found.values()) else 0
+        if run == 10:
+            return (number - 9) * SPAN
+    return 99.0
+
+
+async def one_run(build: str, killed: int) -> dict[str, float]:
+    prelude, state = BUILDS[build]
+    members = [Member(f"m{number + 1}", Behaviour(delay=0.004)) for number in range(10)]
+    members[0].behaviour = Behaviour(status=500)
+    for member in members:
+        await member.start()
+    pool = (
+        '[[pool]]\nname = "p"\nrules = { new_members = "warm" }\nrepeats = { on = ["connect"] }\n'
+        + "".join(f'[[pool.member]]\nid = "{m.name}"\naddress = "{m.address}"\n' for m in members)
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        async with Fleet(
+            Path(folder), 8, pool, profile="lan", config=STORED, fleet_more=VOTERS if state else ""
+        ) as fleet:
+            for one in fleet.all:
+                one.prelude = prelude
+            await fleet.open()
+            await fleet.settled()
+            for one in fleet.all if not state else fleet.all[:1]:
+                await one.say("cordon", pool="p", member="m2", wait="10s")
+            load, openings = Load([one.port for one in fleet.all]), Openings(members)
+            await asyncio.sleep(6)
+            steady = time.perf_counter()
+            usual = openings.most(steady - 4, steady)
+            sick, whole = members[0].counts.requests, sum(m.counts.requests for m in members)
+            before = sick / whole
+            numbers = range(8 - killed, 8)
+            await asyncio.gather(*(fleet.all[n].kill() for n in numbers))
+            barred = members[1].counts.requests
+            began = time.perf_counter()
+            await fleet.start(*numbers)
+            up = time.perf_counter()
+            sick, whole = members[0].counts.requests, sum(m.counts.requests for m in members)
+            await asyncio.sleep(3)
+            share = (members[0].counts.requests - sick) / max(
+                1, sum(m.counts.requests for m in members) - whole
+            )
+
+            async def said() -> Any:
+                found = [one["coming_back"] for one in await fleet.statuses()]
+                return found if all(one["phase"] == "full" for one in found) else None
+
+            found = await until(said, "all say that they are full", 45)
+            await load.stop()
+            openings.stop()
+            survivor = [end for end in load.ends if end[1] == fleet.all[0].port]
+            after = [end for end in survivor if began <= end[0] < began + 4]
+            earlier = [end for end in survivor if steady - 4 <= end[0] < steady]
+            ports = [fleet.all[n].port for n in numbers]
+            late = [end for end in load.ends if end[0] >= began and end[1] in ports]
+    for member in members:
+        await member.stop()
+    return {
+        "up": up - began, "full": full_after(load, began, ports),
+        "said": max(one["full_after_s"] or 99 for one in found[-killed:]),
+        "lost": sum(end[2] == "lost" for end in late), "refused": sum(end[2] == "503" for end in late),
+        "closed": sum(end[2] == "closed" for end in late), "peak": openings.most(began, began + 4) / max(1, usual),
+        "usual": usual, "sick": share / before, "cordoned": members[1].counts.requests - barred,
+        "survivor": sum(end[2] in ("200", "500") for end in after) / max(1, len(after)),
+        "p99": quantile([end[3] for end in after], 0.99) / quantile([end[3] for end in earlier], 0.99),
+    }  # fmt: skip
+
+
+async def play(rounds: int) -> None:
+    rows: dict[str, list[dict[str, float]]] = {}
+    for _ in range(rounds):
+        for build, killed in (*((build, 7) for build in BUILDS), ("this build", 1)):
+            name = build if killed > 1 else "one alone"
+            rows.setdefault(name, []).append(await one_run(build, killed))
+            print(
+                json.dumps({"build": name, **{k: round(v, 3) for k, v in rows[name][-1].items()}}),
+                file=sys.stderr,
+            )
+    keys = list(rows["this build"][0])
+    print(f"{'':18}" + "".join(f"{key:>10}" for key in keys))
+    for name, runs in rows.items():
+        print(f"{name:18}" + "".join(f"{statistics.median(run[key] for run in runs):10.2f}" for key in keys))
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--rounds", type=int, default=3)
+    options: Any = parser.parse_args(arguments)
+    asyncio.run(play(options.rounds))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/fleetversions.py
+++ b/benchmarks/fleetversions.py
@@ -14,7 +14,6 @@
 import argparse
 import asyncio
 import random
-import statistics
 import sys
 import tempfile
 import time
@@ -24,7 +23,7 @@
 
 import msgspec
 
-from benchmarks.fleetview import pool_of, quantile, rate
+from benchmarks.fleetview import compare, pool_of, quantile
 from emulator.fleetstate import StateModel
 from spokemast.fleet.catchup import Giver, Taker
 from spokemast.fleet.state import Change, MarkBody, Said, write_body
@@ -114,7 +113,6 @@
 async def cost_part(pairs: int) -> None:
     members = Members(4)
     pool = await pool_of(members)
-    ratios: list[float] = []
     with tempfile.TemporaryDirectory() as one, tempfile.TemporaryDirectory() as two:
         async with (
             Fleet(Path(one), 3, pool, profile="lan", config=STORED, fleet_more=THREE) as with_state,
@@ -124,14 +122,10 @@
                 await fleet.open()
                 await fleet.settled()
             await all_act(with_state)
-            for turn in range(pairs):
-                order = [with_state.all[0].port, without.all[0].port]
-                rates = {port: await rate(port, 4.0) for port in (order if turn % 2 else order[::-1])}
-                ratios.append(rates[order[0]] / rates[order[1]])
-                print(f"  pair {turn}: {rates[order[0]]:.0f} with, {rates[order[1]]:.0f} without", flush=True)
-    print(
-        f"cost: requests a second with the state over without: {statistics.median(ratios):.3f} (median of {pairs})"
-    )
+            mine, bare = with_state.all[0], without.all[0]
+            assert mine.process is not None and bare.process is not None
+            pids = (mine.process.pid, mine.port), (bare.process.pid, bare.port)
+            await compare("the state", *pids, pairs)
     await members.stop()
 
 
--- a/benchmarks/fleetview.py
+++ b/benchmarks/fleetview.py
@@ -150,11 +150,15 @@
 # Processes.
 
 
+def used(pid: int) -> float:
+    """Seconds of processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
 def processor(one: One) -> float:
-    """Seconds of processor time that its process has used."""
     assert one.process is not None
-    fields = Path(f"/proc/{one.process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
+    return used(one.process.pid)
 
 
 async def pool_of(members: Members, *more: str) -> str:
@@ -249,10 +253,9 @@
 
 
 async def cost_part(pairs: int) -> None:
-    """One process with a fleet of three around it, beside one without [fleet]; closed clients on kept connections."""
+    """One process of a fleet of eight beside one without [fleet], both counting with eight."""
     members = Members(4)
     pool = await pool_of(members)
-    ratios = []
     with tempfile.TemporaryDirectory() as folder:
         async with Fleet(Path(folder), 8, pool, profile="lan") as fleet:
             await fleet.open()
@@ -266,22 +269,32 @@
             head = f"[process]\ninstances = {len(fleet.all)}\n" + head
             alone.write_text(head + rest.replace(str(fleet.all[0].port), str(port)))
             other = await start(alone)
-            for turn in range(pairs):
-                order = (fleet.all[0].port, port) if turn % 2 else (port, fleet.all[0].port)
-                rates = {each: await rate(each, 4.0) for each in order}
-                ratios.append(rates[fleet.all[0].port] / rates[port])
-                print(
-                    f"  pair {turn}: {rates[fleet.all[0].port]:.0f} with, {rates[port]:.0f} without, {ratios[-1]:.3f}",
-                    flush=True,
-                )
+            with_fleet = fleet.all[0]
+            assert with_fleet.process is not None
+            await compare("the fleet", (with_fleet.process.pid, with_fleet.port), (other.pid, port), pairs)
             other.send_signal(signal.SIGKILL)
             await other.wait()
-    print(
-        f"cost: requests a second with the fleet over without: {statistics.median(ratios):.3f} (median of {pairs})"
-    )
     await members.stop()
 
 
+async def compare(name: str, one: tuple[int, int], other: tuple[int, int], pairs: int) -> None:
+    """Two processes, by number and port, in turns: requests a second of closed clients, and, since those share the
+    clients' and members' process and swing, requests for each second of processor time of the process itself."""
+    speed, work = [], []
+    for turn in range(pairs):
+        found = {}
+        for pid, port in (one, other) if turn % 2 else (other, one):
+            before = used(pid)
+            each = await rate(port, 4.0)
+            found[port] = each, each * 4.0 / (used(pid) - before)
+        speed.append(found[one[1]][0] / found[other[1]][0])
+        work.append(found[one[1]][1] / found[other[1]][1])
+        print(f"  pair {turn}: {found[one[1]][0]:.0f} and {found[other[1]][0]:.0f} requests a second, for each second "
+              f"of processor time {found[one[1]][1]:.0f} and {found[other[1]][1]:.0f}", flush=True)  # fmt: skip
+    print(f"cost of {name}: with it over without, median of {pairs} pairs: requests a second "
+          f"{statistics.median(speed):.3f}, for each second of processor time {statistics.median(work):.3f}")  # fmt: skip
+
+
 async def rate(port: int, seconds: float, clients: int = 16) -> float:
     ends = time.perf_counter() + seconds
     counts = [0] * clients
