--- a/benchmarks/fleetview.py
+++ b/benchmarks/fleetview.py
@@ -292,7 +292,7 @@
         print(f"  pair {turn}: {found[one[1]][0]:.0f} and {found[other[1]][0]:.0f} requests a second, for each second "
               f"of processor time {found[one[1]][1]:.0f} and {found[other[1]][1]:.0f}", flush=True)  # fmt: skip
     print(f"cost of {name}: with it over without, median of {pairs} pairs: requests a second "
-          f"{statistics.median(speed):.3f}, for each second of processor time {statistics.median(work):.3f}")  # fmt: skip
+          f"{statistics.median(speed):.3f}, for each second of processor {statistics.median(work):.3f}")  # fmt: skip
 
 
 async def rate(port: int, seconds: float, clients: int = 16) -> float:
