Ask for a lease at once while shut out, and pace from the first opening

The pace began only after survivors had told, so 56 connections opened in one span of 100 ms.

Change: one that is shut out asks each 50 ms, voters greet each 100 ms until they vote, the pace holds from the place in the view on with one opening at once.

--- a/spokemast/daemon/returning.py
+++ b/spokemast/daemon/returning.py
@@ -10,7 +10,6 @@
 from spokemast.control.learnt import LearntError, PoolNote, Snapshot, decode, encode, note_pool, restore_pool
 from spokemast.control.lessons import combine
 from spokemast.daemon.parts import Runs
-from spokemast.daemon.pools import RunningPool
 from spokemast.decisions.state import SPARSE
 from spokemast.fleet import ballots as form
 from spokemast.fleet.comeback import (
@@ -26,6 +25,8 @@
 LOOK_S, TELL_S = 0.05, 1.5
 #: Bytes of what was learnt in one message, and of all of one answer.
 PART, LEARNT_MOST = 12 << 10, 8 << 20
+#: Requests after which the rate of an instance is known well enough.
+SEEN_LEAST = 20
 #: Between the calls of two that come back together to a source of lists, and over which all are spread.
 SOURCE_S, SOURCES_S = 0.25, 5.0
 
@@ -84,6 +85,7 @@
                 self._pace(wish)
         for pool in self.daemon.pools.values():
             pool.proxy.return_s = return_after(self._random.random(), len(seen.coming))
+        self._end_sparse()
         self._use()
 
     def _release(self, seen: Seen) -> None:
@@ -105,20 +107,24 @@
                     len(living) - len(heard), served, ended)  # fmt: skip
 
     def _pace(self, wish: Pace) -> None:
-        """Not where connections are not kept anyway, as each of many proxies sends a member little: there each request
-        opens one in usual times too, and a pace would only make them wait."""
         for pool in self.daemon.pools.values():
-            if wish.per_member_s is None or self._is_sparse(pool):
+            if wish.per_member_s is None:
                 pool.proxy.backends.set_pace(None)
             else:
                 rate = wish.per_member_s * max(1, len(pool.proxy.listed))
                 pool.proxy.backends.set_pace(Pacer(rate, time.monotonic()))
 
-    def _is_sparse(self, pool: RunningPool) -> bool:
-        balancer = pool.proxy.balancer
-        since = max(0.25, time.monotonic() - self.comeback.since)
-        rate = (sum(map(sum, pool.proxy.figures.ended)) + len(pool.proxy.open)) / since
-        return rate < SPARSE * balancer.settings.n_instances * max(1, len(pool.proxy.listed))
+    def _end_sparse(self) -> None:
+        """No pace where connections are not kept anyway, as each of many proxies sends a member little: there each
+        request opens one in usual times too, and would only wait. It shows after the first requests."""
+        for pool in self.daemon.pools.values():
+            if pool.proxy.backends.pacer is None:
+                continue
+            balancer = pool.proxy.balancer
+            seen = sum(map(sum, pool.proxy.figures.ended)) + len(pool.proxy.open)
+            rate = seen / max(0.1, time.monotonic() - self.comeback.since)
+            if seen >= SEEN_LEAST and rate < SPARSE * balancer.settings.n_instances * len(pool.proxy.listed):
+                pool.proxy.backends.set_pace(None)
 
     # What survivors have learnt.
 
--- a/spokemast/fleet/comeback.py
+++ b/spokemast/fleet/comeback.py
@@ -7,10 +7,12 @@
                                                          refuse: it stays shut out, and says so
     learning  serves; what is unknown counts as unknown  survivors have told what they learnt; at most LEARN_S, and then
                                                          it goes on as at a first start
-    warming   serves; opens connections at a pace where  full service for FULL_S; at most WARM_S, and then it serves on
-              many come back                             and has said that it was not full
+    warming   the same                                   full service for FULL_S; at most WARM_S, and then it serves on
+                                                         and has said that it was not full
     full      all                                        -
 
+From its place in the view to full service it opens connections at a pace where many come back.
+
 What kind of a start it is, is told by the view: `first` (nobody is there, and nothing was kept), `alone` (nobody is
 there), `lone` (most of those that have said how far they are, are full), `mass` (they are not). Others are heard of by
 and by, so a lone start that turns out to be one of many is taken for `mass` as long as it lasts.
@@ -119,12 +121,14 @@
         if self.phase == Phase.FINDING and seen.inside:
             self.kind = kind_of(seen)
             found.append(self._turn(now, Phase.STATE, "a place in the view"))
+            if self.kind == "mass":
+                found.append(Pace(1.0))
+        if self.phase in (Phase.STATE, Phase.LEARNING, Phase.WARMING) and self.kind != "mass":
+            self.kind = kind_of(seen)
+            if self.kind == "mass":
+                found.append(Pace(1.0))  # ahead of its first request
         if self.phase == Phase.STATE and seen.may_act:
             found.append(self._turn(now, Phase.LEARNING, "may act"))
-        if self.kind != "mass" and self.phase in (Phase.STATE, Phase.LEARNING, Phase.WARMING):
-            self.kind = kind_of(seen)
-            if self.kind == "mass" and self.phase == Phase.WARMING:
-                found.append(Pace(1.0))
         if self.phase == Phase.LEARNING:
             found += self._learning(now, seen)
         if self.phase == Phase.WARMING:
@@ -156,7 +160,7 @@
     def _warm(self, now: float, seen: Seen, why: str) -> list[Learn | Pace | Turned]:
         turned = self._turn(now, Phase.WARMING, why)
         self._last, self._window_at = (seen.served, seen.ended), now
-        return [turned, Pace(1.0)] if self.kind == "mass" else [turned]
+        return [turned]
 
     def _warming(self, now: float, seen: Seen) -> list[Learn | Pace | Turned]:
         if now < self._window_at + WINDOW_S:
--- a/spokemast/fleet/fence.py
+++ b/spokemast/fleet/fence.py
@@ -17,6 +17,8 @@
 import math
 from dataclasses import dataclass, field
 
+#: Seconds between two questions of one that is shut out: nobody serves there until one is answered.
+SHUT_ASK_S = 0.05
 #: Share by which two clocks may run apart.
 DRIFT = 0.01
 #: Questions in a `stale_most`, so that some may be lost.
@@ -62,7 +64,7 @@
         """The number of a question that leaves now."""
         self._begun = min(self._begun, now)
         self._number += 1
-        self._ask_at = now + self.stale_most / ASKS
+        self._ask_at = now + (self.stale_most / ASKS if self.is_open(now) else SHUT_ASK_S)
         self._questions[self._number] = _Question(now)
         for old in [number for number, one in self._questions.items() if now - one.sent > self.stale_most]:
             del self._questions[old]
--- a/spokemast/fleet/versions.py
+++ b/spokemast/fleet/versions.py
@@ -36,8 +36,8 @@
 KEPT = 1024
 #: Seconds between two words on the version to some others, where nothing changes.
 TELL_S = 1.0
-#: Between two calls to greet a voter that has not answered.
-GREET_S = 0.5
+#: Between two calls to greet a voter that has not answered: nothing can be decided by this one before.
+GREET_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
--- a/spokemast/upstreams/pacing.py
+++ b/spokemast/upstreams/pacing.py
@@ -4,8 +4,8 @@
 
 from __future__ import annotations
 
-#: Connections that may be opened at once.
-BURST = 2.0
+#: Connections that may be opened at once: of many instances that begin in one moment each has as many.
+BURST = 1.0
 #: Part of one opening that sums of small times may lack; without it a wait may be too short to move a clock.
 ROUNDING = 1e-6
 
