Wait until no probe of before is under way in the scene of a defect

Seen in the datagrams that the relay caught.

Change: the scene lets a hundred datagrams pass before it heals.

--- a/tests/fleet/test_view_processes.py
+++ b/tests/fleet/test_view_processes.py
@@ -74,6 +74,16 @@
     run(scene)
 
 
+async def passed(made: Fleet, count: int) -> None:
+    """Wait until so many more datagrams have come to the network."""
+    sent = made.network.counts["datagrams"]
+
+    async def enough() -> bool:
+        return made.network.counts["datagrams"] > sent + count
+
+    await until(enough, f"{count} datagrams have passed")
+
+
 def test_with_a_defect_a_partition_does_not_heal(tmp_path: Path) -> None:
     """The dead are not called, and seeds neither: the same scene finds it, so it can fail."""
     defect = (
@@ -95,13 +105,9 @@
             made.network.part((0, 1), (2, 3))
             await made.settled(made.all[:2])
             await made.settled(made.all[2:])
+            await passed(made, 100)  # no probe of before is under way any more
             made.network.heal()
-            sent = made.network.counts["datagrams"]
-
-            async def enough() -> bool:
-                return made.network.counts["datagrams"] > sent + 200
-
-            await until(enough, "200 datagrams have passed")
+            await passed(made, 200)
             assert not await made.agree(made.all, 4)
             assert [one["living"] for one in await made.statuses()] == [2, 2, 2, 2]
 
@@ -132,12 +138,7 @@
         async with fleet(tmp_path, 6, profile="lan") as made:
             net = made.network
             net.loss, net.doubled, net.flipped, net.jitter, net.late[4] = 0.02, 0.05, 0.02, 0.02, 0.1
-            sent = net.counts["datagrams"]
-
-            async def enough() -> bool:
-                return net.counts["datagrams"] > sent + 400
-
-            await until(enough, "400 datagrams have passed")
+            await passed(made, 400)
             found = await made.statuses()
             assert not any(one["counts"].get("died") for one in found)
             wire = [one["wire"] for one in found]
