Leave nothing waiting for a connection that does not come up

Cause: read over: of several requests that wait for a member's connection only the first was tried again after one failed to open; the rest waited for their time to end. In a roll-out each instance told all others its state twice a second, n times n messages.

Change: what waits is taken on at the pace until none is left, also once the pace ends; only voters are told, since they drive.

Measured: two scenes of six attempts at a member that nobody listens for, all end at once.

--- a/spokemast/daemon/agreed.py
+++ b/spokemast/daemon/agreed.py
@@ -234,7 +234,7 @@
         self.rolling.look(plan, names)
         if plan is None or plan.stage not in OPEN:
             return
-        self._do(self.versions.tell_all() if now >= self._drive_at + 1.0 else [])
+        self._do(self.versions.tell_voters())
         if self._stage_began[0] != plan.version:
             self._stage_began = plan.version, now
         living = [self.name, *(peer.fact.name for peer in self.view.table.living)]
--- a/spokemast/fleet/versions.py
+++ b/spokemast/fleet/versions.py
@@ -279,6 +279,12 @@
             self._say(name, form.Decided(self.said.version, change))
         return self.actions
 
+    def tell_voters(self) -> list[Action]:
+        """The same to those that drive a roll-out."""
+        return [
+            Say(name, form.At(self.said.version, self.card)) for name in self.said.roster if name != self.name
+        ]
+
     def tell_all(self) -> list[Action]:
         """Say to all at once which version this instance acts on."""
         return [Say(name, form.At(self.said.version, self.card)) for name in self.living]
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -271,16 +271,17 @@
 
         Guards members against all proxies that open theirs in the same moment, after most have restarted. Harm: a
         request waits for its turn, inside its time, while its member has no connection of ours."""
-        while backend.waiting and backend.waiting[0].ended:
-            backend.waiting.popleft()
-        if not backend.waiting or backend.due:
-            return
-        wait = self.pacer.take(time.monotonic()) if self.pacer is not None else 0.0
-        if wait > 0:
-            backend.due = True
-            asyncio.get_running_loop().call_later(wait, self._due, backend)
-        else:
-            self._open(backend, backend.waiting.popleft())
+        while backend.waiting and not backend.due:
+            attempt = backend.waiting.popleft()
+            if attempt.ended:
+                continue
+            wait = self.pacer.take(time.monotonic()) if self.pacer is not None else 0.0
+            if wait > 0:
+                backend.waiting.appendleft(attempt)
+                backend.due = True
+                asyncio.get_running_loop().call_later(wait, self._due, backend)
+            else:
+                self._open(backend, attempt)
 
     def _due(self, backend: Backend) -> None:
         backend.due = False
@@ -289,11 +290,8 @@
     def set_pace(self, pacer: Pacer | None) -> None:
         """None ends it: all that wait open theirs."""
         self.pacer = pacer
-        for backend in self.table.values() if pacer is None else ():
-            while backend.waiting:
-                self._next(backend)
-                if backend.due:  # its timer comes, and finds no pace
-                    break
+        for backend in list(self.table.values()) if pacer is None else ():
+            self._next(backend)  # what a timer is set for comes with it, and finds no pace
 
     def _open(self, backend: Backend, attempt: Attempt) -> None:
         if self.open >= self.sockets and not self._close_one_idle():
--- a/tests/fleet/test_comeback.py
+++ b/tests/fleet/test_comeback.py
@@ -6,6 +6,9 @@
 import json
 import os
 import signal
+import socket
+import time
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -21,8 +24,12 @@
     ASKED, FULL_S, LEARN_S, WARM_S, Comeback, Learn, Pace, Phase, Seen, Turned, choose, return_after, turn,
 )  # fmt: skip
 from spokemast.fleet.restarting import GROUP_S, Begin, Life, Restart
-from spokemast.interface import ServerEntry
+from spokemast.interface import Result, ServerEntry
+from spokemast.limits import Budget, Complaints
 from spokemast.members.handing import read, write
+from spokemast.upstreams.connections import Attempt, Backends
+from spokemast.upstreams.dialect import Dialect
+from spokemast.upstreams.http1 import Connection
 from spokemast.upstreams.pacing import BURST, Pacer
 from standins.askers import Askers, ask
 from standins.member import Behaviour, Member
@@ -128,6 +135,51 @@
     assert opened <= 20 + BURST
 
 
+class Ends:
+    """Who is told how attempts ended."""
+
+    def __init__(self) -> None:
+        self.results: list[Result] = []
+
+    def finish_attempt(
+        self, attempt: Attempt, result: Result, report: Any = None, answer: Any = None
+    ) -> None:
+        attempt.ended = True
+        self.results.append(result)
+
+    def begin_answer(self, attempt: Attempt, answer: Any, giver: Any) -> None:
+        raise AssertionError("nobody answers")
+
+
+@pytest.mark.parametrize("ends_early", [False, True])
+def test_what_waits_for_a_connection_ends_where_none_comes_up(ends_early: bool) -> None:
+    """At a pace, and when the pace ends in between: nothing is left waiting."""
+
+    async def scene() -> None:
+        ends = Ends()
+        job: Any = None
+        dialect = Dialect()
+        make = partial(Connection, dialect=dialect, not_passed=dialect.not_passed())
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            pool = Backends(ends, Budget(1 << 20), Complaints(), 20, make, 0.5, 15.0)
+            pool.listed("m1", (closed.getsockname(), 0.0), True)
+            pool.set_pace(Pacer(2.0 if ends_early else 200.0, time.monotonic()))
+            for number in range(6):
+                pool.send(Attempt(job, number, "m1", 0.0, 1.0))
+            assert len(ends.results) == 0 and len(pool.table["m1"].waiting) >= 4
+            if ends_early:
+                pool.set_pace(None)
+
+            async def all_ended() -> bool:
+                return len(ends.results) == 6
+
+            await until(all_ended, "all attempts have ended")
+            assert set(ends.results) == {Result.NO_CONNECTION} and not pool.table["m1"].waiting
+
+    run(scene)
+
+
 def note(errors: float, member: str = "m1", started: float = 5.0, failed: int = 0) -> MemberNote:
     return MemberNote(member, started, 60.0, errors, 1.0, 0.5, 1.0, 0.01, 1.0, failed, {})
 
