Stop one in each phase of coming back until the others hold it dead

Need: a process that was stopped while it came back must not go on with what it had heard before.

Change: the scene stops it in state, learning and warming, cordons a member meanwhile, and counts at the member.

--- a/tests/fleet/test_comeback.py
+++ b/tests/fleet/test_comeback.py
@@ -446,17 +446,40 @@
     run(scene)
 
 
-def test_one_that_is_stopped_in_the_middle_of_it_goes_on_where_it_was(tmp_path: Path) -> None:
+def test_one_that_is_stopped_in_any_phase_goes_on_where_it_was(tmp_path: Path) -> None:
+    """Until the others hold it dead; what it sends after that is on what the fleet says by then."""
+
     async def scene() -> None:
-        async with agreeing(tmp_path, 4, voters=3) as made:
-            await made.all[3].kill()
-            await made.all[3].start()
-            made.all[3].send(signal.SIGSTOP)
-            await made.settled(made.all[:3])
-            made.all[3].send(signal.SIGCONT)
-            await acting(made.all)
-            found = await whole(made, [3])
-            assert [one["phase"] for one in found[0]["phases"]] == ["finding", "state", "learning", "warming"]
+        members = Members(3)
+        async with agreeing(tmp_path, 4, voters=3, members=members) as made:
+            one = made.all[3]
+            for phase in ("state", "learning", "warming"):
+                await one.kill()
+                (one.folder / "log").write_text("")
+                await one.start()
+
+                async def told(word: str = phase) -> bool:
+                    return f"coming back: {word}" in one.log
+
+                await until(told, f"it is in {phase}")
+                one.send(signal.SIGSTOP)
+                await made.settled(made.all[:3])
+                _, said = await made.all[0].say("cordon", pool="p", member="m1", wait="20s")
+                assert said["holds"]
+                before = members.members[0].counts.requests
+                one.send(signal.SIGCONT)
+                await acting(made.all, said["version"])
+                found = await whole(made, [3])
+                assert [row["phase"] for row in found[0]["phases"]] == [
+                    "finding",
+                    "state",
+                    "learning",
+                    "warming",
+                ]
+                for _ in range(6):
+                    assert await ask(one.port) == "200"
+                assert members.members[0].counts.requests == before
+                await made.all[1].say("uncordon", pool="p", member="m1")
 
     run(scene)
 
