Keep the pace of openings by the members that are listed by now

Cause: read over: the pace was set at the place in the view, when a pool whose list comes from a source has no members yet, so it stood at one opening a second.

Change: it follows the list.

--- a/spokemast/daemon/returning.py
+++ b/spokemast/daemon/returning.py
@@ -44,6 +44,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._asking: asyncio.Task[None] | None = None
         self._lessons: Snapshot | None = None  # for pools whose members are not listed yet
+        self._per_member = 0.0  # openings a second, while there is a pace
         self.asked: dict[str, str] = {}  # survivors, and what became of it
         self._ended = False
 
@@ -85,7 +86,7 @@
                 self._pace(wish)
         for pool in self.daemon.pools.values():
             pool.proxy.return_s = return_after(self._random.random(), len(seen.coming))
-        self._end_sparse()
+        self._keep_pace()
         self._use()
 
     def _release(self, seen: Seen) -> None:
@@ -108,22 +109,22 @@
 
     def _pace(self, wish: Pace) -> None:
         for pool in self.daemon.pools.values():
-            if wish.per_member_s is None:
-                pool.proxy.backends.set_pace(None)
-            else:
-                rate = wish.per_member_s * max(1, len(pool.proxy.listed))
-                pool.proxy.backends.set_pace(Pacer(rate, time.monotonic()))
-
-    def _end_sparse(self) -> None:
-        """No pace where connections are not kept anyway, as each of many proxies sends a member little: there each
-        request opens one in usual times too, and would only wait. It shows after the first requests."""
+            per_s = wish.per_member_s
+            pool.proxy.backends.set_pace(None if per_s is None else Pacer(per_s, time.monotonic()))
+        self._per_member = wish.per_member_s or 0.0
+
+    def _keep_pace(self) -> None:
+        """By the members that are listed by now. None where connections are not kept anyway, as each of many proxies
+        sends a member little: there each request opens one in usual times too, and would only wait; it shows after the
+        first requests."""
         for pool in self.daemon.pools.values():
-            if pool.proxy.backends.pacer is None:
+            pacer, members = pool.proxy.backends.pacer, len(pool.proxy.listed)
+            if pacer is None:
                 continue
-            balancer = pool.proxy.balancer
+            pacer.per_s = self._per_member * max(1, members)
             seen = sum(map(sum, pool.proxy.figures.ended)) + len(pool.proxy.open)
             rate = seen / max(0.1, time.monotonic() - self.comeback.since)
-            if seen >= SEEN_LEAST and rate < SPARSE * balancer.settings.n_instances * len(pool.proxy.listed):
+            if seen >= SEEN_LEAST and rate < SPARSE * pool.proxy.balancer.settings.n_instances * members:
                 pool.proxy.backends.set_pace(None)
 
     # What survivors have learnt.
