Where nobody has a list the first that comes back calls its source for the others

Need: after a restart of all at once each called the source of lists in the same moment.

Change: the first by name calls, the others ask it each 100 ms until their turn, and call then in any case.

Measured: four killed and started with a source, all full, lists handed on among them.

--- a/spokemast/daemon/returning.py
+++ b/spokemast/daemon/returning.py
@@ -25,6 +25,8 @@
 LOOK_S, TELL_S = 0.05, 1.5
 #: Bytes of what was learnt in one message, and of all of one answer.
 PART, LEARNT_MOST = 12 << 10, 8 << 20
+#: Between two questions for a list at the first of those that come back.
+FIRST_S = 0.1
 #: Requests after which the rate of an instance is known well enough.
 SEEN_LEAST = 20
 #: Between the calls of two that come back together to a source of lists, and over which all are spread.
@@ -90,10 +92,20 @@
         self._use()
 
     def _release(self, seen: Seen) -> None:
-        """Sources of lists are called at once, or each at its turn by those that come back and have a list already."""
-        name = self.comeback.name
+        """Sources of lists are called at once, or each at its turn by those that come back and have a list already.
+        Where nobody has one, the first by name calls, and the others ask it until their turn."""
+        after = turn(self.comeback.name, seen.coming, SOURCE_S, SOURCES_S)
+        lacking = [pool for pool in self.daemon.pools.values() if not pool.proxy.listed]
         for pool in self.daemon.pools.values():
-            pool.release(turn(name, seen.coming, SOURCE_S, SOURCES_S) if pool.proxy.listed else 0.0)
+            pool.release(after if pool not in lacking or self.comeback.kind == "mass" else 0.0)
+        first = min((*seen.coming, self.comeback.name))
+        if lacking and self.comeback.kind == "mass" and first != self.comeback.name:
+            self._asking = self._loop.create_task(self._ask_first(first, time.monotonic() + after))
+
+    async def _ask_first(self, name: str, until: float) -> None:
+        while time.monotonic() < until and any(not pool.proxy.listed for pool in self.daemon.pools.values()):
+            await self._take_lists(name)
+            await asyncio.sleep(FIRST_S)
 
     def _seen(self) -> Seen:
         living = [peer for peer in self.view.table.living]
--- a/tests/fleet/test_comeback.py
+++ b/tests/fleet/test_comeback.py
@@ -314,6 +314,13 @@
             await source.start()
             await until(lambda: heard(source, 4), "all have called the source again")
             assert await ask(made.all[2].port) == "200"
+            for one in made.all:  # nobody is left who has a list
+                await one.kill()
+                (one.folder / "log").write_text("")
+            await made.start(0, 1, 2, 3)
+            await whole(made, [0, 1, 2, 3])
+            assert [await ask(one.port) for one in made.all] == ["200"] * 4
+            assert any("a list was handed on" in one.log for one in made.all)
         source.down()
         await members.stop()
 
