--- a/spokemast/fleet/state.py
+++ b/spokemast/fleet/state.py
@@ -123,9 +123,6 @@
     def majority(self) -> int:
         return len(self.roster) // 2 + 1
 
-    def knows(self, change: Change) -> bool:
-        return change.kind in BODIES
-
     def apply(self, change: Change) -> list[tuple[str, ...]]:
         """Take up the next change. StateError, and nothing has changed, where this build can't read it."""
         body = read_body(change)
