Take the configuration's digest once, and keep the lease's clock going past a defect

Cause: read over: each instance read and hashed its configuration file on the event loop twice a second, so a file that was gone raised in each step (seen in the log as a defect), and the card told of the file on disk, not of what runs. The pools were set up twice at a start; a path and an identity were kept in two forms.

Change: the digest is taken when a configuration comes into force; a step that fails is followed by the next in any case; one set-up, one path, one key of the store's identity.

--- a/spokemast/daemon/agreed.py
+++ b/spokemast/daemon/agreed.py
@@ -21,7 +21,16 @@
 from spokemast.daemon.parts import Runs
 from spokemast.daemon.reaching import Reaching
 from spokemast.daemon.rolling import Rolling
-from spokemast.daemon.votes import Identity, all_items, keep_items, keep_vote, load, open_identity, snapshot
+from spokemast.daemon.votes import (
+    STORE,
+    Identity,
+    all_items,
+    keep_items,
+    keep_vote,
+    load,
+    open_identity,
+    snapshot,
+)
 from spokemast.fleet import ballots as form
 from spokemast.fleet.epochs import Epoch, describe
 from spokemast.fleet.facts import Standing
@@ -68,8 +77,9 @@
         link: Link,
         view: FleetView,
         store: Store | None,
-        base_path: Path,
+        path: Path,
     ) -> None:
+        """`path`: of the configuration."""
         self.daemon, self.table, self.link, self.view, self.store = daemon, table, link, view, store
         self.complain = daemon.complain
         self.name = table.name
@@ -84,13 +94,13 @@
             kept = View(store.engine)  # before the store's thread has anything to do
             identity = open_identity(kept, source)
             vote, met, log = load(kept, self.said)
-            self._identity: Identity | None = identity
         self.versions = Versions(table.name, "", identity.opened, self.said, random.Random(source.getrandbits(60)),
                                  self.fence.let_on)  # fmt: skip
         self.versions.log, self.versions.met = log, met
         if vote is not None and vote.slot == self.said.version + 1:
             self.versions.vote = vote
-        self._store_name = identity.store
+        self._identity, self._store_name = identity, identity.store
+        self._config = ""  # digest of the file that runs
         Orders.__init__(self, clock)
         Reaching.__init__(self, self.versions)
         first = Epoch(self.said.version, "as kept", "", time.time())
@@ -104,7 +114,6 @@
         self._ended = False
         self._drive_at = 0.0
         self._stage_began = (0, 0.0)
-        path = daemon.plan.path if daemon.plan is not None else base_path
         self.rolling = Rolling(daemon, table.name, path, self.ask_named, self._requests, self._changed)
         link.ruling = self._hear
 
@@ -121,11 +130,10 @@
         """Vote once it is on disk that this store was opened again."""
         self._restore()
         self.versions.card = self._card()
-        if self.store is not None and self._identity is not None:
-            data = self._identity
+        if self.store is not None:
 
             def job(view: View) -> None:
-                view.put(b"fleet/store", msgspec.msgpack.encode(data))
+                view.put(STORE, msgspec.msgpack.encode(self._identity))
 
             def opened(_: None, problem: StoreError | None) -> None:
                 if problem is None:
@@ -155,12 +163,16 @@
         for pool in self.said.frozen:
             self._in_force(("freeze", pool))
 
+    def configured(self, path: Path) -> None:
+        """Another configuration is in force; its digest is taken once, as it stands then."""
+        try:
+            self._config = blake3(path.read_bytes()).hexdigest(4)
+        except OSError as problem:
+            self._config = f"not read: {problem.strerror}"[:64]
+
     def _card(self) -> dict[str, str]:
         """What else this instance runs under, for people."""
-        plan = self.daemon.plan
-        found = {"build": BUILD, "store": self._store_name}
-        if plan is not None:
-            found["config"] = blake3(plan.path.read_bytes()).hexdigest(4)
+        found = {"build": BUILD, "store": self._store_name, "config": self._config}
         if report := self.rolling.report(self.said.plan):
             found["plan"] = report
         for name, pool in sorted(self.daemon.pools.items())[:4]:
@@ -171,9 +183,15 @@
     # Time.
 
     def _tick(self) -> None:
+        """Guards the lease against a defect in any step: the loop logs it, and the next step comes all the same."""
         if self._ended:
             return
-        now = clock()
+        try:
+            self._step(clock())
+        finally:
+            self._schedule()
+
+    def _step(self, now: float) -> None:
         living = tuple(
             peer.fact.name for peer in self.view.table.living if peer.fact.standing == Standing.ALIVE
         )
@@ -188,7 +206,6 @@
             self._roll(now)
             self.versions.card = self._card()
         self._look_at_confirming(now)
-        self._schedule()
 
     def _schedule(self) -> None:
         if self._ended:
--- a/spokemast/daemon/fleet.py
+++ b/spokemast/daemon/fleet.py
@@ -115,18 +115,18 @@
             if place is not None:
                 self.agreed.take_lease(place.version, place.lease)
             self.agreed.start()
-            self.reload(self.daemon.plan)
 
     def _answer(self, message: Message) -> Iterator[tuple[Message, float]] | None:
         """What a stream of another instance gets that begins so."""
         found = self.returning.answer(message) or self.restarting.answer(message)
         return found if found is not None or self.agreed is None else self.agreed.answer(message)
 
-    def reload(self, plan: Plan | None) -> None:
+    def reload(self, plan: Plan) -> None:
         """Pools ask the fence ahead of each send, and give the version to whoever asks why."""
         agreed = self.agreed
-        if agreed is None or plan is None:
+        if agreed is None:
             return
+        agreed.configured(plan.path)
         for name, pool in self.daemon.pools.items():
             stays = plan.pools[name].table.sticky_while_draining
             pool.proxy.backends.barred = agreed.bars(name, stays)
--- a/tests/fleet/test_versions_processes.py
+++ b/tests/fleet/test_versions_processes.py
@@ -256,6 +256,22 @@
     run(scene)
 
 
+def test_a_configuration_file_that_is_gone_is_no_matter_of_what_runs(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with agreeing(tmp_path, 3, voters=3) as made:
+            made.all[1].config.unlink()
+            sent = made.network.counts["datagrams"]
+
+            async def longer_than_a_lease() -> bool:
+                return made.network.counts["datagrams"] > sent + 400
+
+            await until(longer_than_a_lease, "400 datagrams have passed")
+            await acting(made.all)
+            assert await ask(made.all[1].port) == "200" and "defect" not in made.all[1].log
+
+    run(scene)
+
+
 def test_why_names_the_version_and_versions_tell_who_acted_on_which(tmp_path: Path) -> None:
     async def scene() -> None:
         async with agreeing(tmp_path, 3, voters=3) as made:
