--- a/spokemast/decisions/listing.py
+++ b/spokemast/decisions/listing.py
@@ -19,10 +19,10 @@
 
 YOUNG_MOST = 0.1  # share of the fleet that the ramp may hold back; the rest could not carry more
 ASK_SPREAD_S = 0.5  # a first call comes at a random moment within this
-ASK_AGAIN_S = (0.5, 8.0)  # wait after a failed call, doubling from the first to the last
-ASK_AGAIN_EACH_S = (
-    0.25  # the last is this for each proxy at most: a few may ask often, many would ask in vain
-)
+# Wait after a failed call, on the mean; by up to half of it longer or shorter. It does not grow: from the
+# moment at which the list can be had the call before (members/watch.py), this wait and the next call may take
+# 6 s together.
+ASK_AGAIN_S = 0.6
 LIST_TOKEN = 0  # timers: 0 asks for the list, a request's id + 1 looks at that request
 
 
@@ -30,12 +30,8 @@
     """The servers, as listed and as taken out by hand."""
 
     def _on_list(self, event: ServerList) -> None:
-        if event.failed:  # back off, each proxy at its own moment
-            first, last = ASK_AGAIN_S
-            last = min(last, max(first, ASK_AGAIN_EACH_S * self.settings.n_instances))
-            wait = min(last, first * 2.0 ** min(self.failed_calls, 8))
-            self.failed_calls += 1
-            self.actions.append(SetTimer(LIST_TOKEN, wait * (0.5 + self.random.random())))
+        if event.failed:  # each proxy at its own moment
+            self.actions.append(SetTimer(LIST_TOKEN, ASK_AGAIN_S * (0.5 + self.random.random())))
             return
         if event.whole:
             named = {entry.server for entry in event.entries}
@@ -47,8 +43,6 @@
         self._lay_out()
         if event.stale and self.settings.list_on_request:
             self.actions.append(SetTimer(LIST_TOKEN, ASK_SPREAD_S * self.random.random()))
-        elif not event.stale:
-            self.failed_calls = 0
 
     def _list_entry(self, entry: ServerEntry) -> None:
         server = self.servers.get(entry.server)
