Ask once more, right before an attempt is written, whether it may still leave

Ruled out: the decision itself, which was inside the window each time, and the group, which is that of the draw.

The same lines let an attempt go to a member that drains or has gone, to an address that is another's by now, for a request that has its answer and for a client that has left. Nobody looked whether a client had left whose end was not read yet: in the accept queue, behind a request, while reading is paused.

Change: Backends._bars asks the pool on every way; the pool asks whether the request still stands, the client's socket whether it has ended, and, where time has passed, the module's may_leave (drain, end, window, second copies). What never left is NOT_SENT: it costs no attempt, no budget, and its member may be drawn again.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -42,6 +42,7 @@
     Scope,
     Send,
     ServerList,
+    ServerState,
     SetTimer,
     Settings,
     TimerFired,
@@ -192,8 +193,11 @@
             self._fail(pending)
         elif not any(a.open for a in pending.attempts):
             # What reached nobody costs no server anything: its repeat adds no load, so no budget limits it.
-            free = event.result == Result.NO_CONNECTION
+            free = event.result in (Result.NO_CONNECTION, Result.NOT_SENT)
             wanted = pending.repeat_on is None or event.result in pending.repeat_on
+            if event.result == Result.NOT_SENT:  # it never left, so what follows is no repeat of it
+                wanted = attempt.unsent = True
+                pending.most = min(pending.most + 1, 2 * self.limits.max_attempts)
             if not wanted or not self._retry(pending, free):
                 self._give_up(pending)
 
@@ -267,6 +271,28 @@
         place = first.server.zone if cls.dedup_scope == Scope.ZONE else first.server.cell
         return self.groups.get((cls.dedup_scope, place))
 
+    def may_leave(self, now: float, request: int, number: int) -> bool:
+        """Asked once more when the connection of an attempt has come up: whether the rules still let it go.
+
+        Protects against a drain, an end or a restart of its server, and against the end of the deduplication
+        window, in the time that a connection takes."""
+        pending = self.requests.get(request)
+        if pending is None or pending.streaming:
+            return False
+        attempt = pending.attempts[number]
+        server, cls = attempt.server, pending.cls
+        if server.barred or server.state == ServerState.GONE:
+            return False
+        if server.state == ServerState.DRAINING and not self.settings.sticky_drains:
+            return False
+        others = [a for n, a in enumerate(pending.attempts) if n != number]
+        if not self.limits.second_copies and any(a.open for a in others):
+            return False
+        first = next((a for a in others if a.may_have_run), None)
+        if first is None or cls.effect == Effect.SAFE:
+            return True
+        return cls.effect == Effect.KEYED and now < first.sent + cls.dedup_window
+
     def _may_refuse(self, pending: Pending) -> bool:
         """No effect twice: a refusal says that trying again is harmless."""
         cls = pending.cls
--- a/spokemast/core/ledgered.py
+++ b/spokemast/core/ledgered.py
@@ -174,6 +174,10 @@
         )
         deliver()
 
+    def has_left(self) -> bool:
+        """One that has left withdraws by its own word (`withdraw`)."""
+        return self.client is None or self.client.has_left()
+
     def begin_answer(self, status: int, lines: list[bytes], length: int | None, reason: bytes,
                      stream: Stream) -> None:  # fmt: skip
         """check.py keeps pools that stream answers apart from remembered classes."""
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -390,6 +390,13 @@
                         request.done, report, first)
         )  # fmt: skip
 
+    def bars(self, attempt: Attempt, late: bool) -> bool:
+        """Whether an attempt may not leave any more (connections.py)."""
+        request = cast(OpenRequest, attempt.request)
+        if request.done or request.client.has_left():
+            return True
+        return late and not self.balancer.may_leave(self.now(), request.id, attempt.number)
+
     def begin_answer(self, attempt: Attempt, answer: Answer, giver: Giver) -> Stream | None:
         """A long answer goes to the client from here on, and no other attempt's can."""
         request = cast(OpenRequest, attempt.request)
--- a/spokemast/core/requests.py
+++ b/spokemast/core/requests.py
@@ -23,6 +23,9 @@
     def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False,
                length: int | None = None, reason: bytes = b"") -> None: ...  # fmt: skip
 
+    def has_left(self) -> bool:
+        """Whether it has ended its side, though that may not have been read yet; then the request is withdrawn."""
+
     def begin_answer(self, status: int, lines: list[bytes], length: int | None, reason: bytes,
                      stream: Stream) -> None:  # fmt: skip
         """The head of an answer whose body comes by the stream, of which this is the taker. `length`: in bytes, None
--- a/spokemast/decisions/draw.py
+++ b/spokemast/decisions/draw.py
@@ -95,7 +95,7 @@
         """A server of the first set that has a usable one; where none has, whichever the rules permit."""
         if self.returned and not pending.attempts and (back := self._returning()) is not None:
             return back
-        tried, number = [a.server for a in pending.attempts], pending.number
+        tried, number = [a.server for a in pending.attempts if not a.unsent], pending.number
         for those in pool.sets:
             if any(self._usable(s) and s not in tried for s in those.servers):
                 return self._two(those, tried, number) or self._of_few(those, tried, number)
--- a/spokemast/decisions/requests.py
+++ b/spokemast/decisions/requests.py
@@ -21,10 +21,11 @@
 
 
 class Attempt:
-    __slots__ = ("server", "sent", "queue", "open", "may_have_run")
+    __slots__ = ("server", "sent", "queue", "open", "may_have_run", "unsent")
 
     def __init__(self, server: Server, sent: float, queue: int) -> None:
         self.server, self.sent, self.open, self.may_have_run = server, sent, True, True
+        self.unsent = False  # it has ended before anything of it left
         self.queue = queue  # own attempts at the server when it was sent, itself among them
 
 
--- a/spokemast/fronts/connection.py
+++ b/spokemast/fronts/connection.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import time
 from enum import IntEnum
@@ -70,6 +71,32 @@
             self.abort()
         return not unread
 
+    def has_left(self) -> bool:
+        """Whether the client has ended its side, though that has not been read yet; then all it asked is withdrawn.
+
+        Guards against attempts for clients that left while we were busy, or while nothing is read from them: the end
+        is in the kernel, maybe behind bytes that wait there. Harm: a call of the system for each attempt."""
+        try:
+            unread = self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            unread = b""
+        if unread and not self._ends_behind_bytes():
+            return False
+        self.withdraw_all()
+        self.abort()
+        return True
+
+    def _ends_behind_bytes(self) -> bool:
+        poller = select.poll()
+        poller.register(self.sock, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
+    def withdraw_all(self) -> None:
+        """Nobody waits for anything of this connection any more."""
+        raise NotImplementedError
+
     def joined(self, transport: asyncio.BaseTransport) -> None:
         """The connection is open, and its handshake done where it has one."""
         self.transport = cast(asyncio.Transport, transport)
--- a/spokemast/fronts/dialect.py
+++ b/spokemast/fronts/dialect.py
@@ -153,5 +153,7 @@
     def answer(self, status: int, lines: list[bytes], body: bytes, close: bool = False,
                length: int | None = None, reason: bytes = b"") -> None: ...  # fmt: skip
 
+    def has_left(self) -> bool: ...
+
     def begin_answer(self, status: int, lines: list[bytes], length: int | None, reason: bytes,
                      stream: Stream) -> None: ...  # fmt: skip
--- a/spokemast/fronts/fastcgi.py
+++ b/spokemast/fronts/fastcgi.py
@@ -57,6 +57,9 @@
         self.ended = False
         self.stream: Stream | None = None  # its answer goes out
 
+    def has_left(self) -> bool:
+        return self.connection.has_left()
+
     def begin_answer(self, status: int, lines: list[bytes], length: int | None, reason: bytes,
                      stream: Stream) -> None:  # fmt: skip
         self.stream = stream
@@ -321,14 +324,14 @@
 
     def eof_received(self) -> None:
         """The client has gone away; the transport closes."""
-        self._leave()
+        self.withdraw_all()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._leave()
+        self.withdraw_all()
         self.uncharge()
         self.listener.left(self)
 
-    def _leave(self) -> None:
+    def withdraw_all(self) -> None:
         """Nobody waits for the answers any more."""
         for request in list(self.requests.values()):
             taken, request.open = request.open, None
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -533,18 +533,18 @@
         if self.tunnel is not None:
             self.tunnel.finish(False)
             return True
-        self._leave()
+        self.withdraw_all()
         return None
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.tunnel is not None:
             self.tunnel.lost()
-        self._leave()
+        self.withdraw_all()
         self.uncharge()
         self.listener.left(self)
         self.parser = None  # they hold one another, and would stay until the collector comes by
 
-    def _leave(self) -> None:
+    def withdraw_all(self) -> None:
         self.closing = True
         request, self.request = self.request, None
         self.stream = self.upload = None
--- a/spokemast/upstreams/connections.py
+++ b/spokemast/upstreams/connections.py
@@ -58,6 +58,10 @@
 class Owner(Protocol):
     """Who is told how an attempt ended."""
 
+    def bars(self, attempt: Attempt, late: bool) -> bool:
+        """Asked right before anything of an attempt leaves: whether it may not. `late`: some time has passed since it
+        was decided."""
+
     def finish_attempt(self, attempt: Attempt, result: Result, report: Mapping[str, float] | None = None,
                        answer: Answer | None = None) -> None: ...  # fmt: skip
 
@@ -241,17 +245,20 @@
         self.table[server].wanted = False
         self.close_idle(server)
 
-    def _bars(self, attempt: Attempt) -> bool:
-        """Asked right before anything leaves. Guards what a fleet has agreed on against a process that was stopped
-        between its decision and its send, and against a mark that came while a connection opened. Harm: none, the
-        request has not run."""
+    def _bars(self, attempt: Attempt, late: bool) -> bool:
+        """Asked right before anything leaves, on every way. Guards against attempts that were right when they were
+        decided and are not once their connection is up: the request has its answer, its client has left, its member
+        drains or has gone, the deduplication window is over. Also what a fleet has agreed on, against a process that
+        was stopped between its decision and its send. Harm: none, the request has not run."""
         result = self.barred(attempt.server) if self.barred is not None else None
+        if result is None and self.owner.bars(attempt, late):
+            result = Result.NOT_SENT
         if result is not None:
             self.owner.finish_attempt(attempt, result)
         return result is not None
 
     def send(self, attempt: Attempt) -> None:
-        if self._bars(attempt):
+        if self._bars(attempt, False):
             return
         backend = self.table.get(attempt.server)
         if backend is None:  # it went between the decision and now
@@ -385,10 +392,11 @@
             result = self._unopened(connection, task)
             connection.drop()
             self.owner.finish_attempt(attempt, result)
-        elif attempt.ended:  # while this waited for its turn
-            self.park(connection)
-        elif self._bars(attempt):
+        elif attempt.ended or self._bars(attempt, True):  # while this waited for its turn
             self.park(connection)
+        elif connection.life != connection.backend.life:  # somebody else may listen where it leads by now
+            connection.drop()
+            self.owner.finish_attempt(attempt, Result.NOT_SENT)
         else:
             connection.start(attempt)
 
@@ -401,7 +409,7 @@
             return
         while backend.waiting:
             attempt = backend.waiting.popleft()
-            if not attempt.ended and not self._bars(attempt):
+            if not attempt.ended and not self._bars(attempt, True):
                 connection.start(attempt)
                 return
         if len(backend.idle) >= self.idle_most:
--- a/tests/fleet/test_comeback.py
+++ b/tests/fleet/test_comeback.py
@@ -147,6 +147,9 @@
         attempt.ended = True
         self.results.append(result)
 
+    def bars(self, attempt: Attempt, late: bool) -> bool:
+        return False
+
     def begin_answer(self, attempt: Attempt, answer: Any, giver: Any) -> None:
         raise AssertionError("nobody answers")
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -452,8 +452,10 @@
         async with world(ScriptedBackend("a", silent)) as here:
             backends = here.proxy.backends
             backends.listed("odd", (("127.0.0.1", 70_000), 0.0), True)
+            client = await here.connect()
+            assert (await client.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"))[0] == 200
             for server, rounds in [("a", 0), ("a", 1), ("a", 2), ("a", 3), ("odd", 0), ("odd", 3)]:
-                wanted = OpenRequest(cast(Any, None), 0, b"GET / HTTP/1.1\r\n", None)
+                wanted = OpenRequest(cast(Any, here.connections()[0]), 0, b"GET / HTTP/1.1\r\n", None)
                 attempt = connections_module.Attempt(wanted, 0, server, 0.0, 1.0)
                 attempt.ended = True
                 backends.send(attempt)
