Let the wait after a failed call to discovery grow as far as 6 s allow

Change: the wait grows by half each time, as long as a call that hung until the service came back (what the last one took), the wait and a call in line fit into 6 s (decisions/listing.py).

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -131,6 +131,7 @@
 
     def _on_timer(self, event: TimerFired) -> None:
         if event.token == LIST_TOKEN:
+            self.asked_at = self.now
             self.actions.append(Watch(True))
             return
         pending = self.requests.get(event.token - 1)
--- a/spokemast/decisions/listing.py
+++ b/spokemast/decisions/listing.py
@@ -20,10 +20,11 @@
 
 YOUNG_MOST = 0.1  # share of the fleet that the ramp may hold back; the rest could not carry more
 ASK_SPREAD_S = 0.5  # a first call comes at a random moment within this
-# Wait after a failed call, on the mean; by up to half of it longer or shorter. It does not grow: from the
-# moment at which the list can be had the call before (members/watch.py), this wait and the next call may take
-# 6 s together.
-ASK_AGAIN_S = 0.6
+# Wait after a failed call, on the mean; by up to half of it longer or shorter. It grows by this each time, but
+# no further than lets the list be known in time from the moment at which it can be had: a call that hangs
+# may have begun just before (members/watch.py gives it up), then comes the wait, then a call in line.
+ASK_AGAIN_S, ASK_GROWTH = 0.6, 1.5
+TOLD_S, CALL_S = 6.0, 2.9  # what discovery has counts as told after; what one call may take
 LIST_TOKEN = 0  # timers: 0 asks for the list, a request's id + 1 looks at that request
 
 
@@ -32,7 +33,11 @@
 
     def _on_list(self, event: ServerList) -> None:
         if event.failed:  # each proxy at its own moment
-            self.actions.append(SetTimer(LIST_TOKEN, ASK_AGAIN_S * (0.5 + self.random.random())))
+            took = min(CALL_S, self.now - self.asked_at) if self.failed_calls else 0.0
+            most = max(0.0, TOLD_S - CALL_S - took) / 1.5
+            wait = min(ASK_AGAIN_S * ASK_GROWTH ** min(self.failed_calls, 8), most)
+            self.failed_calls += 1
+            self.actions.append(SetTimer(LIST_TOKEN, wait * (0.5 + self.random.random())))
             return
         if event.whole:
             named = {entry.server for entry in event.entries}
@@ -44,6 +49,8 @@
         self._lay_out()
         if event.stale and self.settings.list_on_request:
             self.actions.append(SetTimer(LIST_TOKEN, ASK_SPREAD_S * self.random.random()))
+        elif not event.stale:
+            self.failed_calls = 0
 
     def _list_entry(self, entry: ServerEntry) -> None:
         server = self.servers.get(entry.server)
--- a/spokemast/decisions/state.py
+++ b/spokemast/decisions/state.py
@@ -60,6 +60,7 @@
         self.silences: list[Quantile] = []  # of the classes, once a share of answers is waited for
         self.tenant_room = [0.0] * len(settings.tenants)
         self.tenant_at = [0.0] * len(settings.tenants)
+        self.failed_calls, self.asked_at = 0, 0.0  # calls for the list, in a row; the latest
         self.cordoned: dict[str, float] = {}  # servers taken out by hand, and since when
         self.returned: dict[str, float] = {}  # put back, unanswered so far, and when each is due a request
 
