--- a/spokemast/decisions/listing.py
+++ b/spokemast/decisions/listing.py
@@ -20,8 +20,8 @@
 
 YOUNG_MOST = 0.1  # share of the fleet that the ramp may hold back; the rest could not carry more
 ASK_SPREAD_S = 0.5  # a first call comes at a random moment within this
-# Wait after a failed call, on the mean; by up to half of it longer or shorter. It grows by this each time, but
-# no further than lets the list be known in time from the moment at which it can be had: a call that hangs
+# Wait after a failed call, on the mean; by up to half of it longer or shorter. It grows by this each time, as
+# far as lets the list be known in time from the moment at which it can be had: a call that hangs
 # may have begun just before (members/watch.py gives it up), then comes the wait, then a call in line.
 ASK_AGAIN_S, ASK_GROWTH = 0.6, 1.5
 TOLD_S, CALL_S = 6.0, 2.9  # what discovery has counts as told after; what one call may take
