Wait for all five attempts before two counts of them are compared

Seen: one of 2,158 tests failed in a whole run on eight workers, test_what_is_open_is_counted_as_open_and_its_attempt_as_written, 3 against 5; alone it passed six of six. Cause: it waited for the first of five attempts and read the count twice with a call in between, while the others were still being written.

Change: it waits for all five and wants 5 of both counts, which is stricter.

Measured: passes four of four; the other 2,157 passed in that run.

--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -144,11 +144,11 @@
             clients = [await here.here.connect() for _ in range(5)]
             for client in clients:
                 await client.send(request("unsafe"))
-            await backend.until_called(1)
+            await backend.until_called(5)
             await here.here.proxy.until(lambda: here.here.proxy.figures.open == 5)
             box = await here.figures()
             assert box["in_progress"] == 5
-            assert box["upstream_tries"] == sum(here.here.proxy.tries()) >= 1
+            assert box["upstream_tries"] == sum(here.here.proxy.tries()) == 5
 
     play(scene)
 
