Back off where calls for the list wait in line in vain, and spread first calls

Of the calls of each second about four were taken and all of these failed after 2.0 s; the rest were turned away at once. A model of a line that takes more calls than it can answer in time, and works on for those who gave up, gives the same: nobody is answered after 2.2 s, 16 to 20 of 28 never.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -132,6 +132,7 @@
 
     def _on_timer(self, event: TimerFired) -> None:
         if event.token == LIST_TOKEN:
+            self.asked_at = self.now
             self.actions.append(Watch(True))
             return
         pending = self.requests.get(event.token - 1)
--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -596,5 +596,5 @@
         for server in list(self.backends.table):
             self.backends.gone(server)
 
-    def list_failed(self) -> None:
-        self.post(api.ServerList(failed=True))
+    def list_failed(self, busy: bool = False) -> None:
+        self.post(api.ServerList(failed=True, busy=busy))
--- a/spokemast/decisions/listing.py
+++ b/spokemast/decisions/listing.py
@@ -18,11 +18,15 @@
 )
 
 YOUNG_MOST = 0.1  # share of the fleet that the ramp may hold back; the rest could not carry more
-ASK_SPREAD_S = 0.5  # a first call comes at a random moment within this
-# Wait after a failed call, on the mean; by up to half of it longer or shorter. It does not grow: from the
-# moment at which the list can be had the call before (members/watch.py), this wait and the next call may take
-# 6 s together.
-ASK_AGAIN_S = 0.6
+# A first call of many proxies that have started together comes within this. One service takes them in turn,
+# also those that have given up meanwhile: what comes faster than it works is all in vain, and for good.
+ASK_SPREAD_S = 3.5
+# Wait after the first failed call, doubling from then on, times a quarter to five quarters. So long as the
+# service can't be reached no further than lets the list be known in time from when it can: a call that hangs
+# may have begun just before (members/watch.py gives it up), then the wait, then one in line.
+ASK_AGAIN_S, SPREAD_FROM, SPREAD_MOST = 1.1, 0.25, 1.25
+TOLD_S, LINE_S = 6.0, 2.1  # what discovery has counts as told after; what a call may wait in line
+BUSY_MOST_S = 6.0  # and where calls have waited in line in vain: only fewer of them empty it
 LIST_TOKEN = 0  # timers: 0 asks for the list, a request's id + 1 looks at that request
 
 
@@ -30,8 +34,8 @@
     """The servers, as listed and as taken out by hand."""
 
     def _on_list(self, event: ServerList) -> None:
-        if event.failed:  # each proxy at its own moment
-            self.actions.append(SetTimer(LIST_TOKEN, ASK_AGAIN_S * (0.5 + self.random.random())))
+        if event.failed:
+            self._ask_again(event.busy)
             return
         if event.whole:
             named = {entry.server for entry in event.entries}
@@ -42,7 +46,23 @@
             self._list_entry(entry)
         self._lay_out()
         if event.stale and self.settings.list_on_request:
-            self.actions.append(SetTimer(LIST_TOKEN, ASK_SPREAD_S * self.random.random()))
+            spread = ASK_SPREAD_S * (1 - 1 / max(1, self.settings.n_instances))
+            self.actions.append(SetTimer(LIST_TOKEN, spread * self.random.random()))
+        elif not event.stale:
+            self.failed_calls = self.busy_calls = 0
+
+    def _ask_again(self, busy: bool) -> None:
+        """Back-off with jitter."""
+        took = self.now - self.asked_at if self.failed_calls else 0.0
+        if busy:
+            self.busy_calls += 1
+            count, most = self.busy_calls, BUSY_MOST_S
+        else:
+            self.failed_calls += 1
+            count, most = self.failed_calls, max(0.0, TOLD_S - LINE_S - took) / SPREAD_MOST
+        wait = min(ASK_AGAIN_S * 2.0 ** min(count - 1, 8), most)
+        jitter = SPREAD_FROM + (SPREAD_MOST - SPREAD_FROM) * self.random.random()
+        self.actions.append(SetTimer(LIST_TOKEN, wait * jitter))
 
     def _list_entry(self, entry: ServerEntry) -> None:
         server = self.servers.get(entry.server)
--- a/spokemast/decisions/state.py
+++ b/spokemast/decisions/state.py
@@ -57,6 +57,8 @@
         self.silences: list[Quantile] = []  # of the classes, once a share of answers is waited for
         self.tenant_room = [0.0] * len(settings.tenants)
         self.tenant_at = [0.0] * len(settings.tenants)
+        self.failed_calls = self.busy_calls = 0  # for the list, since it last came; in line in vain
+        self.asked_at = 0.0  # when it was last asked for
         self.cordoned: dict[str, float] = {}  # servers taken out by hand, and since when
         self.returned: dict[str, float] = {}  # put back, unanswered so far, and when each is due a request
 
--- a/spokemast/interface.py
+++ b/spokemast/interface.py
@@ -193,12 +193,14 @@
 
 
 class ServerList(NamedTuple):
-    """A list, or a change to it. `failed`: the call failed, the list before stands."""
+    """A list, or a change to it. `failed`: the call failed, the list before stands; `busy`: after it had waited in line
+    with others'."""
 
     entries: tuple[ServerEntry, ...] = ()
     whole: bool = True
     failed: bool = False
     stale: bool = False  # what was held before a restart
+    busy: bool = False
 
 
 class Cordon(NamedTuple):
--- a/spokemast/members/lists.py
+++ b/spokemast/members/lists.py
@@ -16,8 +16,8 @@
     def take_list(self, entries: list[Entry], whole: bool, stale: bool = False) -> None:
         """A list, or a change to it; `stale`: from before a restart."""
 
-    def list_failed(self) -> None:
-        """The call failed; what was listed before stands."""
+    def list_failed(self, busy: bool = False) -> None:
+        """The call failed, after waiting in line where `busy`; what was listed before stands."""
 
 
 class Source(Protocol):
--- a/spokemast/members/overlay.py
+++ b/spokemast/members/overlay.py
@@ -97,8 +97,8 @@
         self._layers.listed = listed
         self._tell(stale)
 
-    def list_failed(self) -> None:
-        self.told.list_failed()
+    def list_failed(self, busy: bool = False) -> None:
+        self.told.list_failed(busy)
 
     # The operators' side.
 
