--- a/benchmarks/fleetview.py
+++ b/benchmarks/fleetview.py
@@ -26,8 +26,9 @@
 import time
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
+from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any, Sequence
+from typing import Any, AsyncIterator, Sequence
 
 from emulator.fleetview import FleetModel
 from standins.askers import Askers
@@ -227,29 +228,37 @@
     await members.stop()
 
 
-async def deaths_part(minutes: float) -> None:
-    """Load comes of four further processes, so that all cores are taken."""
+@asynccontextmanager
+async def eight() -> AsyncIterator[Fleet]:
+    """Eight processes that have settled, before four members."""
     members = Members(4)
     pool = await pool_of(members)
     with tempfile.TemporaryDirectory() as folder:
         async with Fleet(Path(folder), 8, pool, profile="lan") as fleet:
             await fleet.open()
             await fleet.settled()
-            fleet.network.loss = 0.01
-            ports = [str(one.port) for one in fleet.all]
-            askers = [
-                await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "standins.askers", str(minutes * 60), *ports, *ports,
-                    stdout=asyncio.subprocess.PIPE, cwd=ROOT,
-                ) for _ in range(4)
-            ]  # fmt: skip
-            before = [processor(one) for one in fleet.all]
-            ends: Counter[str] = Counter()
-            for one in askers:
-                out, _ = await one.communicate()
-                ends.update(json.loads(out))
-            used = [(processor(one) - b) / minutes / 60 for one, b in zip(fleet.all, before, strict=True)]
-            found = [one["counts"] for one in await fleet.statuses()]
+            yield fleet
+    await members.stop()
+
+
+async def deaths_part(minutes: float) -> None:
+    """Load comes of four further processes, so that all cores are taken."""
+    async with eight() as fleet:
+        fleet.network.loss = 0.01
+        ports = [str(one.port) for one in fleet.all]
+        askers = [
+            await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "standins.askers", str(minutes * 60), *ports, *ports,
+                stdout=asyncio.subprocess.PIPE, cwd=ROOT,
+            ) for _ in range(4)
+        ]  # fmt: skip
+        before = [processor(one) for one in fleet.all]
+        ends: Counter[str] = Counter()
+        for one in askers:
+            out, _ = await one.communicate()
+            ends.update(json.loads(out))
+        used = [(processor(one) - b) / minutes / 60 for one, b in zip(fleet.all, before, strict=True)]
+        found = [one["counts"] for one in await fleet.statuses()]
 
     def total(key: str) -> int:
         return sum(counts.get(key, 0) for counts in found)
@@ -257,32 +266,25 @@
     print(f"deaths: {minutes:g} minutes, 8 processes, 1 % loss, {sum(ends.values())} requests {dict(ends)}, "
           f"{statistics.mean(used):.2f} of a core each: held dead {total('died')}, suspected {total('suspected')}, "
           f"refuted {total('refuted')}")  # fmt: skip
-    await members.stop()
 
 
 async def cost_part(pairs: int) -> None:
     """One process of a fleet of eight beside one without [fleet], both counting with eight."""
-    members = Members(4)
-    pool = await pool_of(members)
-    with tempfile.TemporaryDirectory() as folder:
-        async with Fleet(Path(folder), 8, pool, profile="lan") as fleet:
-            await fleet.open()
-            await fleet.settled()
-            alone = fleet.folder / "alone.toml"
-            text = fleet.all[0].config.read_text().replace('socket = "s"', 'socket = "alone"')
-            port = fleet._place(99, "127.0.0.1", 99).port
-            head, _, rest = text.partition("[fleet]")
-            rest = "[[class]]" + rest.partition("[[class]]")[2]
-            # The number of instances decides which connections are kept, so both count with the same.
-            head = f"[process]\ninstances = {len(fleet.all)}\n" + head
-            alone.write_text(head + rest.replace(str(fleet.all[0].port), str(port)))
-            other = await start(alone)
-            with_fleet = fleet.all[0]
-            assert with_fleet.process is not None
-            await compare("the fleet", (with_fleet.process.pid, with_fleet.port), (other.pid, port), pairs)
-            other.send_signal(signal.SIGKILL)
-            await other.wait()
-    await members.stop()
+    async with eight() as fleet:
+        alone = fleet.folder / "alone.toml"
+        text = fleet.all[0].config.read_text().replace('socket = "s"', 'socket = "alone"')
+        port = fleet._place(99, "127.0.0.1", 99).port
+        head, _, rest = text.partition("[fleet]")
+        rest = "[[class]]" + rest.partition("[[class]]")[2]
+        # The number of instances decides which connections are kept, so both count with the same.
+        head = f"[process]\ninstances = {len(fleet.all)}\n" + head
+        alone.write_text(head + rest.replace(str(fleet.all[0].port), str(port)))
+        other = await start(alone)
+        with_fleet = fleet.all[0]
+        assert with_fleet.process is not None
+        await compare("the fleet", (with_fleet.process.pid, with_fleet.port), (other.pid, port), pairs)
+        other.send_signal(signal.SIGKILL)
+        await other.wait()
 
 
 async def compare(name: str, one: tuple[int, int], other: tuple[int, int], pairs: int) -> None:
--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -53,6 +53,17 @@
 SECOND_LOOK = 0.5  # share of the useful time after which silence earns a second attempt
 
 
+def _first_that_may_have_run(attempts: Sequence[Attempt]) -> Attempt | None:
+    return next((a for a in attempts if a.may_have_run), None)
+
+
+def _may_follow(cls: RequestClass, first: Attempt | None, now: float) -> bool:
+    """No effect twice: whether one more may go after `first`, in its group where there is one."""
+    if first is None or cls.effect == Effect.SAFE:
+        return True
+    return cls.effect == Effect.KEYED and now < first.sent + cls.dedup_window
+
+
 class Balancer(Listing, Cold, Learning, Refusing, Hedging):
     """The decisions of one proxy. `handle` takes what happened and returns what to do, in order."""
 
@@ -261,13 +272,10 @@
             return None
         if pending.attempts and not pending.held:  # what is not whole any more is never sent in part
             return None
-        first = next((a for a in pending.attempts if a.may_have_run), None)
-        cls = pending.cls
-        if first is None or cls.effect == Effect.SAFE:
-            return self.pool
-        if cls.effect == Effect.UNSAFE or self.now >= first.sent + cls.dedup_window:
+        first, cls = _first_that_may_have_run(pending.attempts), pending.cls
+        if not _may_follow(cls, first, self.now):
             return None
-        if cls.dedup_scope == Scope.ALL:
+        if first is None or cls.effect == Effect.SAFE or cls.dedup_scope == Scope.ALL:
             return self.pool
         place = first.server.zone if cls.dedup_scope == Scope.ZONE else first.server.cell
         return self.groups.get((cls.dedup_scope, place))
@@ -280,19 +288,14 @@
         pending = self.requests.get(request)
         if pending is None or pending.streaming:
             return False
-        attempt = pending.attempts[number]
-        server, cls = attempt.server, pending.cls
-        if server.barred or server.state == ServerState.GONE:
-            return False
-        if server.state == ServerState.DRAINING and not self.settings.sticky_drains:
+        server = pending.attempts[number].server
+        drains = server.state == ServerState.DRAINING and self.settings.sticky_drains
+        if server.barred or not (server.state == ServerState.READY or drains):
             return False
         others = [a for n, a in enumerate(pending.attempts) if n != number]
         if not self.limits.second_copies and any(a.open for a in others):
             return False
-        first = next((a for a in others if a.may_have_run), None)
-        if first is None or cls.effect == Effect.SAFE:
-            return True
-        return cls.effect == Effect.KEYED and now < first.sent + cls.dedup_window
+        return _may_follow(pending.cls, _first_that_may_have_run(others), now)
 
     def _may_refuse(self, pending: Pending) -> bool:
         """No effect twice: a refusal says that trying again is harmless."""
--- a/spokemast/decisions/listing.py
+++ b/spokemast/decisions/listing.py
@@ -46,8 +46,8 @@
             self._list_entry(entry)
         self._lay_out()
         if event.stale and self.settings.list_on_request:
-            spread = ASK_SPREAD_S * (1 - 1 / max(1, self.settings.n_instances))
-            self.actions.append(SetTimer(LIST_TOKEN, spread * self.random.random()))
+            wait = ASK_SPREAD_S * self.settings.others * self.random.random()
+            self.actions.append(SetTimer(LIST_TOKEN, wait))
         elif not event.stale:
             self.failed_calls = self.busy_calls = 0
 
--- a/spokemast/fronts/connection.py
+++ b/spokemast/fronts/connection.py
@@ -62,27 +62,28 @@
         end is still in our buffer."""
         if self.transport is not None and self.transport.get_write_buffer_size():
             return False
+        if self._peek():
+            return False
+        self.listener.forget(self)
+        self.abort()
+        return True
+
+    def _peek(self) -> bytes | None:
+        """What waits in the kernel: None where nothing does, no bytes where the connection has ended or broken."""
         try:
-            unread = bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:  # nothing there, or the connection has broken
-            unread = False
-        if not unread:
-            self.listener.forget(self)
-            self.abort()
-        return not unread
+            return self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
 
     def has_left(self) -> bool:
         """Whether the client has ended its side, though that has not been read yet; then all it asked is withdrawn.
 
         Guards against attempts for clients that left while we were busy, or while nothing is read from them: the end
         is in the kernel, maybe behind bytes that wait there. Harm: a call of the system for each attempt."""
-        try:
-            unread = self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            unread = b""
-        if unread and not self._ends_behind_bytes():
+        unread = self._peek()
+        if unread is None or (unread and not self._ends_behind_bytes()):
             return False
         self.withdraw_all()
         self.abort()
--- a/spokemast/interface.py
+++ b/spokemast/interface.py
@@ -169,6 +169,11 @@
         _check("zone", self.zone, 0, self.n_zones - 1)
         _check("over_share_worth", self.over_share_worth, 0, 1)
 
+    @property
+    def others(self) -> float:
+        """Share of the proxies that are not this one: by it calls are spread that all would make in one moment."""
+        return 1 - 1 / self.n_instances
+
 
 # Events.
 
--- a/spokemast/members/framing.py
+++ b/spokemast/members/framing.py
@@ -59,6 +59,8 @@
             if self._lines:  # the service rests, and says so: what came before was cut off
                 raise ValueError("a value without its end")
             return []
+        if not self._lines and (values := _read_one(line)):  # the usual form needs no brackets counted
+            return values
         if self._lines and self._lines[-1][-1] not in OPEN_END and line[0] not in CLOSING:
             raise ValueError("another value inside of one")
         bare = STRING.sub(b"", line)
@@ -80,10 +82,15 @@
 
 def _read(text: bytes) -> list[object]:
     """One value, or several on one line."""
+    return _read_one(text) or _read_several(text.decode())
+
+
+def _read_one(text: bytes) -> list[object]:
+    """Nothing where it is not one value."""
     try:
         return [orjson.loads(text)]
     except ValueError:
-        return _read_several(text.decode())
+        return []
 
 
 def _read_several(text: str) -> list[object]:
--- a/spokemast/members/watch.py
+++ b/spokemast/members/watch.py
@@ -162,8 +162,8 @@
         if self.pushed:
             self.watch(True)
         else:
-            spread = MOVE_SPREAD_S * (1 - 1 / max(1, self.deployment.settings.n_instances))
-            self._loop.call_later(spread * random.random(), self._again)
+            wait = MOVE_SPREAD_S * self.deployment.settings.others * random.random()
+            self._loop.call_later(wait, self._again)
 
     def close(self) -> None:
         if self._held is not None:
@@ -202,11 +202,11 @@
         if self.wanted and self.current is None and self._opening is None:
             self.watch(True)
 
-    def unreadable(self, watch: Watch, problem: ValueError) -> None:
-        """What it said is missed, so the whole list is needed."""
+    def missed(self, watch: Watch, why: str) -> None:
+        """What it said can't be taken, so the whole list is needed."""
         if watch is self.current:
             self.version = None
-            self.failed(watch, f"unreadable list: {problem}")
+            self.failed(watch, why)
 
     def told(self, watch: Watch, value: object) -> None:
         """A list, or a change to one."""
@@ -215,11 +215,10 @@
         try:
             version, full, entries = read_list(value, self.deployment, self.complain)
         except ValueError as problem:
-            self.unreadable(watch, problem)
+            self.missed(watch, f"unreadable list: {problem}")
             return
         if not full and self.version is not None and version < self.version:
-            self.version = None
-            self.failed(watch, f"version {version} after a newer one")
+            self.missed(watch, f"version {version} after a newer one")
             return
         self.version, self.heard_at = version, self._loop.time()
         self.proxy.take_list(entries, full)
@@ -290,7 +289,7 @@
         try:
             values = self.values.feed(body)
         except ValueError as problem:
-            self.discovery.unreadable(self, problem)
+            self.discovery.missed(self, f"unreadable list: {problem}")
             return
         for value in values:
             self.discovery.told(self, value)
--- a/tests/fleet/test_versions_model.py
+++ b/tests/fleet/test_versions_model.py
@@ -133,11 +133,16 @@
     assert sum(len(watch.stands) for watch in found) > 60 and sum(len(watch.refused) for watch in found) > 5
 
 
-def a_store_is_lost_between_two_majorities() -> None:
-    """Three of five decide; one of them loses its store, and is up with the two that know nothing."""
-    model = StateModel(5, 3)
+def begun(voters: int, seed: int) -> StateModel:
+    model = StateModel(voters, seed)
     for one in model.all.values():
         one.start()
+    return model
+
+
+def a_store_is_lost_between_two_majorities() -> None:
+    """Three of five decide; one of them loses its store, and is up with the two that know nothing."""
+    model = begun(5, 3)
     watch = Watch(model)
     model.run(2)
     model.part(["i0", "i1", "i2"], ["i3", "i4"])
@@ -164,9 +169,7 @@
 
 def a_voter_dies_between_its_vote_and_the_decision() -> None:
     """One of three has voted, and does not hear that it is decided; the one that decided dies, and so does it."""
-    model = StateModel(3, 4)
-    for one in model.all.values():
-        one.start()
+    model = begun(3, 4)
     watch = Watch(model)
     model.run(2)
     model.part(["i0", "i1"], ["i2"])
@@ -409,9 +412,7 @@
 
 
 def test_a_change_only_after_a_version_is_refused_once_the_state_has_moved_on() -> None:
-    model = StateModel(3, 1)
-    for one in model.all.values():
-        one.start()
+    model = begun(3, 1)
     model.run(1)
     model.all["i0"].propose(mark(1))
     model.run(1)
@@ -432,9 +433,7 @@
 
 
 def test_a_majority_of_stores_that_are_lost_takes_no_change_until_an_operator_says_so() -> None:
-    model = StateModel(3, 1)
-    for one in model.all.values():
-        one.start()
+    model = begun(3, 1)
     model.run(1)
     model.all["i0"].propose(mark(1))
     model.run(1)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import socket
-from contextlib import contextmanager
-from typing import Any, Awaitable, Callable, Iterator
+from typing import Any, Awaitable, Callable
 
 import pytest
 
@@ -27,8 +26,7 @@
         self.on = False
 
 
-@contextmanager
-def holding(monkeypatch: pytest.MonkeyPatch) -> Iterator[HeldConnects]:
+def hold_connects(monkeypatch: pytest.MonkeyPatch) -> HeldConnects:
     """The kernel's handshake is done; the program does not hear of it yet, as with a late SYN-ACK."""
     holder = HeldConnects()
     connect = Backends._connect
@@ -40,7 +38,7 @@
         await connect(self, connection)
 
     monkeypatch.setattr(Backends, "_connect", late)
-    yield holder
+    return holder
 
 
 async def drains(here: World, client: Client, a: ScriptedBackend) -> None:
@@ -89,24 +87,24 @@
 
     async def scene() -> None:
         a = ScriptedBackend("a", answering(OK))
-        with holding(monkeypatch) as holder:
-            async with world(a, settings=with_limits(cancelling=cancelling)) as here:
-                await here.discovery.until_watched()
-                client, holder.on = await here.connect(), True
-                await client.send(request(cls))
-                await asyncio.wait_for(holder.held.wait(), 10)
-                await cross(here, client, a)
-                holder.on = False
-                holder.gate.set()
-                if answered:
-                    status = (await client.read())[0]
-                    assert status == (200 if what == "its member's address is another's" else 503)
-                    assert len(a.calls) == (status == 200)
-                    if a.calls:
-                        assert {o.server for o in here.proxy.outcomes() if o.result == Result.SERVED} == {"b"}
-                else:
-                    outcome = (await here.proxy.until_outcomes(1))[0]
-                    assert outcome.result in (Result.NOT_SENT, Result.CANCELLED) and not a.calls
+        holder = hold_connects(monkeypatch)
+        async with world(a, settings=with_limits(cancelling=cancelling)) as here:
+            await here.discovery.until_watched()
+            client, holder.on = await here.connect(), True
+            await client.send(request(cls))
+            await asyncio.wait_for(holder.held.wait(), 10)
+            await cross(here, client, a)
+            holder.on = False
+            holder.gate.set()
+            if answered:
+                status = (await client.read())[0]
+                assert status == (200 if what == "its member's address is another's" else 503)
+                assert len(a.calls) == (status == 200)
+                if a.calls:
+                    assert {o.server for o in here.proxy.outcomes() if o.result == Result.SERVED} == {"b"}
+            else:
+                outcome = (await here.proxy.until_outcomes(1))[0]
+                assert outcome.result in (Result.NOT_SENT, Result.CANCELLED) and not a.calls
 
     play(scene)
 
@@ -128,20 +126,20 @@
         backends = [ScriptedBackend(name, when_told) for name in ("a", "b")]
         settings = with_limits(cancelling=cancelling)
         settings["classes"] = [{**c, "aim-s": 0.2} for c in SETTINGS["classes"]]
-        with holding(monkeypatch) as holder:
-            async with world(*backends, settings=settings) as here:
-                client = await here.connect()
-                await client.send(request("safe"))
-                while not any(b.calls for b in backends):
-                    await asyncio.sleep(0)
-                holder.on = True
-                await asyncio.wait_for(holder.held.wait(), 10)
-                answer.set()
-                assert (await client.read())[0] == 200
-                holder.on = False
-                holder.gate.set()
-                await here.proxy.until_outcomes(2)
-                assert sum(len(b.calls) for b in backends) == 1
+        holder = hold_connects(monkeypatch)
+        async with world(*backends, settings=settings) as here:
+            client = await here.connect()
+            await client.send(request("safe"))
+            while not any(b.calls for b in backends):
+                await asyncio.sleep(0)
+            holder.on = True
+            await asyncio.wait_for(holder.held.wait(), 10)
+            answer.set()
+            assert (await client.read())[0] == 200
+            holder.on = False
+            holder.gate.set()
+            await here.proxy.until_outcomes(2)
+            assert sum(len(b.calls) for b in backends) == 1
 
     play(scene)
 
@@ -161,19 +159,19 @@
             {**c, "dedup-scope": scope, "dedup-window-s": 0.3} if c["name"] == "keyed" else c
             for c in SETTINGS["classes"]
         ]
-        with holding(monkeypatch) as holder:
-            async with world(a, b, settings=settings) as here:
-                client = await here.connect()
-                await client.send(request("keyed"))
-                await asyncio.wait_for(holder.held.wait(), 10)
-                pending = next(iter(here.proxy.balancer.requests.values()))
-                end = pending.attempts[0].sent + 0.3
-                while here.proxy.now() < end:
-                    await asyncio.sleep(end - here.proxy.now())
-                holder.on = False
-                holder.gate.set()
-                assert (await client.read())[0] == (503 if scope == "all" else 502)
-                assert len(a.calls) + len(b.calls) == 1
+        holder = hold_connects(monkeypatch)
+        async with world(a, b, settings=settings) as here:
+            client = await here.connect()
+            await client.send(request("keyed"))
+            await asyncio.wait_for(holder.held.wait(), 10)
+            pending = next(iter(here.proxy.balancer.requests.values()))
+            end = pending.attempts[0].sent + 0.3
+            while here.proxy.now() < end:
+                await asyncio.sleep(end - here.proxy.now())
+            holder.on = False
+            holder.gate.set()
+            assert (await client.read())[0] == (503 if scope == "all" else 502)
+            assert len(a.calls) + len(b.calls) == 1
 
     play(scene)
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -7,7 +7,7 @@
 import json
 import random
 import selectors
-from typing import Any, Callable, Coroutine, cast
+from typing import Any, Callable, Coroutine
 
 import pytest
 
@@ -250,4 +250,4 @@
         if proxies == 400 and mode == "subscribe":
             assert sum(at < moved_at + 0.1 for at in service.calls) < proxies / 2
 
-    play(service, cast(Any, scene))
+    play(service, scene)
