Answer what is pipelined before the process ends, and keep no request that was read

Cause, found by reading the shutdown path and forced on real sockets: after SIGTERM _is_last (fronts/http1.py) said yes to each answer, and _next set close_after, so the answer to one request ended the connection and _after dropped what waited behind it: whole requests that this process had read got no answer, and half of the next one was cut off. At the end of the drain end_all answered what was open, but what waited behind it was begun anew or dropped with the connection. Ruled out: uploads, streams, attempts that open and repeats that are due under SIGTERM passed before and after.

Change: an answer is the last where nothing waits, is being read or lies in the kernel behind it; end_all turns away what comes, and the drain waits for these answers, within FLUSH_S.

--- a/spokemast/core/proxy.py
+++ b/spokemast/core/proxy.py
@@ -296,7 +296,8 @@
         self.figures.count(cls, end_of(status))
 
     def end_all(self) -> None:
-        """The process ends: what is still held has failed."""
+        """The process ends: what is still held has failed, and what comes is turned away."""
+        self.closed = True
         for request in list(self.open.values()):
             self._abandon(request)
 
@@ -586,7 +587,6 @@
 
     def close(self) -> None:
         """Nothing new comes: what is still open has failed, and its connections, timers and source go."""
-        self.closed = True
         self.end_all()
         self.tunnels.close()
         self._sweeping.cancel()
--- a/spokemast/fronts/connection.py
+++ b/spokemast/fronts/connection.py
@@ -210,6 +210,10 @@
     def is_busy(self) -> bool:
         raise NotImplementedError
 
+    def owes(self) -> bool:
+        """Whether a whole request waits behind the one being served."""
+        return False
+
     def refuse(self, words: bytes) -> None:
         """End it with these bytes, before anything of it has been read."""
         raise NotImplementedError
--- a/spokemast/fronts/http1.py
+++ b/spokemast/fronts/http1.py
@@ -345,7 +345,7 @@
         """Serve what waits, in order, until one takes its time."""
         while self.request is None and self.waiting and not self._gone():
             item = self.waiting.popleft()
-            self.close_after = item.close or self.listener.draining
+            self.close_after = item.close
             if isinstance(item, Reply):
                 self._write(item.status, self._own(item.status), item.why.encode() + b"\n", served=False)
                 self._after()
@@ -473,11 +473,12 @@
         self.bodiless = False
 
     def _is_last(self, served: bool) -> bool:
-        """Whether this answer ends the connection. Never one behind which another request is being read."""
-        if self.listener.draining:
-            return True
+        """Whether this answer ends the connection. Never one behind which another request waits or is being read: those
+        are ours already, at the end of the process too."""
         if self.phase != WHOLE or self.waiting:
             return False
+        if self.listener.draining:
+            return not self._peek()
         return self.is_once() or not self.listener.pressure.keeps(self.asked, served)
 
     def _after(self) -> None:
@@ -615,3 +616,6 @@
     def is_busy(self) -> bool:
         """Whether anything is still owed on it."""
         return self.phase != LINGER or bool(self.blocked)
+
+    def owes(self) -> bool:
+        return bool(self.waiting)
--- a/spokemast/fronts/listener.py
+++ b/spokemast/fronts/listener.py
@@ -341,7 +341,7 @@
         return bool(self._opening) or any(c.is_busy() for c in self.connections)
 
     def is_flushing(self) -> bool:
-        return any(c.phase == Phase.LINGER for c in self.connections)
+        return any(c.phase == Phase.LINGER or c.owes() for c in self.connections)
 
     def stop(self) -> None:
         self.close()
@@ -375,8 +375,8 @@
     for listener in listeners:
         for proxy in listener.reader.proxies():
             proxy.end_all()
-    # Guards against answers that are still in our buffers when the process ends: their clients close once
-    # they have read them.
+    # Guards against requests that wait behind others on their connections, which are turned away now, and against
+    # answers that are still in our buffers when the process ends: their clients close once they have read them.
     while any(listener.is_flushing() for listener in listeners) and time.monotonic() < end + FLUSH_S:
         await asyncio.sleep(0.01)
     for listener in listeners:
