Force a late line of an old watch, a client's reset, and leaving behind TLS and FastCGI

Need: rows of the table of crossings that had no test of their own. Change: tests alone. Measured: all pass on the program as it is; the late line is told (2 of 2 fail) with the question of Discovery.told for its current watch taken out.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import socket
+import struct
 from typing import Any, Awaitable, Callable
 
 import pytest
 
+import peers
 from peers import OK, SETTINGS, Call, Client, ScriptedBackend, World, answering, play, request, silent, world
 from spokemast.interface import Result
 from spokemast.upstreams.connections import Backends
@@ -67,12 +69,20 @@
     await here.proxy.until(lambda: not here.proxy.balancer.requests)
 
 
+async def resets(here: World, client: Client, a: ScriptedBackend) -> None:
+    sock = client.writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.writer.transport.abort()
+    await here.proxy.until(lambda: not here.proxy.balancer.requests)
+
+
 CROSSINGS: dict[str, tuple[Callable[[World, Client, ScriptedBackend], Awaitable[None]], bool]] = {
     "its member drains": (drains, True),
     "its member has gone": (ends, True),
     "its member's address is another's": (moves, True),
     "its client leaves": (leaves, False),
     "its client ends one direction": (half_closes, False),
+    "its client resets": (resets, False),
 }
 
 
@@ -109,6 +119,16 @@
     play(scene)
 
 
+@pytest.mark.parametrize("front", ["https", "fastcgi"])
+@pytest.mark.parametrize("what", ["its client leaves", "its client resets"])
+def test_a_client_that_goes_while_a_connection_comes_up_is_gone_on_every_front(
+    what: str, front: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(peers, "COMBINATION", [front, "http/1.1"])
+    for cls in ("safe", "unsafe"):
+        test_while_the_connection_of_an_attempt_comes_up(what, cls, False, monkeypatch)
+
+
 @pytest.mark.parametrize("cancelling", [True, False])
 def test_a_request_that_has_its_answer_is_not_sent_on_when_a_late_connection_comes_up(
     cancelling: bool, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from peers import OK, SETTINGS, ScriptedBackend, World, answering, play, request, world
+from peers import OK, SETTINGS, ScriptedBackend, ScriptedDiscovery, World, answering, play, request, world
 from spokemast.interface import ServerEntry, ServerList, ServerState
 from spokemast.members import watch as discovery_module
 
@@ -306,3 +306,41 @@
             assert len(lists(here)) == 2
 
     play(scene)
+
+
+@pytest.mark.parametrize("how", ["moved", "silent"])
+def test_a_late_line_of_an_old_watch_says_nothing_beside_the_new_one(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """In both orders: while the new watch opens, and once it stands."""
+    monkeypatch.setattr(discovery_module, "MOVE_SPREAD_S", 0.0)
+
+    async def scene() -> None:
+        async with world(settings=SETTINGS if how == "silent" else ASKED) as here:
+            source = here.proxy.source
+            assert isinstance(source, discovery_module.Discovery)
+            source.watch(True)
+            await here.discovery.until_watched()
+            await here.discovery.line(5, entry("s"), full=True)
+            await here.proxy.until(lambda: here.proxy.listed == {"s"})
+            old = source.current
+            assert old is not None
+            line = json.dumps({"version": 6, "full": True, "servers": [entry("late")]}).encode() + b"\n"
+            late = b"%x\r\n%b\r\n" % (len(line), line)
+            count = len(lists(here))
+            if how == "silent":
+                old._fail("silent")
+            else:
+                other = ScriptedDiscovery()
+                source.move(await other.start())
+            old.data_received(late)  # read in the turn in which it was given up
+            assert source.version != 6
+            await (here.discovery.until_watched(2) if how == "silent" else other.until_watched())
+            while source.current is None:
+                await asyncio.sleep(0)
+            old.data_received(late)
+            now = [event for event in lists(here)[count:] if not event.failed]
+            assert not now and source.version != 6 and "late" not in here.proxy.listed
+            assert source.current is not None and source.current is not old
+
+    play(scene)
