Hold SIGHUP back until its handler is there: it ended a proxy that was starting

Cause, found by reading the start and forced: Node.take_signals sets the handlers once everything is loaded and the file is read; before, SIGHUP does what it does by default and ends the process. A proxy that is restarted while a new configuration is announced to all has crashed then. Seen: exit by signal 1 for a SIGHUP sent while the program waits for its file. Ruled out: SIGTERM in that time, which may end a process that has taken nothing yet.

--- a/spokemast/node.py
+++ b/spokemast/node.py
@@ -67,6 +67,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, reload)
+        signal.pthread_sigmask(
+            signal.SIG_UNBLOCK, (signal.SIGHUP,)
+        )  # held back since the start (__main__.py)
 
     def accept(self) -> None:
         """Take clients from now on; OSError where the address can't be had."""
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -123,6 +123,34 @@
             assert process.poll() is None
 
 
+@pytest.mark.parametrize("times", [1, 3])
+def test_a_sighup_that_comes_while_it_starts_is_heard_and_ends_nothing(times: int, tmp_path: Path) -> None:
+    """Between the loading of the program and the reading of its file, held there by a pipe in the file's place."""
+    old, new = Agent(), Agent()
+    box = configuration(discovery=old.address)
+    path = tmp_path / "config.json"
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "spokemast"],
+        env={**os.environ, "GW_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+    )
+    try:
+        with open(path, "w") as pipe:  # opens once the program reads
+            for _ in range(times):
+                process.send_signal(signal.SIGHUP)
+            (tmp_path / "new").write_text(json.dumps(box | {"discovery": new.address}))
+            (tmp_path / "new").replace(path)
+            pipe.write(json.dumps(box))
+        new.watched()
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(30) == 0
+    finally:
+        process.kill()
+        process.communicate()
+
+
 @pytest.mark.parametrize("text", ["", "{", "[]", '{"settings":{},"listen":"a:1","discovery":"b:2"}'])
 def test_a_bad_new_configuration_is_logged_and_the_old_one_stays(text: str, tmp_path: Path) -> None:
     agent = Agent()
