--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -103,8 +103,16 @@
             self._look_again(pending)
 
     def _look_again(self, pending: Pending) -> None:
-        if pending.cls.effect != Effect.UNSAFE and pending.most > 1:
-            after = self._hedge_after(pending.number) or SECOND_LOOK * (pending.useful - self.now)
+        if pending.cls.effect == Effect.UNSAFE or pending.most <= 1:
+            return
+        left = pending.useful - self.now
+        after = self._hedge_after(pending.number) or SECOND_LOOK * left
+        if not self.limits.second_copies:
+            # Here the attempt is given up for the next one. Protects against giving up answers that take what
+            # they take near full load: a member may go on with what was cancelled, and the client waits anew.
+            # Silence is that of the draw. Harm: one silent server holds a request for longer, or to its end.
+            after = max(after, self.silence)
+        if after < left or self.limits.second_copies:
             self.actions.append(SetTimer(pending.id + 1, after))
 
     def _on_body(self, event: Body) -> None:
