Pace cold members by the settings' multiple, from each proxy's random place in its gap

Change: what is left of a gap runs down by the pace of each moment, and begins at a random place, less one part in so many as there are proxies: one of them on average, and so a lone one always, sends at once.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -13,7 +13,6 @@
 
 from typing import Callable, Sequence
 
-from spokemast.decisions.cold import Cold
 from spokemast.decisions.hedging import Hedging
 from spokemast.decisions.learning import Learning
 from spokemast.decisions.listing import LIST_TOKEN, Listing
@@ -64,7 +63,7 @@
     return cls.effect == Effect.KEYED and now < first.sent + cls.dedup_window
 
 
-class Balancer(Listing, Cold, Learning, Refusing, Hedging):
+class Balancer(Listing, Learning, Refusing, Hedging):
     """The decisions of one proxy. `handle` takes what happened and returns what to do, in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
--- a/spokemast/decisions/cold.py
+++ b/spokemast/decisions/cold.py
@@ -5,12 +5,16 @@
 from spokemast.decisions.requests import RATE_S
 from spokemast.decisions.servers import Server
 from spokemast.decisions.state import State
+from spokemast.interface import ServerState
 
 # Of its part by size and age. A part is what a warm server is sent, some 0.7 of what it can do where aims are
-# met, and refusing lowers it just when cold servers are needed. Times the most that a report may lift it that
-# is 2.2, under the 2.5 of present capacity that is usual as the rules' multiple.
-COLD_MARGIN = 1.4
-COLD_UTIL, COLD_MOST = 0.9, 1.6  # utilization that a cold server's pace aims at, and how far that may lift it
+# met, and refusing lowers it just when cold servers are needed. Of the rules' multiple of present capacity no
+# more than this share, so that there is room for chance and for parts nearer to what a server can do.
+COLD_SHARE, COLD_MARGIN = 0.56, 1.4
+COLD_UTIL, COLD_MOST = 0.9, 1.4  # utilization that a cold server's pace aims at, and how far that may lift it
+LAG = 0.5  # of the rules' time: so much older is the warmth that the pace goes by
+USUAL_S = 20.0  # memory of what a server is usually sent
+MANY = 0.3  # share of cold servers over which what is sent says nothing of what a warm one takes
 
 
 class Cold(State):
@@ -21,13 +25,53 @@
 
         All proxies pace alike, so together they stay under it, without talking; random gaps keep them
         from coming together. Work goes by time, not by chance: a draw may find it twice in a row."""
-        rules = self.rules
+        self._note_usual()
+        if self.now < self._began(server) + self.rules.cold_time:
+            server.cold_need, server.cold_at = 0.5 + self.random.random(), self.now
+
+    def _see_cold(self, server: Server) -> None:
+        """Each proxy hears of a start in the same moment, and enters at a random place of its gap. One of all
+        on average, and so a lone one always, may send at once.
+
+        Protects against a first request of every proxy at once: of hundreds these alone push it over."""
+        server.cold_need = max(0.0, self.spread.random() - 1 / self.settings.n_instances)
+        server.cold_at = self.now
+
+    def _may_take(self, server: Server) -> bool:
+        """Drains kept, and no cold server pushed over."""
+        if server.state != ServerState.READY or server.barred:
+            return False
         age = max(0.0, self.now - self._began(server))
-        if age < rules.cold_time:
-            share = rules.cold_from + (1 - rules.cold_from) * age / rules.cold_time
-            usual = max(self._rate(), 1 / RATE_S) * server.size / max(self.total_size, server.size)
-            pace = usual * share * COLD_MARGIN * self._cold_room(server)
-            server.cold_next = self.now + (0.5 + self.random.random()) / pace
+        if age >= self.rules.cold_time:
+            return True
+        if server.cold_need > 0 and self.now > server.cold_at:
+            server.cold_need -= self._cold_pace(server, age) * (self.now - server.cold_at)
+            server.cold_at = self.now
+        return server.cold_need <= 0
+
+    def _cold_pace(self, server: Server, age: float) -> float:
+        """Requests a second that it may be sent."""
+        rules = self.rules
+        # A window's budget is that of its beginning, when less of it was warm.
+        warm = max(0.0, age - rules.fall_time * LAG) / rules.cold_time
+        share = rules.cold_from + (1 - rules.cold_from) * warm
+        total = sum(sums[-1] * self.speed[kind] for kind, _, sums in self.pool.kinds)
+        mine = server.size * self.speed.get(server.kind, 1.0)
+        usual = self.usual_part or max(self._rate(), 1 / RATE_S) / max(total, mine)
+        margin = min(COLD_MARGIN, COLD_SHARE * rules.overload_factor)
+        return usual * mine * share * margin * self._cold_room(server)
+
+    def _note_usual(self) -> None:
+        """What a server of size 1 is sent while few are cold.
+
+        Protects against a pace that falls with what it lets through: where most servers are cold the own
+        sends are their paces' sum. Harm: where load falls while they are cold, the pace follows late."""
+        wait, self.usual_at = self.now - self.usual_at, self.now
+        if self.now < self.many_until or not self.pool.kinds:
+            return
+        total = sum(sums[-1] * self.speed[kind] for kind, _, sums in self.pool.kinds)
+        part = min(1.0, wait / max(1e-3, min(USUAL_S, self.now - self.born)))
+        self.usual_part += part * (self._rate() / max(total, 1.0) - self.usual_part)
 
     def _cold_room(self, server: Server) -> float:
         """What a cold server reports of itself since it began corrects what the settings say at the least.
--- a/spokemast/decisions/draw.py
+++ b/spokemast/decisions/draw.py
@@ -4,7 +4,8 @@
 
 from spokemast.decisions.requests import Pending, RATE_S
 from spokemast.decisions.servers import FAILED, Pool, Server
-from spokemast.decisions.state import DECAY_S, State
+from spokemast.decisions.cold import Cold
+from spokemast.decisions.state import DECAY_S
 from spokemast.interface import (
     DOMAIN,
     ServerState,
@@ -29,7 +30,7 @@
 RETURN_S = 1.0  # a server that was taken out and put back gets a request this often until it answers
 
 
-class Draw(State):
+class Draw(Cold):
     """Which server gets a request."""
 
     def _sticky(self, pending: Pending) -> Server | None:
@@ -179,10 +180,9 @@
         if not server.answered and server.out:  # probation: one request until the first answer
             return False
         age = self.now - server.started
-        # Exception: while requests are given up for want of room, the ramp, too, ends when a server is warm.
-        crowded = self.now < self.crowded_at + CROWDED_S
-        ramp = min(self.ramp, max(self.rules.cold_time, 1e-3)) if crowded else self.ramp
-        if server.started and age < ramp and self.random.random() > max(RAMP_FROM, age / ramp):
+        # Exception: while requests are given up for want of room there is no ramp; cold ones keep their pace.
+        ramp = 0.0 if self.now < self.crowded_at + CROWDED_S else self.ramp
+        if server.started and age < ramp > 0 and self.random.random() > max(RAMP_FROM, age / ramp):
             return False
         # Protects against hung servers, too: they answer nothing, so no figure of theirs gets worse.
         if not self._responds(server):
--- a/spokemast/decisions/listing.py
+++ b/spokemast/decisions/listing.py
@@ -4,6 +4,7 @@
 
 import math
 
+from spokemast.decisions.cold import MANY
 from spokemast.decisions.draw import Draw
 from spokemast.decisions.servers import Pool, Server
 from spokemast.decisions.state import RAMP_S
@@ -66,10 +67,13 @@
 
     def _list_entry(self, entry: ServerEntry) -> None:
         server = self.servers.get(entry.server)
+        before = -math.inf if server is None else server.started
         if server is None:
             server = self.servers[entry.server] = Server(entry, entry.server in self.cordoned)
         else:
             server.listed(entry)
+        if server.started != before:
+            self._see_cold(server)
 
     def _on_cordon(self, event: Cordon) -> None:
         """Drains kept: what operators take out gets nothing until they put it back, whatever lists say.
@@ -86,7 +90,7 @@
             since = self.cordoned.pop(name)
             if server is not None:
                 self.returned[name] = self.now
-                server.cold_next = -math.inf
+                server.cold_need = 0.0
                 if server.started < since:
                     server.woken = self.now
         if server is not None:
@@ -113,13 +117,14 @@
             self.returned.pop(name, None)
         self.ready = [s for s in self.servers.values() if s.state == ServerState.READY and not s.barred]
         mean = sum(s.weight for s in self.ready) / max(1, len(self.ready))
-        self.total_size = float(len(self.ready))
         # Exception: after a deploy or the return of a lost zone most of the fleet is young. Held back for
-        # the whole ramp, it would leave all load to the few old servers; so then the ramp ends when the
-        # rules say that a server is warm.
+        # the whole ramp, it would leave all load to the few old servers; so then the pace of cold servers is
+        # all that holds them back.
         young = sum(s.started > 0 and self.now - s.started < RAMP_S for s in self.ready)
-        many = young > YOUNG_MOST * len(self.ready)
-        self.ramp = min(RAMP_S, max(self.rules.cold_time, 1e-3)) if many else RAMP_S
+        self.ramp = 0.0 if young > YOUNG_MOST * len(self.ready) else RAMP_S
+        cold = [s.started for s in self.ready if self.now - s.started < self.rules.cold_time]
+        if len(cold) > MANY * len(self.ready):
+            self.many_until = max(cold) + self.rules.cold_time
         groups: dict[tuple[Scope, int], list[Server]] = {}
         self.domains = {}
         for server in self.ready:
--- a/spokemast/decisions/servers.py
+++ b/spokemast/decisions/servers.py
@@ -18,8 +18,9 @@
     """What this proxy knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "weight", "size", "kind", "state", "started", "out", "giving",
-                 "util", "util_at", "errors", "errors_at", "by_class", "answered", "cold_next", "rank",
-                 "used", "domain", "redirect", "woken", "failed", "barred", "pace", "pace_at")  # fmt: skip
+                 "util", "util_at", "errors", "errors_at", "by_class", "answered", "cold_need", "rank",
+                 "used", "domain", "redirect", "woken", "failed", "barred", "pace", "pace_at",
+                 "cold_at")  # fmt: skip
 
     def __init__(self, entry: ServerEntry, barred: bool = False) -> None:
         self.id = entry.server
@@ -37,7 +38,7 @@
             self.answered = False
             self.failed = 0  # attempts in a row that were not served
             self.pace, self.pace_at = 0.0, -math.inf  # time an answer takes for each of our own ahead of it
-            self.cold_next = -math.inf
+            self.cold_need, self.cold_at = 0.0, 0.0  # of its pace, until it may be sent another; as of when
         self.zone, self.cell, self.started, self.state = entry.zone, entry.cell, entry.started, entry.state
         self.kind, self.rank = entry.kind, entry.rank
         self.domain, self.redirect = entry.domain, entry.redirect
--- a/spokemast/decisions/state.py
+++ b/spokemast/decisions/state.py
@@ -10,7 +10,6 @@
 from spokemast.interface import (
     Action,
     Scope,
-    ServerState,
     Settings,
 )
 
@@ -40,7 +39,8 @@
         self.speed: dict[int, float] = {}  # of a kind, relative to the others, as its utilization tells
         self.util_usual = self.errors_usual = self.errors_median = 0.0  # by reports, attempts, servers
         self.median_due = -math.inf  # when it is worked out anew
-        self.total_size = 0.0
+        self.usual_part = self.usual_at = 0.0  # sends a second to a server of size 1; when that was noted
+        self.many_until = -math.inf  # so long many servers are cold
         self.ramp = RAMP_S
         self.requests: dict[int, Pending] = {}
         self.retry_tokens = RETRY_BURST
@@ -80,14 +80,6 @@
         least = SPARSE * self.settings.n_instances * len(self.ready)
         return self.settings.n_instances > 1 and self._rate() < least
 
-    def _may_take(self, server: Server) -> bool:
-        """Drains kept, and no cold server pushed over."""
-        return (
-            server.state == ServerState.READY
-            and not server.barred
-            and (self.now >= server.cold_next or self.now >= self._began(server) + self.rules.cold_time)
-        )
-
     def _began(self, server: Server) -> float:
         """When it started, or was woken: the later counts for how much it can do."""
-        return max(server.started, server.woken)
+        return max(server.started or -math.inf, server.woken)  # 0: long ago
