--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -119,8 +119,29 @@
     def open_attempts(self) -> list[tuple[int, int]]:
         return [(n, i) for n, r in self.records.items() for i, s in enumerate(r.sent) if s.open]
 
+    def ask_again(self) -> None:
+        """Each attempt that is out may ask at any time whether it may still leave: yes where the rules let it."""
+        for number, attempt in self.open_attempts():
+            record = self.records[number]
+            others = [s for n, s in enumerate(record.sent) if n != attempt]
+            ran = [s for s in others if s.may_have_run]
+            cls, entry = record.cls, self.entries[record.sent[attempt].server]
+            kept = (
+                not record.ended
+                and entry.state == ServerState.READY
+                and (self.limits.second_copies or not any(s.open for s in others))
+                and (
+                    not ran
+                    or cls.effect == Effect.SAFE
+                    or cls.effect == Effect.KEYED
+                    and self.now < ran[0].at + cls.dedup_window
+                )
+            )
+            assert self.balancer.may_leave(self.now, number, attempt) == kept, (cls.name, record, entry)
+
     def due(self) -> None:
         """What the world owes by now: timers, and time-outs at the deadline."""
+        self.ask_again()
         ready = sorted(t for t in self.timers if t[0] <= self.now)
         self.timers = [t for t in self.timers if t[0] > self.now]
         for _, token in ready:
@@ -164,6 +185,7 @@
             entry = day.entries[f"s{a % count}"]._replace(state=b)
             day.entries[entry.server] = entry
             day.play([ServerList((entry,), whole=False)])
+            day.ask_again()
         elif what == "withdraw":
             waiting = [n for n, r in day.records.items() if not r.ended]
             if waiting:
@@ -201,6 +223,7 @@
     "_may_refuse": lambda self, pending: True,
     "_may_take": lambda self, server: True,
     "_give_up": lambda self, pending: None,
+    "may_leave": lambda self, now, request, number: True,
 }
 
 
