Hold SIGHUP back while the daemon starts, too

Change: serve.py blocks the signal before it loads the rest, serving.py unblocks it behind the handlers; no child is started in between. Measured: tests/test_cli.py, a signal while the file is read (a pipe in its place), fails on the code before (the process has ended) and passes now; 25 passed.

--- a/spokemast/cli/serve.py
+++ b/spokemast/cli/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +34,9 @@
 
 
 def run(options: argparse.Namespace) -> int:
+    # Guards against a reload that is asked for while this loads: the signal would end it. It waits, and is heard once
+    # the handlers are there (serving.py), after the file was read. Harm: none, no child is started before.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
     from spokemast.cli import serving  # what a daemon needs takes its time to load
 
     return serving.run(options)
--- a/spokemast/cli/serving.py
+++ b/spokemast/cli/serving.py
@@ -162,6 +162,7 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))  # held back since the start (serve.py)
     return stopping
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -150,6 +150,34 @@
         assert ask(address).startswith(b"HTTP/1.1 404")
 
 
+def test_a_sighup_that_comes_while_it_starts_is_heard_and_ends_nothing(tmp_path: Path) -> None:
+    """While it reads its file, held there by a pipe in the file's place."""
+    path = tmp_path / "m.toml"
+    os.mkfifo(path)
+    member = '[[pool]]\nname = "p"\n[[pool.member]]\nid = "a"\naddress = "127.0.0.1:1"\n'
+    text = LISTENER + route("r", "p", prefix="/a") + member
+    process = subprocess.Popen(
+        [*COMMAND, "serve", "-c", str(path)],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        with open(path, "w") as pipe:  # opens once the program reads
+            process.send_signal(signal.SIGHUP)
+            (tmp_path / "new").write_text(text)
+            (tmp_path / "new").replace(path)
+            pipe.write(text)
+        assert process.stdout is not None and process.stderr is not None
+        assert "listens on http://" in process.stdout.readline()
+        while "new configuration taken" not in (line := process.stderr.readline()):
+            assert line, "it has ended"
+    finally:
+        process.kill()
+        process.communicate()
+
+
 def test_an_address_in_use_is_said_in_a_line() -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         port = taken.getsockname()[1]
