Name a version of the fleet by its change where anybody has seen it

Cause of a failure in a whole run on a busy machine (test_the_state_outlasts_a_restart_of_all_and_a_lost_store_is_told: no row says that i2 votes): merge (fleet/epochs.py) keeps the words of whoever is asked first, and an instance that took the whole state, or came back with its store, notes 'the whole state' or 'as kept' for that version in place of the change. Ruled out: a straggler that has not heard of the version (i3 stopped meanwhile, and beside twelve busy loops: all were on version 2, 6 of 6 passed).

Change: such a note gives way to the change where another has seen it. The crossing itself was not met again.

--- a/spokemast/daemon/agreed.py
+++ b/spokemast/daemon/agreed.py
@@ -32,7 +32,7 @@
     snapshot,
 )
 from spokemast.fleet import ballots as form
-from spokemast.fleet.epochs import Epoch, describe
+from spokemast.fleet.epochs import AS_KEPT, WHOLE, Epoch, describe
 from spokemast.fleet.facts import Standing
 from spokemast.fleet.fence import Fence
 from spokemast.fleet.link import Link
@@ -103,7 +103,7 @@
         self._config = ""  # digest of the file that runs
         Orders.__init__(self, clock)
         Reaching.__init__(self, self.versions)
-        first = Epoch(self.said.version, "as kept", "", time.time())
+        first = Epoch(self.said.version, AS_KEPT, "", time.time())
         self.history: deque[Epoch] = deque([first], maxlen=HISTORY_MOST)
         self._ends: dict[tuple[str, ...], tuple[int, float]] = {}  # what ends by its time: version and when
         self._ends_at = 0.0
@@ -347,7 +347,7 @@
             self.store.do(lambda view: keep_items(view, items, action.version, change), self._kept)
 
     def _took_whole(self) -> None:
-        self.history.append(Epoch(self.said.version, "the whole state", "", time.time()))
+        self.history.append(Epoch(self.said.version, WHOLE, "", time.time()))
         control = self.control
         for pool, marks in list(control.marks.items()):
             for member in list(marks):
--- a/spokemast/fleet/epochs.py
+++ b/spokemast/fleet/epochs.py
@@ -11,6 +11,10 @@
 from spokemast.members.overlay import Mark
 
 
+#: What is noted of a version where the change that made it was not seen: kept from before, or taken with all others.
+AS_KEPT, WHOLE = "as kept", "the whole state"
+
+
 class Epoch:
     """One version in force here. `at`: Unix time when it was taken up. `sends`: attempts that left under it, `last`:
     when the last did, in seconds on the clock of the fence, 0 for none."""
@@ -68,6 +72,8 @@
             number = epoch["version"]
             row = versions.setdefault(number, {"version": number, "what": epoch["what"], "by": epoch["by"],
                                                "taken_up": {}, "last_before": {}})  # fmt: skip
+            if row["what"] in (AS_KEPT, WHOLE):  # another may have seen the change
+                row["what"], row["by"] = epoch["what"], epoch["by"]
             row["taken_up"][one["instance"]] = epoch["taken_at"]
             if before is not None and before["last_send_at"] is not None:
                 row["last_before"][one["instance"]] = before["last_send_at"]
