Wait for silence only where each of many proxies sees little of a queue

Change: the bound holds where traffic is sparse for the number of proxies (_is_sparse, as for idle connections); elsewhere half of the useful time stands as before, and the two tests of it are as they were.

--- a/spokemast/choice.py
+++ b/spokemast/choice.py
@@ -106,12 +106,13 @@
             return
         left = pending.useful - self.now
         after = self._hedge_after(pending.number) or SECOND_LOOK * left
-        if not self.limits.second_copies:
-            # Here the attempt is given up for the next one. Protects against giving up answers that take what
-            # they take near full load: a member may go on with what was cancelled, and the client waits anew.
-            # Silence is that of the draw. Harm: one silent server holds a request for longer, or to its end.
+        gives_up = not self.limits.second_copies and self._is_sparse()
+        if gives_up:
+            # Here the attempt is given up for the next one, by one of many that know little of queues. Guards
+            # against giving up answers that take what they take near full load: a member may go on with what
+            # was cancelled, and the client waits anew. Silence is the draw's. Harm: a silent server holds it.
             after = max(after, self.silence)
-        if after < left or self.limits.second_copies:
+        if after < left or not gives_up:
             self.actions.append(SetTimer(pending.id + 1, after))
 
     def _on_body(self, event: Body) -> None:
