Ask a pool for the sum that the draw and the pace of cold members share

Need: on reading over, the sum of a pool's sizes by the speed of their kinds stood three times, in Pool.draw, _cold_pace and _note_usual. Change: Pool.total, which all three call; the figures are worked out in the same order, so the program decides as before. Measured: 296 tests of the module, its models, the crossings and the shutdown pass; linter, types and layers too.

--- a/spokemast/decisions/cold.py
+++ b/spokemast/decisions/cold.py
@@ -55,7 +55,7 @@
         # A window's budget is that of its beginning, when less of it was warm.
         warm = max(0.0, age - rules.fall_time * LAG) / rules.cold_time
         share = rules.cold_from + (1 - rules.cold_from) * warm
-        total = sum(sums[-1] * self.speed[kind] for kind, _, sums in self.pool.kinds)
+        total = self.pool.total(self.speed)
         mine = server.size * self.speed.get(server.kind, 1.0)
         usual = self.usual_part or max(self._rate(), 1 / RATE_S) / max(total, mine)
         margin = min(COLD_MARGIN, COLD_SHARE * rules.overload_factor)
@@ -69,7 +69,7 @@
         wait, self.usual_at = self.now - self.usual_at, self.now
         if self.now < self.many_until or not self.pool.kinds:
             return
-        total = sum(sums[-1] * self.speed[kind] for kind, _, sums in self.pool.kinds)
+        total = self.pool.total(self.speed)
         part = min(1.0, wait / max(1e-3, min(USUAL_S, self.now - self.born)))
         self.usual_part += part * (self._rate() / max(total, 1.0) - self.usual_part)
 
--- a/spokemast/decisions/servers.py
+++ b/spokemast/decisions/servers.py
@@ -75,8 +75,12 @@
         self.kinds = [(kind, those, list(accumulate(s.size for s in those)))
                       for kind, those in by_kind.items()]  # fmt: skip
 
+    def total(self, speed: dict[int, float]) -> float:
+        """All sizes, each by its kind's speed."""
+        return sum(sums[-1] * speed[kind] for kind, _, sums in self.kinds)
+
     def draw(self, chance: float, speed: dict[int, float]) -> Server:
-        left = chance * sum(sums[-1] * speed[kind] for kind, _, sums in self.kinds)
+        left = chance * self.total(speed)
         for kind, those, sums in self.kinds:  # noqa: B007
             part = sums[-1] * speed[kind]
             if left < part:
