Write a shutdown's last answers early enough for two hold-ups before SIGKILL

Callers: a request that came 0.4 to 0.6 s after SIGTERM, and whose member hangs, was cut off without an answer where the process was held up for 0.15 s at the end of its shutdown. Cause: drain ended what was open at the longest deadline and 0.6 s after it heard SIGTERM; SIGKILL may come 0.7 s after the deadline and SIGTERM. Why it works: the last answers are due 0.35 s after the deadline, which leaves two hold-ups and 0.05 s.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,10 +1,12 @@
 """A soak of real processes: clients use every open connection until the kill, signals come in series.
 
-python -m benchmarks.soak [--seeds 50] [--first 1] [--seconds 6] [--side-by-side 2]
+python -m benchmarks.soak [--seeds 50] [--first 1] [--seconds 6] [--side-by-side 2] [--hold-up 0.15] [--hang-at-end]
 
 Each seed is one run: a few lives of the platform's `run`, every fourth one of `serve`, over stand-ins of members and
 discovery. A life ends by SIGTERM, and by SIGKILL at the earliest that the platform allows. Members hang, are slow,
-drain, and close idle connections; in some runs a crowd of idle clients takes the descriptors.
+drain, and close idle connections; in some runs a crowd of idle clients takes the descriptors. With --hold-up S the
+process is stopped for at most so long now and then, and over each step of its end; with --hang-at-end all members
+hang through each shutdown.
 
 Checked: each request gets one answer, in time, made for it; what is unsafe runs once, what has a key only inside its
 window; a draining member gets nothing after its grace; no process ends before it is told to; no descriptor is left. A
@@ -28,6 +30,8 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.soak_evidence import UsageRecord, describe_sockets, read_usage
+from benchmarks.soak_hold_ups import HoldUps
 from benchmarks.soak_peers import STALL_S, Address, Journal, SoakClient, SoakDiscovery, SoakMember
 
 ROOT = Path(__file__).parent.parent
@@ -99,6 +103,23 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class Disturbances:
+    """What is asked for beside the schedule of a seed.
+
+    Attributes:
+        hold_up_s: How long a hold-up of the process takes at most; 0: there are none.
+        hangs_at_end: Whether all members hang through each shutdown.
+    """
+
+    hold_up_s: float = 0.0
+    hangs_at_end: bool = False
+
+
+#: What CI plays.
+UNDISTURBED = Disturbances()
+
+
 @dataclass
 class Schedule:
     """What a seed draws.
@@ -138,7 +159,7 @@
 class Soak:
     """One run. It owns its processes, peers and tasks until `run` returns."""
 
-    def __init__(self, schedule: Schedule, folder: Path) -> None:
+    def __init__(self, schedule: Schedule, folder: Path, disturbances: Disturbances = UNDISTURBED) -> None:
         self.schedule = schedule
         self.journal = Journal()
         self.counts: dict[str, int] = {}
@@ -148,6 +169,8 @@
             SoakMember(f"m{number}", self.journal, schedule.idle_close_s) for number in range(MEMBERS)
         ]
         self._discoveries = [SoakDiscovery(self._told), SoakDiscovery(self._told)]
+        self._hangs_at_end = disturbances.hangs_at_end
+        self._hold_ups = HoldUps(disturbances.hold_up_s, schedule.seed, DEADLINE_S, self.journal)
         self._current = 0
         self._crowd: list[asyncio.StreamWriter] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -249,7 +272,7 @@
         if number == signal.SIGHUP and not self.schedule.is_daemon:
             self._current = 1 - self._current
             self._write(address)
-        self.journal.note(f"{number.name}; {_usage(process.pid)}")
+        self.journal.note(f"{number.name}; {read_usage(process.pid)}")
         with suppress(ProcessLookupError):
             process.send_signal(number)
 
@@ -262,6 +285,8 @@
         pause_s: float,
     ) -> None:
         process = await self._start(number, address)
+        self._spawn(UsageRecord(process.pid, self.journal).watch())
+        self._hold_ups.begin(process)
         descriptors = _descriptors(process.pid)
         clients = [self._client(number * CLIENTS + each, address) for each in range(CLIENTS)]
         tasks = [asyncio.ensure_future(client.run()) for client in clients]
@@ -271,7 +296,11 @@
             tasks = await self._check_descriptors(process, descriptors, clients, tasks)
         if process.returncode is not None:
             self.journal.breaks("crash", f"life {number} ended with {process.returncode}")
+        self._hang(self._hangs_at_end)
+        await self._hold_ups.begin_end(process)
         await self._end(process, series, pause_s, address)
+        await self._hold_ups.close()
+        self._hang(False)
         for client in clients:
             client.stopped = True
         await asyncio.gather(*tasks)
@@ -310,7 +339,7 @@
         with suppress(TimeoutError):
             await asyncio.wait_for(process.wait(), left_s)
         if process.returncode is None:
-            self.journal.note(f"SIGKILL; {_usage(process.pid)}")
+            self.journal.note(f"SIGKILL; {read_usage(process.pid)}; {describe_sockets(address)}")
             process.kill()
             await process.wait()
         elif process.returncode:
@@ -319,6 +348,10 @@
 
     # Troubles and checks.
 
+    def _hang(self, hangs: bool) -> None:
+        for member in self._members:
+            member.trouble = "hang" if hangs else ""
+
     def _told(self, name: str) -> None:
         """The process has been sent that a member drains: from its grace on, nothing may come there."""
         member = next(member for member in self._members if member.name == name)
@@ -408,18 +441,6 @@
     return any(int(mask, 16) & bit for mask in masks.values())
 
 
-def _usage(pid: int) -> str:
-    """A process's state, processor time, and time for which it was ready and did not run."""
-    try:
-        state = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
-        ran_ns, waited_ns, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
-    except (OSError, ValueError):
-        return "its usage is not known"
-    return (
-        f"state {state}, ran {int(ran_ns) / 1e9:.2f} s, waited {int(waited_ns) / 1e9:.2f} s for a processor"
-    )
-
-
 def _descriptors(pid: int) -> int:
     try:
         return len(os.listdir(f"/proc/{pid}/fd"))
@@ -427,26 +448,31 @@
         return 0
 
 
-async def play(seed: int, seconds: float) -> Soak:
+async def play(seed: int, seconds: float, disturbances: Disturbances = UNDISTURBED) -> Soak:
     """Play one seed.
 
+    Args:
+        seed: Of the schedule and the hold-ups.
+        seconds: That its lives take together.
+        disturbances: What is asked for beside the schedule.
+
     Returns:
         The run, with its journal.
     """
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(Schedule.drawn(seed, seconds), Path(folder))
+        soak = Soak(Schedule.drawn(seed, seconds), Path(folder), disturbances)
         await soak.run()
         return soak
 
 
-async def _play_all(seeds: range, seconds: float, side_by_side: int) -> int:
+async def _play_all(seeds: range, seconds: float, side_by_side: int, disturbances: Disturbances) -> int:
     slots = asyncio.Semaphore(side_by_side)
     failed = 0
 
     async def one(seed: int) -> None:
         nonlocal failed
         async with slots:
-            soak = await play(seed, seconds)
+            soak = await play(seed, seconds, disturbances)
             kind = "serve" if soak.schedule.is_daemon else "run"
             kind += ", crowd" if soak.schedule.has_crowd else ""
             broken = soak.journal.broken
@@ -468,9 +494,12 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--side-by-side", type=int, default=2)
+    parser.add_argument("--hold-up", type=float, default=0.0, metavar="S")
+    parser.add_argument("--hang-at-end", action="store_true")
     options = parser.parse_args()
+    disturbances = Disturbances(options.hold_up, options.hang_at_end)
     seeds = range(options.first, options.first + options.seeds)
-    return 1 if asyncio.run(_play_all(seeds, options.seconds, options.side_by_side)) else 0
+    return 1 if asyncio.run(_play_all(seeds, options.seconds, options.side_by_side, disturbances)) else 0
 
 
 if __name__ == "__main__":
--- a/loadbalancer/daemon/daemon.py
+++ b/loadbalancer/daemon/daemon.py
@@ -28,6 +28,7 @@
 from loadbalancer.daemon.typed_components import TypedComponents, typed
 from loadbalancer.frontends.listener import Listener, drain
 from loadbalancer.frontends.reserve_descriptors import ReserveDescriptors
+from loadbalancer.frontends.shutdown_deadline import shutdown_duration
 from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.routing.fair_shares import WINDOW_S
 
@@ -41,8 +42,6 @@
 
 #: Between two looks at components, limits, and what a reload took out.
 LOOK_INTERVAL_S = 0.25
-#: Beside the longest client timeout, how long the end may take: new connections are still served for a while.
-END_MARGIN_S = 2.0
 #: How late an instance of a fleet may first call the source of a list: others may hand theirs on before.
 MAX_FIRST_POLL_DELAY_S = 1.5
 
@@ -276,7 +275,7 @@
         for pool in self.pools.values():
             pool.proxy.tunnels.retire()
         listeners = [*self.listeners.values(), *self.retirement.listeners]
-        await drain(listeners, longest, longest + END_MARGIN_S, succeeded)
+        await drain(listeners, longest, shutdown_duration(longest), succeeded)
         self.close()
 
     def close(self) -> None:
--- a/loadbalancer/frontends/listener.py
+++ b/loadbalancer/frontends/listener.py
@@ -16,6 +16,7 @@
 from loadbalancer.frontends.connection import FrontConnection, Phase
 from loadbalancer.frontends.dialect import Reader
 from loadbalancer.frontends.evictable_connections import EvictableConnections
+from loadbalancer.frontends.shutdown_deadline import platform_shutdown_duration
 from loadbalancer.frontends.sockets import LOCAL, UNIX, bind, release
 from loadbalancer.read_first_timer import read_what_has_arrived
 from loadbalancer.resource_limits import RateLimitedLogger
@@ -38,11 +39,9 @@
 #: How often limits in time are looked at.
 SWEEP_S = 0.25
 #: After SIGTERM new connections go on coming for 0.4 s; they are served for this long.
-DRAIN_OPEN_S = 0.6
+DRAIN_OPEN_S = 0.5
 #: While draining, a connection on which nothing has come for this long is idle.
 DRAIN_IDLE_S = 0.2
-#: What is held after SIGTERM gets at most the longest deadline, but SIGKILL may come 3.7 s after it.
-DRAIN_MOST_S = 3.4
 #: While another process takes the new clients, idle connections may stay until this long before the end,
 LAST_S = 0.4
 #: unless they have been idle for so long that hardly anybody will ask again on them, in seconds.
@@ -354,14 +353,14 @@
 
 
 async def drain(
-    listeners: Sequence[Listener], longest: float, most: float = DRAIN_MOST_S, succeeded: bool = False
+    listeners: Sequence[Listener], longest: float, most: float | None = None, succeeded: bool = False
 ) -> None:
     """After SIGTERM: serve for a while, then close what is idle and answer what is held.
 
-    `longest`: seconds that a request may take at most; `most`: that all of it may take; `succeeded`: another process
-    accepts on the same sockets."""
+    `longest`: seconds that a request may take at most; `most`: that all of it may take, by the platform's terms if it
+    is not given; `succeeded`: another process accepts on the same sockets."""
     began = time.monotonic()
-    end = began + min(most, longest + DRAIN_OPEN_S)
+    end = began + (platform_shutdown_duration(longest) if most is None else most)
     for listener in listeners:
         listener.retire()
     if succeeded:
