Reject nothing for the time of an endpoint's first answers

Cause: an endpoint's time per attempt began at its first answer, whatever that took; times the attempts in flight it left no time, and each request was rejected until a dozen answers had pulled it down. Evidence: the test with each new process stopped for 0.3 s within 0.05 s of its start failed in 4 of 4 runs; a trial that wrote the state at each rejection: level 0, limit not reached, 0.265 and 0.292 s beside 7 and 6 attempts in flight. Why it works: the first five answers count alike, and fewer reject nothing.

--- a/loadbalancer/admin/snapshot.py
+++ b/loadbalancer/admin/snapshot.py
@@ -216,8 +216,7 @@
     endpoint.utilization = finite(snapshot.utilization)
     endpoint.utilization_at = max(0.0, time_of(snapshot.utilization_age))
     if math.isfinite(snapshot.time_per_attempt) and snapshot.time_per_attempt > 0:
-        endpoint.time_per_attempt = snapshot.time_per_attempt
-        endpoint.time_per_attempt_at = time_of(snapshot.time_per_attempt_age)
+        endpoint.restore_time_per_attempt(snapshot.time_per_attempt, time_of(snapshot.time_per_attempt_age))
     endpoint.consecutive_failures = snapshot.consecutive_failures
     endpoint.warm_started_at = max(endpoint.warm_started_at, time_of(snapshot.warming_age))
     for name, (rate, age) in snapshot.error_rate_by_class.items():
--- a/loadbalancer/policy/endpoints.py
+++ b/loadbalancer/policy/endpoints.py
@@ -17,6 +17,11 @@
 
 EJECT_AFTER = 2  # consecutive failures, not counting slow answers, after which an endpoint is ejected
 
+TIME_PER_ATTEMPT_STEP = 0.1  # some dozen answers, a fraction of a second under load
+MIN_TIMED_ANSWERS = (
+    5  # the time per attempt is their mean; fewer say nothing: something may have been held up
+)
+
 AttemptKey = tuple[int, int]
 """Request and number of the attempt."""
 
@@ -47,6 +52,7 @@
         "state",
         "time_per_attempt",
         "time_per_attempt_at",
+        "timed_answers",
         "utilization",
         "utilization_at",
         "warm_started_at",
@@ -98,6 +104,8 @@
         self.time_per_attempt = 0.0
         """Seconds that an answer takes for each attempt of this proxy that is in flight there."""
         self.time_per_attempt_at = -math.inf
+        self.timed_answers = 0
+        """Answers that this time was learnt from."""
         self.pacing_debt = 0.0
         """Requests of its slow-start pace that must pass until the next one; see slow_start.py."""
         self.pacing_updated_at = 0.0
@@ -106,6 +114,24 @@
         """Return when it began to warm up, the later of its start and of a warm start."""
         return max(self.started or -math.inf, self.warm_started_at)
 
+    def record_time_per_attempt(self, seconds: float, now: float) -> None:
+        """Take note of an answer that took so long for each attempt of this proxy that was there.
+
+        The first answers count alike: else one that was held up would stand for the next dozen.
+        """
+        self.timed_answers += 1
+        step = TIME_PER_ATTEMPT_STEP
+        if self.timed_answers <= MIN_TIMED_ANSWERS:
+            step = 1 / self.timed_answers
+        self.time_per_attempt += step * (seconds - self.time_per_attempt)
+        self.time_per_attempt_at = now
+
+    def restore_time_per_attempt(self, seconds: float, at: float) -> None:
+        """Take over what another process has learnt by then."""
+        self.timed_answers = MIN_TIMED_ANSWERS
+        self.time_per_attempt = seconds
+        self.time_per_attempt_at = at
+
     def end_attempt(self, key: AttemptKey) -> bool:
         """Take an attempt that has ended off the endpoint.
 
--- a/loadbalancer/policy/outlier_detection.py
+++ b/loadbalancer/policy/outlier_detection.py
@@ -28,7 +28,6 @@
 TYPICAL_LATENCY_STEP = 0.05  # the typical latency follows the median of the answers by such steps
 MEAN_STEP = 0.02  # of the means over attempts and reports, and of the speeds of kinds: some dozens move them
 MAX_SPEED = 4.0  # machines of one fleet differ by less, either way
-TIME_PER_ATTEMPT_STEP = 0.1  # some dozen answers, a fraction of a second under load
 
 _SAYS_NOTHING = frozenset((AttemptResult.CANCELLED, AttemptResult.NOT_SENT))
 _ANSWERED = frozenset((AttemptResult.SERVED, AttemptResult.ERROR, AttemptResult.FULL, AttemptResult.UNUSABLE))
@@ -181,15 +180,9 @@
 
         An attempt that ran out of time took that at the least.
         """
-        if event.result not in (AttemptResult.SERVED, AttemptResult.TIMEOUT):
-            return
-        endpoint = attempt.endpoint
-        observed = event.response_time / attempt.queue_length
-        if endpoint.time_per_attempt:
-            endpoint.time_per_attempt += TIME_PER_ATTEMPT_STEP * (observed - endpoint.time_per_attempt)
-        else:
-            endpoint.time_per_attempt += observed
-        endpoint.time_per_attempt_at = now
+        if event.result in (AttemptResult.SERVED, AttemptResult.TIMEOUT):
+            seconds = event.response_time / attempt.queue_length
+            attempt.endpoint.record_time_per_attempt(seconds, now)
 
     def record_slowness(self, pending: PendingRequest | None, event: Outcome) -> float:
         """Return the slowness of an attempt, 0 to 1, and learn the typical latency from it.
--- a/loadbalancer/policy/selection.py
+++ b/loadbalancer/policy/selection.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from loadbalancer.policy.endpoints import Endpoint, EndpointPool, EndpointRegistry
+from loadbalancer.policy.endpoints import MIN_TIMED_ANSWERS, Endpoint, EndpointPool, EndpointRegistry
 from loadbalancer.policy.estimators import linear_decay
 from loadbalancer.policy.events import STICKY_DOMAIN_PREFIX, EndpointState
 from loadbalancer.policy.outlier_detection import OutlierDetector
@@ -280,6 +280,7 @@
     Queues of other proxies are seen only by their effect on answers; an endpoint without an answer for a
     while is tried again.
     """
-    if now > endpoint.time_per_attempt_at + TIME_PER_ATTEMPT_VALID_S or pending.body_pending:
+    is_outdated = now > endpoint.time_per_attempt_at + TIME_PER_ATTEMPT_VALID_S
+    if is_outdated or endpoint.timed_answers < MIN_TIMED_ANSWERS or pending.body_pending:
         return True
     return endpoint.time_per_attempt * (len(endpoint.in_flight) + 1) <= pending.useful_until - now
