--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from typing import Iterator
 
+import hold_ups
 import pytest
 from hypothesis import settings
 from known_red import KNOWN_RED, find_known_failure, read_known_failures
@@ -14,6 +15,11 @@
 settings.load_profile("same")
 
 
+def pytest_addoption(parser: pytest.Parser) -> None:
+    """Add the options that are used by hand."""
+    hold_ups.add_options(parser)
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Let the tests of KNOWN-RED.txt fail: they run, and are printed as xfailed or xpassed."""
     entries = read_known_failures(KNOWN_RED.read_text(encoding="utf-8"))
@@ -31,6 +37,13 @@
     monkeypatch.setattr(connections, "REST_S", 0.0)
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_call(item: pytest.Item) -> Iterator[None]:
+    """Hold the test up, where that was asked for."""
+    with hold_ups.held_up(item.config, item.nodeid):
+        return (yield)
+
+
 @pytest.fixture(autouse=True)
 def ports_go_back() -> Iterator[None]:
     yield
