Leave the lag of the process itself out of what is learnt from durations

Callers: after a process had been held up for some 0.15 to 0.5 s, requests that came next were answered 503 though every endpoint was well. Cause: how long an attempt took held the hold-ups of this process, and all that is learnt from durations took them for the endpoints'. Why it works: one timer while attempts are out tells for how long the loop did not run; Outcome.lag brings what lies within the attempt.

--- a/loadbalancer/policy/events.py
+++ b/loadbalancer/policy/events.py
@@ -143,11 +143,14 @@
     """What the endpoint says of itself, such as `utilization` from 0 to 1."""
     time_to_first_byte: float | None = None
     """Seconds to the head of the answer, where one came."""
+    lag: float = 0.0
+    """Seconds of that time, or of `elapsed` where no answer came, in which this process did not run."""
 
     @property
     def response_time(self) -> float:
-        """Seconds to the first byte, or to the end of the attempt where none came."""
-        return self.elapsed if self.time_to_first_byte is None else self.time_to_first_byte
+        """Seconds that the endpoint took to the first byte, or to the end of the attempt where none came."""
+        measured = self.elapsed if self.time_to_first_byte is None else self.time_to_first_byte
+        return max(0.0, measured - self.lag) if self.lag else measured
 
 
 class FirstByte(NamedTuple):
--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -6,6 +6,7 @@
 import time
 from typing import Callable, Mapping, cast
 
+from loadbalancer.event_loop_lag import EventLoopLag
 from loadbalancer.metrics import PoolMetrics
 from loadbalancer.policy.actions import Send
 from loadbalancer.policy.events import NEVER_RAN, AttemptResult, Event, Outcome
@@ -42,6 +43,7 @@
         ids: TransactionIds,
         metrics: PoolMetrics,
         clock: PolicyClock,
+        lag: EventLoopLag,
         post: Callable[[Event], None],
     ) -> None:
         self._table = table
@@ -51,6 +53,7 @@
         self._ids = ids
         self._metrics = metrics
         self._clock = clock
+        self._lag = lag
         self._post = post
         self._loop = asyncio.get_running_loop()
 
@@ -61,6 +64,7 @@
         attempt = Attempt(request, number, action.endpoint, self._clock.now(), action.timeout)
         request.attempts.append(attempt)
         request.open_attempts += 1
+        self._lag.begin()
         if request.done:
             self.finish(attempt, AttemptResult.NOT_SENT)
             return
@@ -125,6 +129,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        self._lag.end()
         if attempt.timer is not None:
             attempt.timer.cancel()
             attempt.timer = None
@@ -169,19 +174,21 @@
         result: AttemptResult,
         report: Mapping[str, float] | None,
     ) -> None:
-        elapsed = self._clock.now() - attempt.began_at
-        time_to_first_byte = None
-        if attempt.answered_at:
-            time_to_first_byte = self._clock.epoch + attempt.answered_at - attempt.began_at
+        now = self._clock.now()
+        answered_at = self._clock.epoch + attempt.answered_at if attempt.answered_at else None
+        lag = self._lag.between(
+            attempt.began_at - self._clock.epoch, (answered_at or now) - self._clock.epoch
+        )
         self._post(
             Outcome(
                 request.id,
                 attempt.number,
                 attempt.endpoint,
                 result,
-                elapsed,
+                now - attempt.began_at,
                 request.done,
                 report,
-                time_to_first_byte,
+                None if answered_at is None else answered_at - attempt.began_at,
+                lag,
             )
         )
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -13,6 +13,7 @@
 
 from loadbalancer.deployment import Deployment
 from loadbalancer.discovery.endpoint_source import EndpointSource, Entry
+from loadbalancer.event_loop_lag import EventLoopLag
 from loadbalancer.metrics import PoolMetrics, RequestResult, result_of_status
 from loadbalancer.policy.balancer import Balancer
 from loadbalancer.policy.events import (
@@ -105,6 +106,9 @@
         self._loop = asyncio.get_running_loop()
         self._sweep_timer = self._loop.call_later(SWEEP_S, self._sweep)
 
+    def _report_lag(self, lag_s: float) -> None:
+        self.logger("held up", f"for {lag_s:.2f} s")
+
     def _make_upstreams(
         self, deployment: Deployment, limits: PoolLimits, connect: Callable[..., Upstream]
     ) -> UpstreamPools:
@@ -121,6 +125,7 @@
 
     def _compose(self, timeout_status: int) -> None:
         self._clock = PolicyClock()
+        self._lag = EventLoopLag(asyncio.get_running_loop(), self._report_lag)
         self._table = RequestTable(self.metrics, self.budget, self.ids, self._on_overdue)
         self._answers = AnswerWriter(self._table, self.budget, self.dialect, timeout_status)
         self._streams = ResponseStreams(self._table)
@@ -132,6 +137,7 @@
             self.ids,
             self.metrics,
             self._clock,
+            self._lag,
             self.post,
         )
         self._directory = EndpointDirectory(self.upstreams, self.tunnels, self.post)
@@ -410,6 +416,7 @@
         self.end_all()
         self.tunnels.close()
         self._sweep_timer.cancel()
+        self._lag.close()
         if self.source is not None:
             self.source.close()
             self.source = None
