Look at strangers' connections behind known clients' ones to make room

Callers: where all slots are taken and the eight oldest idle connections are known clients', a new client was answered 503 though a stranger's connection had been idle for long. Cause: eight connections of a group are looked at, and known clients' were left out only after that count. Why it works: known clients' are left out first, then eight of the others are looked at.

--- a/loadbalancer/frontends/evictable_connections.py
+++ b/loadbalancer/frontends/evictable_connections.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from itertools import islice
 from typing import TYPE_CHECKING, Iterable, Iterator
 
@@ -13,6 +14,8 @@
 
 #: Idle connections that are looked at for one to close; more would cost too much where all are in use.
 EVICT_TRIES = 8
+#: Of a group whose connections need not be at rest.
+ANY_TIME = math.inf
 
 
 class EvictableConnections:
@@ -56,25 +59,22 @@
             opening: Connections that were accepted and are not open yet.
             spares_known: Whether known clients keep their connections.
         """
-        for group in self._groups(silent_before, answered_before, opening):
+        for group, rests_since in self._groups(silent_before, answered_before, opening):
             allowed = (each for each in group if not (spares_known and each.is_guarded()))
-            yield from list(islice(allowed, EVICT_TRIES))
+            oldest = islice(allowed, EVICT_TRIES)
+            yield from [each for each in oldest if each.since < rests_since]
 
     def _groups(
         self, silent_before: float, answered_before: float, opening: int
-    ) -> Iterator[Iterable[FrontConnection]]:
-        yield _resting(self.unused, silent_before)
-        yield _resting(self.idle, answered_before)
+    ) -> Iterator[tuple[Iterable[FrontConnection], float]]:
+        """Groups, and since when a connection of each has to be at rest."""
+        yield self.unused, silent_before
+        yield self.idle, answered_before
         if len(self.idle) > len(self.unused) + opening:
-            yield self.idle
-        yield self.unused
-        yield _resting(self.reused, answered_before)
+            yield self.idle, ANY_TIME
+        yield self.unused, ANY_TIME
+        yield self.reused, answered_before
         if not opening:  # the room would go to connections that have not even said anything
-            yield self.idle
-            yield self.reused
-        yield self.lingering
-
-
-def _resting(connections: Iterable[FrontConnection], before: float) -> Iterator[FrontConnection]:
-    """Those of the oldest on which nothing has come since then."""
-    return (each for each in islice(connections, EVICT_TRIES) if each.since < before)
+            yield self.idle, ANY_TIME
+            yield self.reused, ANY_TIME
+        yield self.lingering, ANY_TIME
