Log the ground where a request is rejected for the time of the attempts in flight

Change: one line in ten seconds: rejecting: no time behind 3 attempts of 0.500 s each at s0. Measured: the policy's tests pass, a new one for the line among them; decisions are as they were.

--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -322,6 +322,8 @@
             return False
         endpoint = self.selector.select(pool, pending, now)
         if endpoint is None:
+            message = self.selector.take_log()
+            self._actions += [message] if message is not None else []
             return False
         self._send(pending, endpoint, now)
         return True
--- a/loadbalancer/policy/selection.py
+++ b/loadbalancer/policy/selection.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
+from loadbalancer.policy.actions import LogMessage
 from loadbalancer.policy.endpoints import MIN_TIMED_ANSWERS, Endpoint, EndpointPool, EndpointRegistry
 from loadbalancer.policy.estimators import linear_decay
 from loadbalancer.policy.events import STICKY_DOMAIN_PREFIX, EndpointState
@@ -21,6 +23,7 @@
 MAX_LATE_CHOICES = 3  # choices in a row that can't answer in time, after which a request is rejected
 TIME_PER_ATTEMPT_VALID_S = 1.0  # after so long without an answer an endpoint is tried whatever it took before
 UNCORDONED_INTERVAL_S = 1.0  # an endpoint that was put back gets a request this often until it answers
+LOG_INTERVAL_S = 10.0
 ANY_CLASS = -1  # no class of its own: only what is known of the endpoint as a whole counts
 
 
@@ -41,6 +44,13 @@
         self._speed_by_kind = registry.speed_by_kind
         self._slow_start = slow_start
         self._outliers = outliers
+        self._logged_at = -math.inf
+        self._log: LogMessage | None = None
+
+    def take_log(self) -> LogMessage | None:
+        """Return what is to be logged since the last call, if anything."""
+        log, self._log = self._log, None
+        return log
 
     def select(self, pool: EndpointPool, pending: PendingRequest, now: float) -> Endpoint | None:
         """Return the endpoint of the next attempt: that of its sticky session, or a choice from the pool."""
@@ -166,9 +176,12 @@
             endpoint = self._select_from_pool(pool, pending, now)
             if endpoint is None or _answers_in_time(endpoint, pending, now):
                 return endpoint
-        if not any(endpoint.in_flight for endpoint in pool.endpoints):
+        if endpoint is None or not any(each.in_flight for each in pool.endpoints):
             return endpoint  # without a queue of this proxy, rejecting would shorten nothing
         self._slow_start.suspend_ramp(now)
+        if now > self._logged_at + LOG_INTERVAL_S:
+            self._logged_at = now
+            self._log = LogMessage(f"rejecting: no time behind {_describe_queue(endpoint)}")
         return None
 
     def _select_from_pool(self, pool: EndpointPool, pending: PendingRequest, now: float) -> Endpoint | None:
@@ -272,6 +285,10 @@
     return [attempt.endpoint for attempt in pending.attempts if not attempt.was_not_sent]
 
 
+def _describe_queue(endpoint: Endpoint) -> str:
+    return f"{len(endpoint.in_flight)} attempts of {endpoint.time_per_attempt:.3f} s each at {endpoint.id}"
+
+
 def _answers_in_time(endpoint: Endpoint, pending: PendingRequest, now: float) -> bool:
     """Return whether what this proxy has in flight at an endpoint leaves time for one more answer.
 
--- a/tests/policy/test_time_per_attempt.py
+++ b/tests/policy/test_time_per_attempt.py
@@ -5,7 +5,7 @@
 import pytest
 from policy_scene import make_balancer, make_entries, send_request, sent_to
 
-from loadbalancer.policy.actions import Send
+from loadbalancer.policy.actions import LogMessage, Send
 from loadbalancer.policy.events import AttemptResult, Outcome
 from loadbalancer.policy.settings import Effect, RequestClass
 
@@ -41,3 +41,16 @@
         balancer.handle(now, [Outcome(number, 0, "s0", AttemptResult.SERVED, 0.5, True)])
     taken = [sent_to(balancer, now, 100 + number) is not None for number in range(CLIENTS)]
     assert taken == [True] * 3 + [False] * 5  # a fourth answer would come after 2 s
+
+
+# Guards against rejections whose ground nobody can see; they come in bulk, and one line in ten seconds tells them.
+def test_the_ground_of_a_rejection_for_time_is_logged_once() -> None:
+    balancer = make_balancer(*make_entries(1), classes=(UNSAFE,))
+    now = 100.0
+    for number in range(5):
+        sent_to(balancer, now, number)
+        now += 0.5
+        balancer.handle(now, [Outcome(number, 0, "s0", AttemptResult.SERVED, 0.5, True)])
+    actions = [action for number in range(CLIENTS) for action in send_request(balancer, now, 100 + number)]
+    logged = [action.text for action in actions if isinstance(action, LogMessage)]
+    assert logged == ["rejecting: no time behind 3 attempts of 0.500 s each at s0"]
