--- a/loadbalancer/proxy/answer_writer.py
+++ b/loadbalancer/proxy/answer_writer.py
@@ -13,8 +13,8 @@
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.resource_limits import BufferBudget
-from loadbalancer.upstreams.connections import UpstreamResponse
 from loadbalancer.upstreams.dialect import Dialect
+from loadbalancer.upstreams.interfaces import UpstreamResponse
 
 
 class AnswerWriter:
--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -14,7 +14,8 @@
 from loadbalancer.proxy.open_requests import OpenRequest, TransactionIds
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.response_streams import ResponseStreams
-from loadbalancer.upstreams.connections import Attempt, UpstreamPools, UpstreamResponse
+from loadbalancer.upstreams.connections import Attempt, UpstreamPools
+from loadbalancer.upstreams.interfaces import UpstreamResponse
 
 
 class PolicyClock:
--- a/loadbalancer/proxy/final_answers.py
+++ b/loadbalancer/proxy/final_answers.py
@@ -13,7 +13,7 @@
 from loadbalancer.policy.events import (
     AttemptResult,
 )
-from loadbalancer.upstreams.connections import UpstreamResponse
+from loadbalancer.upstreams.interfaces import UpstreamResponse
 
 STATUS_PREFERENCE = {501: 0, 500: 1, 502: 2, 504: 3, 503: 4}
 """Which of two endpoints' failures is kept: what says most of the application comes first, then what says most of the
--- a/loadbalancer/proxy/open_requests.py
+++ b/loadbalancer/proxy/open_requests.py
@@ -8,7 +8,8 @@
 from loadbalancer.policy.events import AttemptResult
 from loadbalancer.streaming.streams import Stream, StreamConsumer
 from loadbalancer.streaming.uploads import Upload
-from loadbalancer.upstreams.connections import Attempt, UpstreamResponse
+from loadbalancer.upstreams.connections import Attempt
+from loadbalancer.upstreams.interfaces import UpstreamResponse
 
 MAX_UNUSABLE_IDS = 2000
 """Ids of requests that endpoints could not use and that are remembered, the latest ones."""
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -39,9 +39,10 @@
 )
 from loadbalancer.streaming.streams import Stream, StreamProducer
 from loadbalancer.streaming.tunnels import Tunnel, TunnelEnd, TunnelLimits, Tunnels
-from loadbalancer.upstreams.connections import Attempt, Upstream, UpstreamPools, UpstreamResponse
+from loadbalancer.upstreams.connections import Attempt, Upstream, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
 from loadbalancer.upstreams.http1 import Http1UpstreamConnection
+from loadbalancer.upstreams.interfaces import UpstreamResponse
 
 if TYPE_CHECKING:  # loaded where operators may ask why
     from loadbalancer.proxy.decision_trace import DecisionTrace
--- a/loadbalancer/proxy/response_streams.py
+++ b/loadbalancer/proxy/response_streams.py
@@ -7,7 +7,8 @@
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.streaming.streams import STALL_S, Stream, StreamProducer
-from loadbalancer.upstreams.connections import Attempt, UpstreamResponse
+from loadbalancer.upstreams.connections import Attempt
+from loadbalancer.upstreams.interfaces import UpstreamResponse
 
 
 class ResponseStreams:
--- a/loadbalancer/upstreams/fastcgi.py
+++ b/loadbalancer/upstreams/fastcgi.py
@@ -36,8 +36,9 @@
 )
 from loadbalancer.streaming.streams import Stream
 from loadbalancer.upstreams.base import SocketUpstream
-from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools, UpstreamResponse
+from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
+from loadbalancer.upstreams.interfaces import UpstreamResponse
 from loadbalancer.upstreams.report import read_report
 
 #: Statuses whose answers have no body.
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -16,14 +16,9 @@
 from loadbalancer.streaming.tunnels import Tunnel
 from loadbalancer.streaming.uploads import Upload
 from loadbalancer.upstreams.base import SocketUpstream
-from loadbalancer.upstreams.connections import (
-    Attempt,
-    TunnelOwner,
-    UpstreamEndpoint,
-    UpstreamPools,
-    UpstreamResponse,
-)
+from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
+from loadbalancer.upstreams.interfaces import TunnelOwner, UpstreamResponse
 from loadbalancer.upstreams.report import read_report
 
 #: What may come for one request beside the body of its answer: head, interim answers, framing of chunks. With the
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,7 +15,7 @@
     AttemptResult,
 )
 from loadbalancer.proxy.final_answers import FinalAnswer, answer_failed, answer_rejected, is_better
-from loadbalancer.upstreams.connections import UpstreamResponse
+from loadbalancer.upstreams.interfaces import UpstreamResponse
 
 
 def kept(status: int) -> UpstreamResponse:
