Encode answers in HTTP/1.1 by pure functions in frontends/http1_answers.py

Need: the form of an answer stood four times (whole, streamed, two refusals of the listener); http1.py had 637 lines, listener.py 411.

--- a/loadbalancer/frontends/fastcgi.py
+++ b/loadbalancer/frontends/fastcgi.py
@@ -16,7 +16,8 @@
 from loadbalancer.fastcgi.records import Status, Type, encode, encode_stream
 from loadbalancer.frontends.connection import REQUEST_S, FrontConnection, Phase
 from loadbalancer.frontends.dialect import Head, RejectError, Reply, RoutedRequest
-from loadbalancer.frontends.http1 import BODILESS, LINGER_S, READ_STALL_S, REASONS
+from loadbalancer.frontends.http1 import LINGER_S, READ_STALL_S
+from loadbalancer.frontends.http1_answers import BODILESS, REASONS
 from loadbalancer.frontends.listener import Listener
 from loadbalancer.proxy.final_answers import frontend_proxy_status
 from loadbalancer.proxy.open_requests import OpenRequest
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -19,6 +19,7 @@
 from loadbalancer.admission.rulings import RETURN_S
 from loadbalancer.frontends.connection import REQUEST_S, FrontConnection, Phase
 from loadbalancer.frontends.dialect import RejectError, Reply, RoutedRequest
+from loadbalancer.frontends.http1_answers import encode_answer, encode_stream_head, retry_after
 from loadbalancer.frontends.listener import Listener
 from loadbalancer.proxy.final_answers import frontend_proxy_status
 from loadbalancer.proxy.open_requests import OpenRequest
@@ -45,17 +46,6 @@
 #: upload that has been turned away.
 LINGER_MOST = 128 << 10
 
-REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 421: b"Misdirected Request",
-    431: b"Request Header Fields Too Large", 501: b"Not Implemented", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
-}  # fmt: skip
-#: How a refusal says when to return, in seconds (RFC 9110, 10.2.3).
-RETURN = (b"Retry-After: %d\r\n" % RETURN_S,)
-#: Answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
-BODILESS = frozenset((204, 304))
-
 IDLE, HEAD, BODY, WHOLE, LINGER, TUNNEL = Phase
 
 
@@ -354,12 +344,13 @@
             elif item.proxy.is_known(item.request):
                 self._turn_away(item, 409, b"this X-Txn has been used\n")
             elif item.proxy.is_shut_out():
-                lines = (b"Retry-After: %d\r\n" % item.proxy.retry_after_s,)
+                lines = retry_after(item.proxy.retry_after_s)
                 self._turn_away(item, 503, b"this proxy is not of its fleet now\n", False, lines)
             elif not item.proxy.has_room():
                 self._turn_away(item, 503, b"this pool has all it can hold\n", False)
             elif not self.may_ask():
-                self._turn_away(item, 503, b"too many requests at once from this address\n", False, RETURN)
+                lines = retry_after(RETURN_S)
+                self._turn_away(item, 503, b"too many requests at once from this address\n", False, lines)
             else:
                 self.request = item.request
                 self.bodiless, self.old = item.request.bodiless, item.old
@@ -423,16 +414,12 @@
         self.stream = stream
         self.chunked = length is None and not self.old
         self.close_after = self.close_after or (length is None and self.old) or self._is_last(True)
-        if length is not None:
-            framing = b"Content-Length: %d\r\n" % length
-        else:
-            framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else b""
-        last = b"Connection: close\r\n" if self.close_after else b""
         # The kernel would take megabytes for a client that reads slowly, and hide for long whether it reads at all.
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_BUFFER)
         self.transport.write(
-            b"HTTP/1.1 %d %b\r\n%b%b%b\r\n"
-            % (status, reason or REASONS.get(status, b""), b"".join(lines), last, framing)
+            encode_stream_head(
+                status, lines, length, is_last=self.close_after, is_chunked=self.chunked, reason=reason
+            )
         )
 
     def take_part(self, data: bytes) -> None:
@@ -474,17 +461,16 @@
     ) -> None:
         assert self.transport is not None
         self.close_after = self.close_after or self._is_last(served)
-        last = b"Connection: close\r\n" if self.close_after else b""
-        framing = b"Content-Length: %d\r\n" % len(body)
-        if self.bodiless or status in BODILESS:
-            if length is not None and status != 204:
-                framing = b"Content-Length: %d\r\n" % length
-            elif status in BODILESS or not body:
-                framing = b""
-            body = b""
         self.transport.write(
-            b"HTTP/1.1 %d %b\r\n%b%b%b\r\n%b"
-            % (status, reason or REASONS.get(status, b""), b"".join(lines), last, framing, body)
+            encode_answer(
+                status,
+                lines,
+                body,
+                is_last=self.close_after,
+                is_bodiless=self.bodiless,
+                stated_length=length,
+                reason=reason,
+            )
         )
         self.bodiless = False
 
--- a/loadbalancer/frontends/listener.py
+++ b/loadbalancer/frontends/listener.py
@@ -16,6 +16,7 @@
 from loadbalancer.frontends.connection import FrontConnection, Phase
 from loadbalancer.frontends.dialect import Reader
 from loadbalancer.frontends.evictable_connections import EvictableConnections
+from loadbalancer.frontends.http1_answers import encode_refusal
 from loadbalancer.frontends.shutdown_deadline import platform_shutdown_duration
 from loadbalancer.frontends.sockets import LOCAL, UNIX, bind, release
 from loadbalancer.read_first_timer import read_what_has_arrived
@@ -51,12 +52,6 @@
 #: Bytes read of a connection that is turned away on the spot.
 GLANCE_MOST = 16 << 10
 
-TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-#: The same, with the time after which to return.
-RETURN_LATER = (
-    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n"
-)
-
 
 class ConnectionFactory(Protocol):
     """Makes the protocol's side of a connection."""
@@ -229,7 +224,7 @@
             connection.abort()
             return b""
         if ruling is not None and not self._obeys(visit, ruling):
-            connection.refuse(RETURN_LATER % max(1, round(ruling.retry_after)) if self.speaks_http else b"")
+            connection.refuse(encode_refusal(ruling.retry_after) if self.speaks_http else b"")
             return b""
         return rest
 
@@ -254,13 +249,12 @@
 
     def _turn_away(self, sock: socket.socket, retry_after: float = 0.0) -> None:
         """The last resort: answered 503 on the spot, where clients speak HTTP, and closed."""
-        words = RETURN_LATER % max(1, round(retry_after)) if retry_after else TURNED_AWAY
         with sock:
             sock.setblocking(False)
             with suppress(OSError):
                 sock.recv(GLANCE_MOST)  # unread bytes would turn the close into a reset
             with suppress(OSError):
-                sock.send(words if self.speaks_http and self.tls is None else b"")
+                sock.send(encode_refusal(retry_after) if self.speaks_http and self.tls is None else b"")
                 sock.shutdown(socket.SHUT_WR)
 
     def _evict(self, known_too: bool = False) -> bool:
