Measure the lag of the loop only while four attempts or more are out

Cause, suspected: twenty wake-ups a second cost a proxy with next to no traffic some percent of its processor time; a proxy of a large fleet has one to three attempts out nearly always. Change: the timer runs while at least four attempts are out; the faults that the lag mends need more than that.

--- a/loadbalancer/event_loop_lag.py
+++ b/loadbalancer/event_loop_lag.py
@@ -13,6 +13,8 @@
 
 TICK_INTERVAL_S = 0.05
 """Seconds between two looks at the clock while anything is measured."""
+MIN_OPEN = 4
+"""Measurements that have to be open: fewer, and a timer would cost a small proxy more than a hold-up does."""
 MIN_LAG_S = 0.03
 """A tick that is late by less is none of a process that was held up."""
 MAX_ALLOWANCE_S = 0.5
@@ -36,7 +38,7 @@
 
 
 class EventLoopLag:
-    """Measures the lag of the loop while measurements are open. It owns its timer until `close`."""
+    """Measures the lag of the loop while enough measurements are open. It owns its timer until `close`."""
 
     def __init__(
         self,
@@ -64,7 +66,7 @@
     def begin(self) -> None:
         """Open a measurement."""
         self._open += 1
-        if self._timer is None:
+        if self._timer is None and self._open >= MIN_OPEN:
             self._schedule()
 
     def end(self) -> None:
@@ -113,7 +115,7 @@
             if now - self._due >= REPORTED_LAG_S:
                 self._report(now - self._due)
         self._timer = None
-        if self._open:
+        if self._open >= MIN_OPEN:
             self._schedule()
 
 
--- a/tests/test_event_loop_lag.py
+++ b/tests/test_event_loop_lag.py
@@ -13,6 +13,7 @@
     ALLOWANCE_PER_SECOND,
     MAX_ALLOWANCE_S,
     MIN_LAG_S,
+    MIN_OPEN,
     TICK_INTERVAL_S,
     EventLoopLag,
 )
@@ -27,6 +28,11 @@
         self.reports: list[float] = []
         self.lag = EventLoopLag(cast(asyncio.AbstractEventLoop, self), self.reports.append, lambda: self.now)
 
+    def begin(self) -> None:
+        """Open as many measurements as it takes."""
+        for _ in range(MIN_OPEN):
+            self.lag.begin()
+
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> MovedLoop:
         self.timer = (self.now + delay_s, callback)
         return self
@@ -56,7 +62,7 @@
 # Guards against a hold-up that is counted as the time of an endpoint, before and after the timer was called.
 def test_a_hold_up_is_left_out_but_for_a_tick() -> None:
     loop = MovedLoop()
-    loop.lag.begin()
+    loop.begin()
     began = loop.now
     loop.hold_up(0.3)
     before = loop.lag.between(began, loop.now)
@@ -71,7 +77,7 @@
 # Guards against decisions that differ though nothing was held up.
 def test_nothing_is_left_out_where_the_loop_runs() -> None:
     loop = MovedLoop()
-    loop.lag.begin()
+    loop.begin()
     began = loop.now
     loop.run_for(1.0)
     loop.now += MIN_LAG_S / 2  # a callback of some milliseconds
@@ -82,7 +88,7 @@
 # Guards against a hold-up before or after a duration that shortens it.
 def test_only_the_lag_within_a_duration_is_left_out() -> None:
     loop = MovedLoop()
-    loop.lag.begin()
+    loop.begin()
     loop.hold_up(0.2)
     loop.call_timer()
     after = loop.now
@@ -96,7 +102,7 @@
 # Guards against a process short of processor time that takes all its queues for hold-ups, and sheds no load.
 def test_a_process_that_is_always_late_leaves_out_little() -> None:
     loop = MovedLoop()
-    loop.lag.begin()
+    loop.begin()
     began = loop.now
     for _ in range(100):
         loop.hold_up(0.1)
@@ -109,7 +115,7 @@
 # Guards against a proxy at rest that wakes up for nothing.
 def test_the_timer_rests_while_nothing_is_measured() -> None:
     loop = MovedLoop()
-    loop.lag.begin()
+    loop.begin()
     loop.lag.end()
     loop.run_for(2 * TICK_INTERVAL_S)
     assert loop.timer is None
@@ -124,13 +130,16 @@
     async def scene() -> None:
         peer = Answering("a")
         async with world(peer.backend) as here:
-            client = await here.connect()
-            await client.send(request())
-            await peer.backend.until_called()
+            clients = [await here.connect() for _ in range(MIN_OPEN)]
+            for client in clients:
+                await client.send(request())
+            while len(peer.backend.calls) < MIN_OPEN:
+                await asyncio.sleep(0)
             asyncio.get_running_loop().call_later(0.01, peer.answer_and_stall)
-            assert (await client.read())[0] == 200
-            (outcome,) = await here.proxy.until_outcomes(1)
-            assert 0.0 < outcome.lag < outcome.elapsed
-            assert outcome.response_time < outcome.elapsed
+            for client in clients:
+                assert (await client.read())[0] == 200
+            for outcome in await here.proxy.until_outcomes(MIN_OPEN):
+                assert 0.0 < outcome.lag < outcome.elapsed
+                assert outcome.response_time < outcome.elapsed
 
     play(scene)
