Let nobody connect between a listener's last accept and its close

Callers: serve that ended, or moved a listener by a reload, on a busy machine reset connections that had just been established and had sent their request. Cause: between the last accept and the close of the socket the process may not run for some milliseconds; what the system establishes meanwhile is reset. The new test found a connection established there. Why it works: a packet filter drops what arrives for the socket before the last accepts; established ones are served.

--- a/loadbalancer/daemon/retirement.py
+++ b/loadbalancer/daemon/retirement.py
@@ -46,6 +46,7 @@
     def retire_listener(self, listener: Listener) -> None:
         """Close a listener's socket at once; its connections end after the answer that they wait for."""
         listener.retire()
+        listener.block()
         for _ in range(BACKLOG // ACCEPT_LEAST + 1):  # connections that the kernel has accepted are served
             if not listener.accept():
                 break
--- a/loadbalancer/frontends/listener.py
+++ b/loadbalancer/frontends/listener.py
@@ -18,7 +18,7 @@
 from loadbalancer.frontends.evictable_connections import EvictableConnections
 from loadbalancer.frontends.http1_answers import encode_refusal
 from loadbalancer.frontends.shutdown_deadline import platform_shutdown_duration
-from loadbalancer.frontends.sockets import LOCAL, UNIX, bind, release
+from loadbalancer.frontends.sockets import LOCAL, UNIX, bind, block_new_connections, release
 from loadbalancer.read_first_timer import read_what_has_arrived
 from loadbalancer.resource_limits import RateLimitedLogger
 
@@ -317,6 +317,11 @@
         if self._sock is not None:
             self._loop.remove_reader(self._sock)
 
+    def block(self) -> None:
+        """Nobody else connects; those who have can still be accepted. Not for a socket that another process has too."""
+        if self._sock is not None and not self.shared:
+            block_new_connections(self._sock)
+
     def close(self) -> None:
         """The socket goes; the connections stay. One that another process has too leaves its file."""
         if self._sock is not None:
@@ -347,12 +352,17 @@
 
 
 async def drain(
-    listeners: Sequence[Listener], longest: float, most: float | None = None, succeeded: bool = False
+    listeners: Sequence[Listener],
+    longest: float,
+    most: float | None = None,
+    succeeded: bool = False,
+    blocks: bool = False,
 ) -> None:
     """After SIGTERM: serve for a while, then close what is idle and answer what is held.
 
     `longest`: seconds that a request may take at most; `most`: that all of it may take, by the platform's terms if it
-    is not given; `succeeded`: another process accepts on the same sockets."""
+    is not given; `succeeded`: another process accepts on the same sockets; `blocks`: the sockets are of this process
+    alone, and the system keeps new connections away before the last ones are accepted."""
     began = time.monotonic()
     end = began + (platform_shutdown_duration(longest) if most is None else most)
     for listener in listeners:
@@ -362,7 +372,7 @@
             listener.close()
         await _let_go(listeners, end - LAST_S)
     else:
-        await _stop_accepting(listeners, end)
+        await _stop_accepting(listeners, end, blocks)
     while any([listener.is_busy() for listener in listeners]) and time.monotonic() < end:
         await asyncio.sleep(0.01)
     await read_what_has_arrived()  # answers among it, where the process was held up
@@ -377,11 +387,13 @@
         listener.stop()
 
 
-async def _stop_accepting(listeners: Sequence[Listener], end: float) -> None:
+async def _stop_accepting(listeners: Sequence[Listener], end: float, blocks: bool) -> None:
     """Nobody else accepts: go on for a while, then take what the kernel holds, for it is ours."""
     await asyncio.sleep(DRAIN_OPEN_S)
     for listener in listeners:
         listener.hush()
+        if blocks:
+            listener.block()
     for listener in listeners:
         while listener.accept() and time.monotonic() < end:
             await asyncio.sleep(0)
--- a/loadbalancer/frontends/sockets.py
+++ b/loadbalancer/frontends/sockets.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import stat
+import struct
 from contextlib import suppress
 
 #: Connections that the kernel may hold for us; a burst past it would be left hanging.
@@ -13,6 +14,10 @@
 UNIX = "unix:"
 #: Peer of a connection that came by one.
 LOCAL = "local"
+#: Socket option of Linux that attaches a packet filter (`asm/socket.h`).
+SO_ATTACH_FILTER = 26
+#: A filter of one instruction, `BPF_RET` with 0 bytes (`struct sock_filter`): nothing passes.
+DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
 
 
 def bind(address: tuple[str, int]) -> socket.socket:
@@ -46,6 +51,22 @@
                 os.unlink(path)
 
 
+def block_new_connections(sock: socket.socket) -> None:
+    """Have the system drop what arrives for a listening TCP socket; connections that wait to be accepted stay.
+
+    What connects between the last accept and the close would be reset after it has sent its request. Whoever connects
+    in that moment tries again after a second, and is refused then. Where the system can't, all is as without it.
+    """
+    if sock.family != socket.AF_INET:
+        return
+    import ctypes  # only where a listener ends
+
+    instructions = ctypes.create_string_buffer(DROP_ALL, len(DROP_ALL))
+    program = struct.pack("HP", 1, ctypes.addressof(instructions))
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
 def release(sock: socket.socket, *, is_shared: bool = False) -> None:
     """Close a listening socket, and remove the file of a Unix one.
 
--- /dev/null
+++ b/tests/test_closing_listener.py
@@ -0,0 +1,48 @@
+"""A listener that closes: connections cross the moment between its last accept and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import select
+import socket
+
+import pytest
+from peers import OK, ScriptedBackend, answering, play, request, world
+
+from loadbalancer.frontends.listener import Listener, drain
+
+
+def connects(address: tuple[str, int]) -> bool:
+    """Whether a connection is established at once, as it is on the loopback where somebody listens."""
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        assert sock.connect_ex(address) in (0, errno.EINPROGRESS)
+        poller = select.poll()
+        poller.register(sock, select.POLLOUT)
+        return bool(poller.poll(0))
+
+
+# Guards against a new connection that is established, sends its request, and is reset as the listener closes.
+def test_nobody_connects_between_the_last_accept_and_the_close(monkeypatch: pytest.MonkeyPatch) -> None:
+    close = Listener.close
+    found: list[bool] = []
+
+    def connect_and_close(self: Listener) -> None:
+        if self._sock is not None:
+            found.append(connects(self.address))
+        close(self)
+
+    async def scene() -> None:
+        async with world(ScriptedBackend("a", answering(OK))) as here:
+            assert connects(here.address)
+            client = await here.connect()
+            assert (await client.ask(request()))[0] == 200
+            waiting = await asyncio.open_connection(*here.address)
+            monkeypatch.setattr(Listener, "close", connect_and_close)
+            await drain([here.server], 0.1, blocks=True)
+            monkeypatch.undo()
+            assert found == [False]
+            waiting[1].close()
+
+    play(scene)
