Never block a listening socket that was offered to a successor

Callers: none yet. A daemon told to end, or to drop a listener, between its offer and its successor's first answer would have attached the filter to the socket that both have: the successor would have heard nobody. Cause: shared is set only once the successor serves; found by reading the change again. Measured: the test of the closing listener passes; no test of this crossing yet.

--- a/loadbalancer/daemon/listener_set.py
+++ b/loadbalancer/daemon/listener_set.py
@@ -142,5 +142,7 @@
                 listener.reader.targets = targets.of_listener(plan.listeners[name])
 
     def sockets(self) -> list[socket.socket]:
-        """Sockets that listen now."""
+        """Sockets that listen now, for a process that takes over; nobody may block them from here on."""
+        for listener in self.running.values():
+            listener.was_offered = True
         return [listener.listening for listener in self.running.values() if listener.listening is not None]
--- a/loadbalancer/frontends/listener.py
+++ b/loadbalancer/frontends/listener.py
@@ -93,6 +93,7 @@
         """Accept on a socket that listens; it is the listener's from here on."""
         self._sock = sock
         self.shared = False  # another process listens on it too
+        self.was_offered = False  # another process may have it, and serve on it some time
         self._loop.add_reader(sock, self.accept)
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
         return self.address
@@ -319,7 +320,7 @@
 
     def block(self) -> None:
         """Nobody else connects; those who have can still be accepted. Not for a socket that another process has too."""
-        if self._sock is not None and not self.shared:
+        if self._sock is not None and not self.shared and not self.was_offered:
             block_new_connections(self._sock)
 
     def close(self) -> None:
