--- a/tests/test_closing_listener.py
+++ b/tests/test_closing_listener.py
@@ -46,3 +46,17 @@
             waiting[1].close()
 
     play(scene)
+
+
+# Guards against a successor that hears nobody, since the process before it blocked the socket that both have.
+def test_a_socket_that_was_offered_to_a_successor_is_not_blocked() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("a", answering(OK))) as here:
+            here.server.was_offered = True
+            here.server.block()
+            assert connects(here.address)
+            here.server.was_offered = False
+            here.server.block()
+            assert not connects(here.address)
+
+    play(scene)
