Let a connection be served whose handshake ends while a listener closes

Callers: a request on a new connection, sent some 0.5 s after serve's SIGTERM, got no answer; its connection stayed open until the process ended, and ended with no byte. Cause: the packet filter that keeps new connections away from a listener that closes dropped every segment, and the system hands a listening socket's filter on to connections whose handshake ends while it is attached. Such a connection was accepted, and nothing of it was ever received. The new test, whose client ends its handshake with its request, had no answer in 10 s before. Why it works: the filter drops only segments that open a connection (SYN). What ends a handshake, and all that comes on a connection that has inherited the filter, passes.

--- a/loadbalancer/frontends/sockets.py
+++ b/loadbalancer/frontends/sockets.py
@@ -16,8 +16,14 @@
 LOCAL = "local"
 #: Socket option of Linux that attaches a packet filter (`asm/socket.h`).
 SO_ATTACH_FILTER = 26
-#: A filter of one instruction, `BPF_RET` with 0 bytes (`struct sock_filter`): nothing passes.
-DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
+#: Operation codes of packet filters (`linux/bpf_common.h`): load a byte, jump if any bit is set, return a constant.
+BPF_LOAD_BYTE, BPF_JUMP_IF_SET, BPF_RETURN = 0x30, 0x45, 0x06
+#: Where a segment has its flags, in bytes from its beginning, and the flag that opens a connection (RFC 9293, 3.1).
+TCP_FLAGS_OFFSET, TCP_SYN = 13, 0x02
+#: What a filter returns to drop a packet, and to let all of it pass.
+BPF_DROP, BPF_PASS = 0, 0xFFFFFFFF
+#: Bytes of an instruction (`struct sock_filter`).
+BPF_INSTRUCTION_BYTES = 8
 
 
 def bind(address: tuple[str, int]) -> socket.socket:
@@ -51,8 +57,25 @@
                 os.unlink(path)
 
 
+def _instruction(code: int, constant: int, skip_if_true: int = 0, skip_if_false: int = 0) -> bytes:
+    """One instruction of a packet filter (`struct sock_filter`)."""
+    return struct.pack("HBBI", code, skip_if_true, skip_if_false, constant)
+
+
+#: Drops the segments that open a connection. All others pass: a connection whose handshake ends while the filter is
+#: attached inherits it.
+DROP_SYN = b"".join(
+    (
+        _instruction(BPF_LOAD_BYTE, TCP_FLAGS_OFFSET),
+        _instruction(BPF_JUMP_IF_SET, TCP_SYN, skip_if_false=1),
+        _instruction(BPF_RETURN, BPF_DROP),
+        _instruction(BPF_RETURN, BPF_PASS),
+    )
+)
+
+
 def block_new_connections(sock: socket.socket) -> None:
-    """Have the system drop what arrives for a listening TCP socket; connections that wait to be accepted stay.
+    """Have the system drop new connections to a listening TCP socket; those whose handshake has begun go on.
 
     What connects between the last accept and the close would be reset after it has sent its request. Whoever connects
     in that moment tries again after a second, and is refused then. Where the system can't, all is as without it.
@@ -61,8 +84,9 @@
         return
     import ctypes  # only where a listener ends
 
-    instructions = ctypes.create_string_buffer(DROP_ALL, len(DROP_ALL))
-    program = struct.pack("HP", 1, ctypes.addressof(instructions))
+    instructions = ctypes.create_string_buffer(DROP_SYN, len(DROP_SYN))
+    count = len(DROP_SYN) // BPF_INSTRUCTION_BYTES
+    program = struct.pack("HP", count, ctypes.addressof(instructions))
     with suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
 
--- a/tests/test_closing_listener.py
+++ b/tests/test_closing_listener.py
@@ -8,7 +8,7 @@
 import socket
 
 import pytest
-from peers import OK, ScriptedBackend, answering, play, request, world
+from peers import OK, Client, ScriptedBackend, answering, play, request, world
 
 from loadbalancer.frontends.listener import Listener, drain
 
@@ -23,6 +23,29 @@
         return bool(poller.poll(0))
 
 
+def connect_in_two_steps(address: tuple[str, int]) -> socket.socket:
+    """A client that counts as connected, while the segment that ends its handshake waits for its first bytes."""
+    sock = socket.socket()
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 0)
+    sock.connect(address)
+    sock.setblocking(False)
+    return sock
+
+
+# Guards against a connection that is accepted as the listener closes, and on which nothing is ever received.
+def test_a_handshake_that_ends_while_new_connections_are_blocked_is_served() -> None:
+    async def scene() -> None:
+        async with world(ScriptedBackend("a", answering(OK))) as here:
+            sock = connect_in_two_steps(here.address)
+            here.server.block()
+            assert not connects(here.address)
+            client = Client(*await asyncio.open_connection(sock=sock))
+            here.clients.append(client)
+            assert (await client.ask(request()))[0] == 200
+
+    play(scene)
+
+
 # Guards against a new connection that is established, sends its request, and is reset as the listener closes.
 def test_nobody_connects_between_the_last_accept_and_the_close(monkeypatch: pytest.MonkeyPatch) -> None:
     close = Listener.close
