Let handshakes that have begun end before a listener closes

Callers: 0.5 s after serve's SIGTERM, on a busy machine, a request on a connection that had just been established was reset. Cause: a client counts as connected one segment before its server does. _stop_accepting blocked new connections, accepted what was there and closed in one go; the last segment of a handshake found the socket gone. The new test, whose client connects in the moment of the block, was reset 3 of 3 times before, and is served 3 of 3 times now. Why it works: nobody new connects behind the block, and 0.05 s are many round trips of a local network.

--- a/loadbalancer/frontends/listener.py
+++ b/loadbalancer/frontends/listener.py
@@ -41,6 +41,9 @@
 SWEEP_S = 0.25
 #: After SIGTERM new connections go on coming for 0.4 s; they are served for this long.
 DRAIN_OPEN_S = 0.5
+#: Between the block of new connections and the close: handshakes that have begun come to their end. A client may count
+#: as connected before, and its request would be reset.
+HANDSHAKE_S = 0.05
 #: While draining, a connection on which nothing has come for this long is idle.
 DRAIN_IDLE_S = 0.2
 #: While another process takes the new clients, idle connections may stay until this long before the end,
@@ -391,10 +394,12 @@
 async def _stop_accepting(listeners: Sequence[Listener], end: float, blocks: bool) -> None:
     """Nobody else accepts: go on for a while, then take what the kernel holds, for it is ours."""
     await asyncio.sleep(DRAIN_OPEN_S)
+    if blocks:
+        for listener in listeners:
+            listener.block()
+        await asyncio.sleep(HANDSHAKE_S)
     for listener in listeners:
         listener.hush()
-        if blocks:
-            listener.block()
     for listener in listeners:
         while listener.accept() and time.monotonic() < end:
             await asyncio.sleep(0)
--- a/tests/test_closing_listener.py
+++ b/tests/test_closing_listener.py
@@ -71,6 +71,30 @@
     play(scene)
 
 
+# Guards against a client that counts as connected before its handshake has ended, and whose request is reset.
+def test_a_handshake_that_ends_after_new_connections_were_blocked_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    block = Listener.block
+
+    async def scene() -> None:
+        async with world(ScriptedBackend("a", answering(OK))) as here:
+            connected: list[socket.socket] = []
+
+            def connect_and_block(self: Listener) -> None:
+                connected.append(connect_in_two_steps(self.address))
+                block(self)
+                asyncio.get_running_loop().call_soon(connected[0].send, request())
+
+            monkeypatch.setattr(Listener, "block", connect_and_block)
+            await drain([here.server], 1.5, blocks=True)
+            client = Client(*await asyncio.open_connection(sock=connected[0]))
+            here.clients.append(client)
+            assert (await client.read())[0] == 200
+
+    play(scene)
+
+
 # Guards against a successor that hears nobody, since the process before it blocked the socket that both have.
 def test_a_socket_that_was_offered_to_a_successor_is_not_blocked() -> None:
     async def scene() -> None:
