Soak: note in which wait the event loop stands, and play with a log that nobody reads

The soak now notes any wait of the first thread but for events from 0.1 s on, by the system's function, and at SIGKILL the wait of each thread. Checks, bounds and schedules are as they were.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,12 +1,13 @@
 """A soak of real processes: clients use every open connection until the kill, signals come in series.
 
 python -m benchmarks.soak [--seeds 50] [--first 1] [--seconds 6] [--side-by-side 2] [--hold-up 0.15] [--hang-at-end]
+                          [--unread-log]
 
 Each seed is one run: a few lives of the platform's `run`, every fourth one of `serve`, over stand-ins of members and
 discovery. A life ends by SIGTERM, and by SIGKILL at the earliest that the platform allows. Members hang, are slow,
 drain, and close idle connections; in some runs a crowd of idle clients takes the descriptors. With --hold-up S the
 process is stopped for at most so long now and then, and over each step of its end; with --hang-at-end all members
-hang through each shutdown.
+hang through each shutdown; with --unread-log the process's standard error is a full pipe that nobody reads.
 
 Checked: each request gets one answer, in time, made for it; what is unsafe runs once, what has a key only inside its
 window; a draining member gets nothing after its grace; no process ends before it is told to; no descriptor is left. A
@@ -30,9 +31,10 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.soak_evidence import UsageRecord, describe_sockets, read_usage
+from benchmarks.soak_evidence import UsageRecord, describe_sockets, describe_threads, read_usage
 from benchmarks.soak_hold_ups import HoldUps
 from benchmarks.soak_peers import STALL_S, Address, Journal, SoakClient, SoakDiscovery, SoakMember
+from benchmarks.soak_unread_log import UnreadLog
 
 ROOT = Path(__file__).parent.parent
 MEMBERS = 4
@@ -110,10 +112,12 @@
     Attributes:
         hold_up_s: How long a hold-up of the process takes at most; 0: there are none.
         hangs_at_end: Whether all members hang through each shutdown.
+        log_is_unread: Whether nobody reads what the process writes to its standard error.
     """
 
     hold_up_s: float = 0.0
     hangs_at_end: bool = False
+    log_is_unread: bool = False
 
 
 #: What CI plays.
@@ -170,6 +174,8 @@
         ]
         self._discoveries = [SoakDiscovery(self._told), SoakDiscovery(self._told)]
         self._hangs_at_end = disturbances.hangs_at_end
+        self._log_is_unread = disturbances.log_is_unread
+        self._unread_log: UnreadLog | None = None
         self._hold_ups = HoldUps(disturbances.hold_up_s, schedule.seed, DEADLINE_S, self.journal)
         self._current = 0
         self._crowd: list[asyncio.StreamWriter] = []
@@ -181,6 +187,8 @@
         self._spawn(self.journal.watch_lateness())
         self._spawn(self._trouble_members())
         address = _free_address()
+        if self._log_is_unread:
+            self._unread_log = UnreadLog()
         try:
             for number, (length_s, series, pause_s) in enumerate(self.schedule.lives):
                 await self._live(number, address, length_s, series, pause_s)
@@ -191,6 +199,8 @@
                 member.stop()
             for discovery in self._discoveries:
                 discovery.stop()
+            if self._unread_log is not None:
+                self._unread_log.close()
             await asyncio.sleep(PEERS_END_S)
         self._check_effects()
 
@@ -242,8 +252,9 @@
             words = ["-m", "loadbalancer.cli", "serve", "-c", str(path)]
         environment = {**os.environ, "GW_CONFIG": str(path), "TMPDIR": str(self._folder)}
         with open(self._folder / f"log-{number}", "wb") as log:
+            errors = log.fileno() if self._unread_log is None else self._unread_log.write_end
             process = await asyncio.create_subprocess_exec(
-                sys.executable, *words, cwd=ROOT, env=environment, stdout=log, stderr=log
+                sys.executable, *words, cwd=ROOT, env=environment, stdout=log, stderr=errors
             )
         self.journal.note(f"life {number}: process {process.pid} starts")
         if self._random.random() < 0.3 and not self.schedule.is_daemon:
@@ -340,6 +351,7 @@
             await asyncio.wait_for(process.wait(), left_s)
         if process.returncode is None:
             self.journal.note(f"SIGKILL; {read_usage(process.pid)}; {describe_sockets(address)}")
+            self.journal.note(f"its threads: {describe_threads(process.pid)}")
             process.kill()
             await process.wait()
         elif process.returncode:
@@ -496,8 +508,9 @@
     parser.add_argument("--side-by-side", type=int, default=2)
     parser.add_argument("--hold-up", type=float, default=0.0, metavar="S")
     parser.add_argument("--hang-at-end", action="store_true")
+    parser.add_argument("--unread-log", action="store_true")
     options = parser.parse_args()
-    disturbances = Disturbances(options.hold_up, options.hang_at_end)
+    disturbances = Disturbances(options.hold_up, options.hang_at_end, options.unread_log)
     seeds = range(options.first, options.first + options.seeds)
     return 1 if asyncio.run(_play_all(seeds, options.seconds, options.side_by_side, disturbances)) else 0
 
--- a/benchmarks/soak_evidence.py
+++ b/benchmarks/soak_evidence.py
@@ -15,6 +15,10 @@
 SAMPLE_INTERVAL_S = 0.02
 #: Seconds ready and not run between two samples, from which on a gap is noted.
 NOTED_GAP_S = 0.05
+#: Seconds in one and the same wait, from which on it is noted.
+NOTED_WAIT_S = 0.1
+#: Where a thread waits that runs, or that waits for events: nothing keeps the event loop from going on.
+EVENT_WAITS = frozenset(("", "0", "ep_poll", "do_epoll_wait"))
 #: Fields of a line of /proc/net/tcp, and the states that count.
 LOCAL_ADDRESS, STATE, QUEUES, INODE = 1, 3, 4, 9
 LISTEN = "0A"
@@ -51,12 +55,33 @@
     return Usage(state, int(ran_ns) / 1e9, int(waited_ns) / 1e9)
 
 
+def read_wait(pid: int, thread: int) -> str:
+    """The function of the system in which a thread waits; empty where that is not known."""
+    try:
+        return Path(f"/proc/{pid}/task/{thread}/wchan").read_text().strip()
+    except OSError:
+        return ""
+
+
+def describe_threads(pid: int) -> str:
+    """Each thread of a process by its name, and in which function of the system it waits."""
+    found = []
+    with suppress(OSError):
+        for folder in sorted(Path(f"/proc/{pid}/task").iterdir()):
+            name = (folder / "comm").read_text().strip()
+            found.append(f"{name} in {read_wait(pid, int(folder.name)) or 'an unknown wait'}")
+    return "; ".join(found) or "none"
+
+
 class UsageRecord:
     """Samples one process, and notes in the journal whenever it, or this process, was kept from running."""
 
     def __init__(self, pid: int, journal: Journal) -> None:
         self._pid = pid
         self._journal = journal
+        self._wait = ""  # of the first thread, as last seen
+        self._waits_since = 0.0
+        self._wait_is_noted = False
 
     async def watch(self) -> None:
         """Sample until the process is gone, or the task is cancelled."""
@@ -73,8 +98,21 @@
                 self._journal.note(f"process {self._pid} was ready and did not run for {waited_s:.3f} s")
             if late_s > NOTED_GAP_S:
                 self._journal.note(f"the soak itself was late by {late_s:.3f} s")
+            self._look_at_wait()
             before = now
 
+    def _look_at_wait(self) -> None:
+        """Note a wait of the first thread, which runs the event loop, for anything but events."""
+        now = time.monotonic()
+        wait = read_wait(self._pid, self._pid)
+        if wait != self._wait:
+            self._wait, self._waits_since, self._wait_is_noted = wait, now, False
+        elif wait not in EVENT_WAITS and not self._wait_is_noted and now - self._waits_since > NOTED_WAIT_S:
+            self._wait_is_noted = True
+            self._journal.note(
+                f"process {self._pid} has waited in {wait} for {now - self._waits_since:.2f} s"
+            )
+
 
 def describe_sockets(address: Address) -> str:
     """What the system holds for a listening address: its connections, by whether the process accepted and read them."""
