Write the default log from a thread, so that the event loop never waits for it

Callers: serve was told to reload, and while the line that says so could not be written nobody was served and SIGTERM was not heard; twelve clients that had just connected lost their requests by time-out, or at SIGKILL 2.2 s after SIGTERM. run was alike from its first line on. Cause: RateLimitedLogger wrote to standard error from the event loop. Only the structured log ([log]) had a thread. Why it works: the loop appends to a bounded queue of 4,096 lines, and a thread writes them; the first line's codec is looked up at the start instead of being read from the disk on the loop.

--- a/loadbalancer/cli/serve_daemon.py
+++ b/loadbalancer/cli/serve_daemon.py
@@ -24,6 +24,7 @@
 from loadbalancer.daemon.daemon import Daemon
 from loadbalancer.daemon.hot_restart.protocol import HotRestartError
 from loadbalancer.daemon.hot_restart.takeover import InheritedState
+from loadbalancer.line_writer import LineWriter, standard_error
 from loadbalancer.resource_limits import RateLimitedLogger, describe_loop_context
 from standins.fastcgi import FastCgiFleet
 from standins.member import Fleet
@@ -165,7 +166,9 @@
 
 def _log(table: LogTable | None, stack: AsyncExitStack) -> RateLimitedLogger:
     if table is None:
-        return RateLimitedLogger()
+        writer = LineWriter(standard_error())
+        stack.callback(writer.close)
+        return RateLimitedLogger(writer)
     from loadbalancer.daemon.logs import StructuredLogger
 
     made = StructuredLogger(table.form, table.level)
--- a/loadbalancer/daemon/logs.py
+++ b/loadbalancer/daemon/logs.py
@@ -59,7 +59,6 @@
         self.writer = LogWriter(out)
         self._level = [LEVELS[level]]  # shared by all that are bound
         self._fields: dict[str, Any] = {}
-        self._reported_lost = 0
         renderer: Any = structlog.processors.JSONRenderer()
         if form == "console":
             renderer = structlog.dev.ConsoleRenderer(colors=out.isatty())
@@ -103,9 +102,7 @@
 
     def _report_lost(self) -> None:
         """Log how many lines were lost since the last report, once there is room again."""
-        lost = self.writer.lost
-        if lost > self._reported_lost and self.writer.has_room():
-            count, self._reported_lost = lost - self._reported_lost, lost
+        if count := self.writer.take_lost():
             self._logger.warning("lines were lost", count=count)
 
     def close(self) -> None:
--- a/loadbalancer/platform/main.py
+++ b/loadbalancer/platform/main.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from loadbalancer.frontends.listener import drain
+from loadbalancer.line_writer import LineWriter, standard_error
 from loadbalancer.platform.configuration import (
     CONFIGURATION_ERRORS,
     ConfigurationReloader,
@@ -32,7 +33,14 @@
         configuration: What it is told.
         path: Of the configuration's file, for reloads.
     """
-    logger = RateLimitedLogger()
+    writer = LineWriter(standard_error())
+    try:
+        await _serve(configuration, path, RateLimitedLogger(writer))
+    finally:
+        writer.close()
+
+
+async def _serve(configuration: NodeConfiguration, path: str, logger: RateLimitedLogger) -> None:
     node = Node(configuration, logger)
     upgrade = None
     if configuration.management is not None or configuration.accept_fd is not None:
--- a/loadbalancer/platform/node.py
+++ b/loadbalancer/platform/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 import socket
-import sys
 from typing import Callable
 
 from loadbalancer.discovery.watch import DiscoveryClient
@@ -75,7 +74,7 @@
         else:
             host, port = self.listener.listen(self.configuration.listen)
         limits = self.configuration.limits_as_given
-        sys.stderr.write(f"micastand: listening on {host}:{port}, limits {limits}\n")
+        self.logger.write_line(f"listening on {host}:{port}, limits {limits}")
 
     def serves(self) -> bool:
         """Whether new clients are accepted, and there are endpoints for their requests."""
--- a/loadbalancer/resource_limits.py
+++ b/loadbalancer/resource_limits.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import codecs
 import sys
 import time
 import traceback
 from typing import Any, Mapping, NamedTuple, Protocol
 
+from loadbalancer.line_writer import LineWriter
+
 BYTES_PER_MB = 1 << 20
 MAX_JUDGED_BODY_BYTES = 64 << 10
 """An answer up to this is judged whole before a byte of it is passed on."""
@@ -36,6 +39,8 @@
 """Seconds in which one line of each event is written at most."""
 MAX_LOG_TEXT = 200
 """Characters of a line's text."""
+LOG_TEXT_CODEC = codecs.lookup("unicode_escape").name
+"""How a line's text is written; looked up here, as the first use reads the codec from the disk."""
 
 
 class PoolLimits(Protocol):
@@ -131,7 +136,13 @@
 class RateLimitedLogger:
     """The log on standard error: one line of each event in `LOG_INTERVAL_S`, with how many were left out."""
 
-    def __init__(self) -> None:
+    def __init__(self, writer: LineWriter | None = None) -> None:
+        """Make the log.
+
+        Args:
+            writer: Writes the lines; without one the caller waits until standard error has taken them.
+        """
+        self._line_writer = writer
         self._limits: dict[str, _EventLimit] = {}
 
     def bind(self, **_fields: Any) -> RateLimitedLogger:
@@ -154,5 +165,15 @@
         if left_out is None:
             return
         more = f" ({left_out} more)" if left_out else ""
-        line = str(text)[:MAX_LOG_TEXT].encode("unicode_escape").decode()
-        sys.stderr.write(f"micastand: {kind}: {line}{more}\n")
+        line = str(text)[:MAX_LOG_TEXT].encode(LOG_TEXT_CODEC).decode()
+        self.write_line(f"{kind}: {line}{more}")
+
+    def write_line(self, text: str) -> None:
+        """Write a line that has no limit."""
+        writer = self._line_writer
+        if writer is None:
+            sys.stderr.write(f"micastand: {text}\n")
+            return
+        writer.write_line(f"micastand: {text}")
+        if count := writer.take_lost():
+            writer.write_line(f"micastand: lines were lost: {count}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from benchmarks.soak import Schedule, play
+from benchmarks.soak import Disturbances, Schedule, play
 
 SECONDS = 4.0
 LONGER_S = 6.0
@@ -38,3 +38,18 @@
         for seed in range(40)
     }
     assert len(kinds) == 4
+
+
+# Guards against an event loop that waits until its log is read: every client would wait as long.
+@pytest.mark.parametrize(
+    ("seed", "seconds"),
+    [
+        pytest.param(1, SECONDS, id="run"),
+        pytest.param(52, LONGER_S, id="serve-seed-52"),
+    ],
+)
+def test_a_log_that_nobody_reads_holds_up_no_request(seed: int, seconds: float) -> None:
+    soak = asyncio.run(play(seed, seconds, Disturbances(log_is_unread=True)))
+
+    assert soak.counts["200"] > 100
+    assert not soak.journal.broken, "\n".join((soak.journal.broken[0], *soak.journal.led_there))
