Test of log lines: end the writer's thread before its pipe is closed

Cause: test_a_full_pipe_holds_up_no_caller_and_what_was_lost_is_told closed its pipe under the thread that still had 4,096 lines to write, and the number of the closed end was given out anew. The product never closes what its log is written to.

--- a/benchmarks/soak_unread_log.py
+++ b/benchmarks/soak_unread_log.py
@@ -13,6 +13,7 @@
     """A full pipe. It owns both ends until `close`; a process that writes to it waits as long as it is open."""
 
     def __init__(self) -> None:
+        self._read_end: int | None
         self._read_end, self.write_end = os.pipe()
         os.set_blocking(self.write_end, False)
         with suppress(BlockingIOError):
@@ -23,7 +24,13 @@
                 os.write(self.write_end, b"x")
         os.set_blocking(self.write_end, True)
 
+    def end_reading(self) -> None:
+        """Whoever waits to write fails from now on; the end that it writes to stays open."""
+        if self._read_end is not None:
+            os.close(self._read_end)
+            self._read_end = None
+
     def close(self) -> None:
-        """Give the pipe back; whoever writes to it fails from then on."""
-        os.close(self._read_end)
+        """Give the pipe back. Nobody in this process may write to it any more: its number is another's soon."""
+        self.end_reading()
         os.close(self.write_end)
--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -36,6 +36,9 @@
         logger(f"kind-{number}")
     assert writer.lost == 100
     assert writer.take_lost() == 0  # no room to say so
+    log.end_reading()
+    writer.close()
+    assert writer.lost > 100 + MAX_QUEUED_LINES
     log.close()
 
 
