--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,12 +18,12 @@
 
 SERVERS = 4
 CLIENTS = 4
-REQUESTS = 1000
+REQUESTS = 1400
 TIME_LIMIT_S = 75.0
 #: Lengths of the bodies; the pages allow up to 32 MB. Two of three are of the longer kind.
 SHORTER_BYTES, LONGER_BYTES = (2_600_000, 3_900_000), (3_900_000, 4_190_000)
 #: A server resets the connection under one run of this many.
-RESET_ONE_OF = 4
+RESET_ONE_OF = 8
 WAIT_MS = 5000
 REFUSALS = (429, 503)
 
