Ask the transport what is unsent: a request that left whole is not sent again

Cause: after a partial send the rest goes to transport.write, which may write all of it at once. Its buffer then never holds anything, so neither pause_writing nor resume_writing is called, and the flag that says "unsent" stays set. A reset or timeout became NO_CONNECTION, the proof of no run.

Change: the size of the buffer decides; on a closing transport, whose buffer is gone, the last callback. Over TLS the number of encrypted bytes proves nothing about the params of a FastCGI request, so none counts as unsent.

--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -21,7 +21,9 @@
         self.identity = backend.identity
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
-        self.unsent = False  # part of the request is still in the transport's write buffer
+        # Last report of the transport: its write buffer holds data. Decides once the transport is closing.
+        self.is_write_paused = False
+        self.has_failed_write = False  # some bytes were neither sent nor buffered
         self.closed = False
         self.is_handed_over = False
         self.idle_since = 0.0
@@ -32,8 +34,7 @@
         transport = cast(asyncio.Transport, transport)
         self.transport = transport
         # With these limits pause_writing reports that the write buffer holds data, and resume_writing that it is
-        # empty. Over TLS a high limit of 0 would count as exceeded from the start and writing would never be resumed,
-        # so that a request which was sent would look unsent.
+        # empty. Over TLS a high limit of 0 would count as exceeded from the start and writing would never be resumed.
         transport.set_write_buffer_limits(high=1 if self.secure else 0, low=0)
 
     def is_alive(self) -> bool:
@@ -53,12 +54,12 @@
         attempt.connection = self
 
     def write(self, data: bytes) -> None:
-        """Write directly to the socket; what the kernel does not accept goes to the transport's buffer.
+        """Write after the bytes that are still buffered, or else directly to the socket.
 
-        That way it is known which bytes were sent, and a failure before the last byte of a request can be told from
-        one after it."""
+        That way it is known which bytes the kernel has accepted. What it does not accept goes to the transport's
+        buffer, which may be empty again when this returns."""
         assert self.transport is not None
-        if self.secure:  # it is unknown which bytes were sent: a request passed to TLS whole may have run
+        if self.secure or self.transport.get_write_buffer_size():
             self.transport.write(data)
             return
         try:
@@ -66,12 +67,24 @@
         except BlockingIOError:
             sent = 0
         except OSError:
-            self.unsent = True
+            self.has_failed_write = True
             self.fail(AttemptResult.NO_CONNECTION)
             return
         if sent < len(data):
-            self.unsent = True
             self.transport.write(data[sent:])
+            self.has_failed_write = self.transport.is_closing()  # it has discarded them
+
+    def has_unsent_bytes(self) -> bool:
+        """Return whether the last byte written to this connection has provably not been passed to the kernel.
+
+        The buffer is asked rather than the callbacks, which report nothing about a buffer that is filled and emptied
+        within one call. A closing transport has discarded its buffer: there the last report before it decides. Over
+        TLS, bytes that the TLS layer has passed on count as sent."""
+        if self.has_failed_write:
+            return True
+        if self.transport is None or self.transport.is_closing():
+            return self.is_write_paused
+        return self.transport.get_write_buffer_size() > 0
 
     def set_reading_paused(self, on: bool) -> None:
         """Pause or resume reading: the client's buffer is full, or has room again."""
@@ -84,17 +97,17 @@
 
     def is_unsent(self) -> bool:
         """Return whether enough of the request is still unsent that it cannot have run."""
-        return self.unsent
+        return self.has_unsent_bytes()
 
     def failure_result(self) -> AttemptResult:
         """Return the result of the attempt on this connection if the connection ends now."""
         return AttemptResult.NO_CONNECTION if self.is_unsent() else AttemptResult.RESET
 
     def pause_writing(self) -> None:
-        self.unsent = True
+        self.is_write_paused = True
 
     def resume_writing(self) -> None:
-        self.unsent = False
+        self.is_write_paused = False
 
     # Ending.
 
--- a/loadbalancer/upstreams/fastcgi.py
+++ b/loadbalancer/upstreams/fastcgi.py
@@ -87,10 +87,13 @@
         self.write(data)
 
     def is_unsent(self) -> bool:
-        """Return whether the end of the params is still unsent."""
-        if not self.unsent or self.transport is None:
+        """Return whether the end of the params is provably still unsent.
+
+        Over TLS, and on a transport that is closing, it is unknown how much of the request was sent."""
+        transport = self.transport
+        if self.secure or transport is None or transport.is_closing():
             return False
-        return self.transport.get_write_buffer_size() > self.bytes_after_params
+        return transport.get_write_buffer_size() > self.bytes_after_params
 
     # Receiving.
 
@@ -202,7 +205,8 @@
         assert attempt is not None
         self.attempt = None
         attempt.detach()
-        if self.application.keep and not self.side.has_stray_records and not self.unsent and not self.closed:
+        is_clean = not self.side.has_stray_records and not self.has_unsent_bytes()
+        if self.application.keep and is_clean and not self.closed:
             self.release()
             self.pool.keep_idle(self)
         else:
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -112,34 +112,27 @@
         assert self.upload is not None
         if self.upload.length is None:
             data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._write_queued(data)
+        self.write(data)
 
     def receive_end(self) -> None:
         assert self.upload is not None
         last = b"0\r\n\r\n" if self.upload.length is None else b""
         self.upload = None
         if last:
-            self._write_queued(last)
+            self.write(last)
 
     def abort_body(self) -> None:
         """Abort the request: its body will not be completed, which the member sees by the close of the connection."""
-        self.fail(AttemptResult.NO_CONNECTION)
-
-    def _write_queued(self, data: bytes) -> None:
-        """Write after the bytes that are still buffered."""
-        if not self.unsent:
-            self.write(data)
-        elif self.transport is not None and not self.closed:
-            self.transport.write(data)
+        self.fail(self.failure_result())
 
     def is_unsent(self) -> bool:
-        return self.unsent or self.upload is not None
+        return self.upload is not None or self.has_unsent_bytes()
 
     def pause_writing(self) -> None:
         if self.tunnel is not None:
             self.tunnel.set_full(True, True)
             return
-        self.unsent = True
+        super().pause_writing()
         if self.upload is not None:
             self.upload.set_full(True)
 
@@ -147,7 +140,7 @@
         if self.tunnel is not None:
             self.tunnel.set_full(True, False)
             return
-        self.unsent = False
+        super().resume_writing()
         if self.upload is not None:
             self.upload.set_full(False)
 
@@ -465,6 +458,5 @@
         self._release_body()
         if self.upload is not None:
             upload, self.upload = self.upload, None
-            self.unsent = True  # the body was not sent completely
             upload.detach(self)
         self.parser = None  # break the reference cycle, which would live until the garbage collector runs
--- a/loadbalancer/upstreams/multiplex.py
+++ b/loadbalancer/upstreams/multiplex.py
@@ -121,21 +121,20 @@
         data, start_bytes = request_records(self._last_id, attempt, self.dialect, self.application)
         prefix = b"" if self._written_bytes else CAPABILITY_QUERY
         stream.start_offset = self._written_bytes + len(prefix) + start_bytes
-        self._write_queued(prefix + data)
+        self.write(prefix + data)
 
-    def _write_queued(self, data: bytes) -> None:
-        """Write after the bytes that are still buffered, or else directly to the socket."""
-        assert self.transport is not None
-        if self.transport.get_write_buffer_size():
-            self.transport.write(data)
-        else:
-            self.write(data)
+    def write(self, data: bytes) -> None:
+        super().write(data)
         self._written_bytes += len(data)  # after the write: none of it counts as sent if that fails
 
     def sent_bytes(self) -> int:
-        """Return the number of bytes sent to the application."""
-        waiting = 0 if self.transport is None else self.transport.get_write_buffer_size()
-        return self._written_bytes - waiting
+        """Return the number of bytes that may have been sent to the application.
+
+        Over TLS, and on a transport that is closing, that is all that was written: the size of the buffer does not tell
+        how much of it was sent."""
+        if self.secure or self.transport is None or self.transport.is_closing():
+            return self._written_bytes
+        return self._written_bytes - self.transport.get_write_buffer_size()
 
     # Receiving.
 
@@ -238,7 +237,7 @@
             return
         if self.can_multiplex and not self.closed:
             self.aborted.add(stream.exchange.number)
-            self._write_queued(encode(Type.ABORT_REQUEST, stream.exchange.number))
+            self.write(encode(Type.ABORT_REQUEST, stream.exchange.number))
             self._remove(stream)
         else:
             self.is_draining = True
@@ -265,9 +264,10 @@
             for s in self.streams.values()
         ]
         self.streams.clear()
+        for stream, _ in ends:
+            stream.release()
         self.drop()
         for stream, end in ends:
-            stream.release()
             self.pool.owner.finish_attempt(stream.attempt, end)
 
     def eof_received(self) -> None:
