Shut the socket down under an unsent request: its rest must not leave any more

Nobody was seen to be harmed; an unsafe request could have run twice.

Cause: an attempt that ends with a part of its request in the write buffer is reported as never run, and the connection is aborted. uvloop closes an aborted connection in a later iteration of the loop and writes until then what the server makes room for, so the last byte could leave after the report.

Both cases of test_rest_of_a_request_that_counts_as_unsent_never_leaves failed before: the server had the whole request and the result was NO_CONNECTION.

Change: a connection that is dropped with bytes in its buffer shuts its socket down first; the kernel does that at once. Both cases pass.

--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from contextlib import suppress
 from typing import cast
 
 from loadbalancer.policy.events import (
@@ -140,10 +141,20 @@
             self.release()
             self.pool.forget(self)
             if self.transport is not None:
+                self._discard_unsent_bytes(self.transport)
                 self.transport.abort()
             else:
                 self.close_socket()
 
+    def _discard_unsent_bytes(self, transport: asyncio.Transport) -> None:
+        """Ensure that nothing more of the write buffer leaves.
+
+        uvloop's abort closes the socket in a later iteration of the event loop and sends what it can until then, which
+        would complete a request that was reported as unsent."""
+        if not transport.is_closing() and transport.get_write_buffer_size():
+            with suppress(OSError):  # the peer has reset the connection
+                self.sock.shutdown(socket.SHUT_RDWR)
+
     def close_socket(self) -> None:
         """Close the socket of a connection that never got a transport.
 
--- a/tests/test_request_written.py
+++ b/tests/test_request_written.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import struct
 import time
@@ -262,6 +263,42 @@
     run_with_timeout(scene)
 
 
+@pytest.mark.parametrize("end", ["end of input", "timeout"])
+def test_rest_of_a_request_that_counts_as_unsent_never_leaves(
+    end: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """uvloop closes an aborted connection in a later iteration, and writes until then what the peer makes room for."""
+
+    async def scene() -> None:
+        here = Scene("http/1.1", True)
+        set_up(monkeypatch, here, False)
+        attempt = await here.send(Request(BODY_BYTES))
+        transport = cast(Any, attempt.connection).transport
+        body_bytes = here.written_bytes - transport.get_write_buffer_size() + REST_BYTES
+        attempt.drop()
+        await here.member.read_until(None)
+
+        here.owner.ended.clear()
+        here.written_bytes, here.member.received, here.member.has_ended = 0, 0, False
+        sending = asyncio.create_task(here.send(Request(body_bytes)))
+        await here.member.accept()
+        attempt = await sending
+        assert not attempt.is_written()
+        if end == "timeout":
+            attempt.drop()
+        else:  # it is read in the same iteration in which there is room for more
+            here.member.sock.shutdown(socket.SHUT_WR)
+        here.member.read_available()
+        if end != "timeout":
+            assert await here.result() == AttemptResult.NO_CONNECTION
+        assert not attempt.is_written()
+        await here.member.read_until(None)
+        assert here.member.received < here.written_bytes
+        here.member.close()
+
+    run_with_timeout(scene)
+
+
 @pytest.mark.parametrize("protocol", ["http/1.1", "multiplexed fastcgi"])
 def test_request_of_which_a_part_was_refused_by_the_kernel_has_not_run(
     protocol: str, monkeypatch: pytest.MonkeyPatch
@@ -279,6 +316,43 @@
     run_with_timeout(scene)
 
 
+@pytest.mark.parametrize("seed", range(40))
+def test_request_that_counts_as_unsent_never_arrives_whole(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A member reads and ends the connection at random moments, as do the client and the timeout."""
+    choice = random.Random(seed)
+    protocol = choice.choice(list(CONNECTIONS))
+
+    async def scene() -> None:
+        here = Scene(protocol, choice.random() < 0.7)
+        set_up(monkeypatch, here, choice.random() < 0.5)
+        attempt = await here.send(Request(choice.choice([0, 100, 30_000, BODY_BYTES])))
+        start_bytes = here.written_bytes
+        for _ in range(choice.randrange(8)):
+            here.member.read_available()
+            for _ in range(choice.randrange(3)):
+                await asyncio.sleep(0)
+        end = choice.choice(["reset", "end of input", "timeout"])
+        if end == "timeout":
+            attempt.drop()
+        elif end == "end of input":
+            here.member.sock.shutdown(socket.SHUT_WR)
+        else:
+            here.member.reset()
+        if end != "reset":
+            here.member.read_available()
+        if end != "timeout":
+            await here.result()
+        if end != "reset":
+            await here.member.read_until(None)
+        assert attempt.is_written() or here.member.received < start_bytes
+        assert here.owner.results != [AttemptResult.NO_CONNECTION] or here.member.received < start_bytes
+        here.member.close()
+
+    run_with_timeout(scene)
+
+
 @pytest.mark.parametrize("protocol", CONNECTIONS)
 def test_request_that_counts_as_unsent_over_tls_never_arrives_whole(
     protocol: str, monkeypatch: pytest.MonkeyPatch
