Count a request that is aborted in the buffer of a shared connection as sent

Nobody was seen to be harmed; an unsafe request could have run after a 503 that says it had not, or twice.

Cause: a multiplexed FastCGI request that timed out while it was still in the write buffer was reported as never run. The connection goes on for its other requests, so its records leave once the application reads again.

Change: a stream that is aborted on a connection that goes on counts as sent, and a timeout asks after the abort. A broken connection judges its streams before it closes.

--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -90,8 +90,8 @@
         of the connection rather than of the endpoint's load.
         """
         attempt.timer = None
+        attempt.drop()  # first: a multiplexed connection still sends what it has buffered of the request
         written = attempt.is_written()
-        attempt.drop()
         if written:
             self._upstreams.close_idle_if_silent(attempt)
         self.finish(attempt, AttemptResult.TIMEOUT if written else AttemptResult.NO_CONNECTION)
--- a/loadbalancer/upstreams/multiplex.py
+++ b/loadbalancer/upstreams/multiplex.py
@@ -53,9 +53,11 @@
         self.start_offset = 0
         self.charged_bytes = 0  # bytes of STDOUT that are charged to the budget
         self.received_bytes = 0  # bytes of records
+        # Aborted on a connection that goes on: what is buffered of the request will still be sent.
+        self.stays_buffered = False
 
     def is_unsent(self) -> bool:
-        return self.connection.sent_bytes() < self.start_offset
+        return not self.stays_buffered and self.connection.sent_bytes() < self.start_offset
 
     def charge(self) -> None:
         added = len(self.exchange.stdout) - self.charged_bytes
@@ -235,7 +237,9 @@
         """Abort one stream. Without multiplexing the connection is closed, as it is for other protocols."""
         if self.streams.get(stream.exchange.number) is not stream:
             return
-        if self.can_multiplex and not self.closed:
+        goes_on = self.can_multiplex and not self.closed
+        stream.stays_buffered = goes_on or len(self.streams) > 1
+        if goes_on:
             self.aborted.add(stream.exchange.number)
             self.write(encode(Type.ABORT_REQUEST, stream.exchange.number))
             self._remove(stream)
--- a/tests/test_fastcgi_multiplex.py
+++ b/tests/test_fastcgi_multiplex.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import AsyncIterator
@@ -15,6 +16,7 @@
 
 from loadbalancer.fastcgi.cgi import write_answer
 from loadbalancer.fastcgi.records import Type, encode, encode_end
+from loadbalancer.upstreams import base
 from standins.fastcgi import Application, FcgiCall, saying
 
 POOL_OPTIONS = ('protocol = "fastcgi"', "fastcgi = { multiplex = true }")
@@ -134,6 +136,41 @@
     run_with_timeout(scene)
 
 
+def test_request_that_times_out_in_the_write_buffer_runs_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second effect: its records are sent once the application reads again."""
+    connection_made = base.SocketUpstream.connection_made
+
+    def shrink_send_buffer(connection: base.SocketUpstream, transport: asyncio.BaseTransport) -> None:
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connection_made(connection, transport)
+
+    monkeypatch.setattr(base.SocketUpstream, "connection_made", shrink_send_buffer)
+
+    async def scene() -> None:
+        gate = Gate()
+        app = Application("a", gate, requests_most=16)
+        async with multiplexing_pool(tmp_path, app) as here:
+            clients = await send_at_once(here, app, gate, 1)
+            (connection,) = app.open
+            assert connection.transport is not None
+            connection.transport.pause_reading()
+            proxy = here.daemon.pools["p"].proxy
+            for body in (bytes(1 << 20), b"behind it"):
+                clients.append(await here.connect())
+                await clients[-1].send(requests_to("/", "POST", body))
+                await here.until(lambda: len(proxy.open) == len(clients))
+            request = max(proxy.open.values(), key=lambda r: r.id)
+            proxy._attempts.time_out(request.attempts[0])
+            assert (await clients[-1].read())[0] == 504
+            connection.transport.resume_reading()
+            await app.until(lambda: len(gate.calls) >= 3)  # the long one has passed
+            assert app.connections == 1  # no other attempt has opened one
+
+    run_with_timeout(scene)
+
+
 def test_invalid_answer_on_one_stream_does_not_affect_the_others(tmp_path: Path) -> None:
     async def scene() -> None:
         gate = Gate()
--- a/tests/test_request_written.py
+++ b/tests/test_request_written.py
@@ -316,6 +316,28 @@
     run_with_timeout(scene)
 
 
+def test_attempt_that_stays_buffered_on_a_multiplexed_connection_may_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its records are sent when the application reads again, since the connection goes on for the other requests."""
+
+    async def scene() -> None:
+        here = Scene("multiplexed fastcgi", True)
+        set_up(monkeypatch, here, False)
+        await here.send(Request(BODY_BYTES))
+        here.member.sock.send(CAN_MULTIPLEX)
+        while not here.pools.endpoints["m"].shared:
+            await asyncio.sleep(0)
+        second = await here.send(Request(10))
+        assert not second.is_written() and here.pools.open == 1
+        second.drop()
+        assert second.is_written()
+        await here.member.read_until(here.written_bytes)
+        here.member.close()
+
+    run_with_timeout(scene)
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_request_that_counts_as_unsent_never_arrives_whole(
     seed: int, monkeypatch: pytest.MonkeyPatch
