Read the body of a request that offers another protocol as its body

Cause: httptools ends a request with such a head, or a CONNECT, right behind the head and leaves the rest to the other protocol. The front end took that for the end of the request.

Change: RequestParser goes on with a parser that gets the framing alone. Only a request with nothing behind its head may switch, and the reader learns that from the parser. A CONNECT gets one answer and its connection ends; FastCGI requests never switch; operators' calls keep their bodies.

--- a/loadbalancer/frontends/dialect.py
+++ b/loadbalancer/frontends/dialect.py
@@ -65,6 +65,7 @@
         "method",
         "is_http10",
         "close",
+        "may_switch_protocol",
         "peer",
         "destination",
         "upload",
@@ -81,6 +82,8 @@
         self.method = b""
         self.is_http10 = False
         self.close = False  # the connection is closed after the answer
+        # It offers another protocol, nothing of it follows its head, and its connection can carry other protocols.
+        self.may_switch_protocol = False
         self.secure = False  # received over TLS
         self.certificate_names: tuple[str, ...] = ()  # subject names in the client's certificate
         self.peer = peer  # address of the other end of the connection
@@ -170,7 +173,6 @@
     not_passed: frozenset[bytes]  # headers that are not forwarded unchanged
     draining: bool  # set by the listener during shutdown: new clients are not wanted
     adds_proxy_status: bool  # answers made by the proxy carry Proxy-Status
-    ignores_upgrade: bool  # requests with Upgrade are served without switching protocols (RFC 9110, 7.8)
 
     def new_head(self, peer: str) -> Head:
         """Return the empty head of a new request; `peer` is the peer address of the connection."""
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -22,6 +22,7 @@
 from loadbalancer.frontends.listener import Listener
 from loadbalancer.proxy.final_answers import frontend_proxy_status
 from loadbalancer.proxy.open_requests import OpenRequest
+from loadbalancer.request_parser import RequestParser
 from loadbalancer.streaming.streams import STALL_S, Stream
 from loadbalancer.streaming.tunnels import Tunnel
 from loadbalancer.streaming.uploads import Upload
@@ -55,7 +56,7 @@
     def __init__(self, listener: Listener, sock: socket.socket, overflow: bool, peer: str) -> None:
         self.listener, self.sock, self.overflow, self.peer = listener, sock, overflow, peer
         self.transport: asyncio.Transport | None = None
-        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.parser: RequestParser | None = RequestParser(self)
         self.request: OpenRequest | None = None  # being served
         self.waiting: deque[Union[RoutedRequest, Reply]] = deque()
         self.since = time.monotonic()  # time at which the phase began
@@ -121,6 +122,8 @@
         assert self.parser is not None
         head.method = self.parser.get_method()
         head.is_http10 = self.parser.get_http_version() != "1.1"
+        head.close = head.is_http10 or self.parser.is_connect() or not self.parser.should_keep_alive()
+        head.may_switch_protocol = not head.is_http10 and self.parser.may_switch_protocol()
         destination = head.destination = head.reader.find_destination(head)
         self.length = int(head.inspected[b"content-length"]) if b"content-length" in head.inspected else None
         if (self.length or 0) > max(destination.body_most, destination.upload_most):
@@ -132,6 +135,13 @@
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def framing_headers(self) -> bytes:
+        inspected = self.head.inspected
+        if b"transfer-encoding" in inspected:
+            return b"Transfer-Encoding: %b\r\n" % inspected[b"transfer-encoding"]
+        length = int(inspected.get(b"content-length", b"0"))
+        return b"Content-Length: %d\r\n" % length if length else b""
+
     def on_body(self, data: bytes) -> None:
         self.body_received += len(data)
         destination = self.head.destination
@@ -156,9 +166,9 @@
             return
         if len(self.waiting) >= PIPELINE_MOST:
             raise RejectError(503, "too many requests at once")
-        assert self.parser is not None
         head = self.head
-        head.close = head.is_http10 or not self.parser.should_keep_alive()
+        if head.method == b"CONNECT":
+            self.closing = True  # what follows is not HTTP
         item = head.reader.read(head, self.body, self)
         if isinstance(item, RoutedRequest):
             self.body = None  # now owned by the request
@@ -174,13 +184,10 @@
         data = self.unwrap(data)
         if not data or self._consume_other_data(data):
             return
-        assert self.parser is not None
         if self.phase == BODY:
             self.body_received_at = time.monotonic()
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade as problem:
-            self._upgrade(data, problem)
+            self._parse(data)
         except httptools.HttpParserError as problem:
             self._handle_parser_error(problem)
         else:
@@ -191,6 +198,21 @@
             self._forward_body()
         self._serve_waiting()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse requests, up to one that may switch to another protocol: what follows may be in that protocol."""
+        assert self.parser is not None
+        while (data := self.parser.feed_data(data)) and not self.closing:
+            if self._awaits_switch():
+                self._buffer_early_bytes(data)
+                return
+
+    def _awaits_switch(self) -> bool:
+        """Return whether the latest request may switch to another protocol and has no answer yet."""
+        if not self.waiting:
+            return self.request is not None and bool(self.request.upgrade)
+        item = self.waiting[-1]
+        return isinstance(item, RoutedRequest) and bool(item.request.upgrade)
+
     def _consume_other_data(self, data: bytes) -> bool:
         """Consume data that is not part of a request, and return whether it was.
 
@@ -202,7 +224,7 @@
             self.discarded += len(data)
             if self.discarded > LINGER_MOST:
                 self._set_reading(False)
-        elif self.request is not None and self.request.upgrade:
+        elif self._awaits_switch():
             self._buffer_early_bytes(data)
         else:
             return False
@@ -220,11 +242,10 @@
     def _begin_upload(self) -> None:
         """Begin to stream the body, and submit its request now with the part that has arrived."""
         head, destination, body = self.head, self.head.destination, self.body
-        assert destination is not None and body is not None and self.parser is not None
+        assert destination is not None and body is not None
         if self.request is not None or self.waiting:  # another request is open on this connection
             self._reject(413, "body too large behind another request")
             return
-        head.close = head.is_http10 or not self.parser.should_keep_alive()
         upload = Upload(self, self.length, body, destination.budget, self._upload_lost)
         head.upload, self.upload, self.body = upload, upload, None
         self.reading_upload = True
@@ -274,20 +295,6 @@
         else:
             self._reject(400, "not HTTP/1.1")
 
-    def _upgrade(self, data: bytes, problem: httptools.HttpParserUpgrade) -> None:
-        """Handle a request for another protocol; the data after it may belong to that protocol."""
-        if not self.head.reader.ignores_upgrade or self.head.method == b"CONNECT":
-            self._reject(400, "not HTTP/1.1")
-            return
-        self.parser = httptools.HttpRequestParser(self)
-        rest = data[problem.args[0] :] if problem.args else b""
-        if not rest:
-            return
-        if self.waiting and isinstance(self.waiting[-1], RoutedRequest) and self.waiting[-1].request.upgrade:
-            self._buffer_early_bytes(rest)
-        else:
-            self.data_received(rest)
-
     def _buffer_early_bytes(self, data: bytes) -> None:
         """Keep bytes of the other protocol until the request to switch is answered.
 
@@ -565,7 +572,9 @@
         self.cancel_all_requests()
         self.uncharge()
         self.listener.remove(self)
-        self.parser = None  # breaks a reference cycle, which would keep both until garbage collection
+        if self.parser is not None:
+            self.parser.close()
+            self.parser = None
 
     def cancel_all_requests(self) -> None:
         self.closing = True
--- a/loadbalancer/frontends/platform_http.py
+++ b/loadbalancer/frontends/platform_http.py
@@ -74,7 +74,6 @@
         )
     )
     not_repeatable = inspected - {b"cookie"}
-    ignores_upgrade = False
     adds_proxy_status = False
     body_most = MAX_HELD_BODY_BYTES
 
--- a/loadbalancer/frontends/routed_http.py
+++ b/loadbalancer/frontends/routed_http.py
@@ -162,7 +162,7 @@
 
     not_passed = CONNECTION_HEADERS | {b"host"}
     not_repeatable = frozenset((b"content-length", b"host", b"transfer-encoding", b"expect"))
-    ignores_upgrade = adds_proxy_status = True
+    adds_proxy_status = True
 
     def __init__(
         self,
@@ -331,7 +331,7 @@
         request = OpenRequest(client, 0, forwarded_head, body, head.method == b"HEAD")
         request.max_attempts = route.attempts
         request.retry_on, request.retry_statuses = route.repeat_on, route.repeat_statuses
-        if route.upgrade and not body and (token := _find_upgrade(head, route.upgrade)):
+        if route.upgrade and (token := _find_upgrade(head, route.upgrade)):
             request.upgrade = token
             request.head += b"Connection: Upgrade\r\nUpgrade: %b\r\n" % token
         if route.rewrites is not None and route.rewrites.changes_answers:
@@ -380,8 +380,7 @@
 
 def _find_upgrade(head: PlainHead, allowed: frozenset[bytes]) -> bytes:
     """Return the first protocol in Upgrade that the route allows (RFC 9110, 7.8); empty if there is none."""
-    connection_options = [name.strip() for name in head.inspected.get(b"connection", b"").lower().split(b",")]
-    if head.method != b"GET" or head.is_http10 or b"upgrade" not in connection_options:
+    if head.method != b"GET" or not head.may_switch_protocol:
         return b""
     requested = [token.strip() for token in head.inspected.get(b"upgrade", b"").lower().split(b",")]
     return next((token for token in requested if token in allowed), b"")
--- a/loadbalancer/management/caller.py
+++ b/loadbalancer/management/caller.py
@@ -9,6 +9,7 @@
 import httptools
 
 from loadbalancer.management.calls import Response
+from loadbalancer.request_parser import RequestParser
 
 #: Timeout for receiving a call; callers may take 4 s to send one.
 CALL_TIMEOUT_S = 6.0
@@ -22,6 +23,7 @@
 #: Maximum bytes read from a connection, including those after the answer.
 MAX_READ_BYTES = 2 * MAX_CALL_BYTES
 
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 REASONS = {
     200: b"OK", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found",
     401: b"Unauthorized", 409: b"Conflict", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -67,7 +69,8 @@
         self.transport: asyncio.Transport | None = None
         self.state = CallState.RECEIVING
         self._owner = owner
-        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._parser: RequestParser | None = RequestParser(self)
+        self._framing_headers = b""  # header lines that frame the body
         self._is_complete = False
         self._method = ""
         self._url = b""
@@ -88,15 +91,30 @@
 
     # Called by the parser.
 
+    def on_message_begin(self) -> None:
+        """Do nothing: the connection carries a single call."""
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
         if not self._is_complete:  # a further call on the connection is ignored
             self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store the Authorization header; others are ignored."""
-        if not self._is_complete and name.lower() == b"authorization":
+        """Store the Authorization header and the framing of the body; others are ignored."""
+        if self._is_complete:
+            return
+        key = name.lower()
+        if key == b"authorization":
             self._authorization = value.decode("latin-1")
+        elif key in FRAMING_HEADERS:
+            self._framing_headers += b"%b: %b\r\n" % (name, value)
+
+    def on_headers_complete(self) -> None:
+        """Do nothing: the call is handled once it is complete."""
+
+    def framing_headers(self) -> bytes:
+        """Return the header lines that frame the body."""
+        return self._framing_headers
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
@@ -122,7 +140,7 @@
         assert self._parser is not None
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserError:
             if not self._is_complete:
                 self._say(Response(400, b"this is not HTTP/1.1\n"))
                 return
@@ -175,7 +193,9 @@
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Release the timer and the parser."""
         self._owner.closed(self)
-        self._parser = None  # breaks the reference cycle between the parser and this connection
+        if self._parser is not None:
+            self._parser.close()
+            self._parser = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
