Let early bytes of another protocol end the connection with its own answer only

Callers (serve, a route that may switch): a request pipelined before a request to switch whose client sends bytes early was answered, and then the connection ended with the request to switch unanswered. A request to switch that was refused before its pool left the connection open, and what followed the early bytes was read as a request.

Cause: only `answer` asked for early bytes, whatever request it answered.

Change: _is_last, which each way of answering asks, ends the connection if there are early bytes and no request waits.

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -419,8 +419,8 @@
         reason: bytes = b"",
     ) -> None:
         """Write a whole answer; `length` is stated in the answer to HEAD, or in a 304, without a body."""
-        # Close the connection rather than wait for the rest of an upload, or if it has bytes of another protocol.
-        self.close_after = self.close_after or close or self.upload is not None or bool(self.early_bytes)
+        # Close the connection rather than wait for the rest of an upload.
+        self.close_after = self.close_after or close or self.upload is not None
         self.upload = None
         self.upload_parts.clear()
         self._write(status, lines, body, length, reason)
@@ -506,6 +506,8 @@
         """
         if self.phase != WHOLE or self.waiting:
             return False
+        if self.early_bytes:  # of a protocol that was not switched to
+            return True
         if self.listener.draining:
             return not self._peek()
         return self.ends_after_answer() or not self.listener.pressure.keeps_open(self.request_count, served)
--- a/tests/test_protocol_offers.py
+++ b/tests/test_protocol_offers.py
@@ -13,8 +13,8 @@
 import certs
 import peers
 import pytest
-from daemons import LISTENER, DaemonHarness, pool, route, running_daemon
-from peers import Call, Client, ScriptedBackend, answering, run_with_timeout, running_proxy
+from daemons import LISTENER, DaemonHarness, pool, requests_to, route, running_daemon
+from peers import TIMEOUT_S, Call, Client, ScriptedBackend, answering, run_with_timeout, running_proxy
 from test_answers import SWITCH, UPGRADE, echo
 from translated import connect_fcgi
 
@@ -342,6 +342,45 @@
     run_with_timeout(scene)
 
 
+def test_request_before_a_switch_is_answered_and_early_bytes_reach_the_member(tmp_path: Path) -> None:
+    """Bytes behind a pipelined request to switch must not end the connection with the answer before it."""
+
+    async def scene() -> None:
+        async with with_websocket(tmp_path, decline_or_echo) as (here, member):
+            client = await here.connect()
+            await client.send(requests_to("/first") + request("/second", PLANTED) + UPGRADE + PLANTED)
+            assert await statuses(client, 2) == [200, 200]
+            assert (await client.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 101 ")
+            expected = b"early" + PLANTED
+            echoed = await asyncio.wait_for(client.reader.readexactly(len(expected)), TIMEOUT_S)
+            assert echoed == expected and len(member.calls) == 3
+
+    run_with_timeout(scene)
+
+
+@pytest.mark.parametrize("refusal", ["streamed", "no room"])
+def test_connection_with_early_bytes_ends_after_a_refused_switch(
+    refusal: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What follows the early bytes may be in the other protocol, and must not be read as a request."""
+    long_answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (1 << 20, bytes(1 << 20))
+
+    async def scene() -> None:
+        script = answering(long_answer) if refusal == "streamed" else decline_or_echo
+        async with with_websocket(tmp_path, script) as (here, member):
+            proxy = here.daemon.pools["p"].proxy
+            if refusal == "no room":
+                monkeypatch.setattr(proxy, "has_room", lambda: False)
+            client = await here.connect()
+            await client.send(UPGRADE + b"early")
+            assert await statuses(client, 1) == [503 if refusal == "no room" else 200]
+            client.writer.write(PLANTED)
+            assert await ended(client) == b""
+            assert not any(b"/planted" in call.head for call in member.calls)
+
+    run_with_timeout(scene)
+
+
 def test_request_over_fastcgi_does_not_switch(tmp_path: Path) -> None:
     """A FastCGI connection carries other requests, and none of it can be given to another protocol."""
 
