Ignore Expect in HTTP/1.0, whose clients take the interim answer for the final

Callers: an HTTP/1.0 request with Expect: 100-continue got 100 and then its answer; such a client knows no interim answers (RFC 9110, 10.1.1).

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -131,7 +131,8 @@
         self.is_too_long_to_buffer = (self.length or 0) > destination.body_most
         self.phase = BODY
         expects_continue = head.inspected.get(b"expect", b"").lower() == b"100-continue"
-        if expects_continue and self.request is None and not self.waiting:
+        # An HTTP/1.0 client would take it for its answer (RFC 9110, 10.1.1).
+        if expects_continue and not head.is_http10 and self.request is None and not self.waiting:
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/tests/test_protocol_offers.py
+++ b/tests/test_protocol_offers.py
@@ -216,7 +216,8 @@
         async with serving(front, tmp_path, backend, monkeypatch) as connect:
             client = await connect()
             line, framed = FRAMINGS[framing](PLANTED)
-            await client.send(head_of("/a", "POST", "h2c", line, version="1.0") + framed)
+            expect = "Expect: 100-continue"  # has no meaning in HTTP/1.0
+            await client.send(head_of("/a", "POST", "h2c", line, expect, version="1.0") + framed)
             assert await statuses(client, 1) == [200]
             assert await ended(client) == b""
             assert arrived(backend) == [(b"POST /a", PLANTED)]
