Build the callbacks of a request parser in one place

The lists of a new and of a restarted parser stood twice. No change in behaviour: tests/test_protocol_offers.py, tests/test_answers.py and tests/management pass.

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -122,7 +122,7 @@
         assert self.parser is not None
         head.method = self.parser.get_method()
         head.is_http10 = self.parser.get_http_version() != "1.1"
-        head.close = head.is_http10 or self.parser.is_connect() or not self.parser.should_keep_alive()
+        head.close = head.is_http10 or head.method == b"CONNECT" or not self.parser.should_keep_alive()
         head.may_switch_protocol = not head.is_http10 and self.parser.may_switch_protocol()
         destination = head.destination = head.reader.find_destination(head)
         self.length = int(head.inspected[b"content-length"]) if b"content-length" in head.inspected else None
--- a/loadbalancer/request_parser.py
+++ b/loadbalancer/request_parser.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import Callable, Protocol
+from typing import Callable, NamedTuple, Protocol
 
 import httptools
 
@@ -40,18 +40,9 @@
         """
 
 
-class _Callbacks:
+class _Callbacks(NamedTuple):
     """The callbacks of one httptools parser."""
 
-    __slots__ = (
-        "on_body",
-        "on_header",
-        "on_headers_complete",
-        "on_message_begin",
-        "on_message_complete",
-        "on_url",
-    )
-
     on_message_begin: Callable[[], None]
     on_url: Callable[[bytes], None]
     on_header: Callable[[bytes, bytes], None]
@@ -70,17 +61,18 @@
         self._handler = handler
         self._framing = b""  # framing headers of a request whose body is left to another protocol
         self._is_restarting = False  # the parser is inside the head that it was restarted with
-        self._parser = self._new_parser()
-
-    def _new_parser(self) -> httptools.HttpRequestParser:
-        callbacks, handler = _Callbacks(), self._handler
-        callbacks.on_message_begin = handler.on_message_begin
-        callbacks.on_url = handler.on_url
-        callbacks.on_header = handler.on_header
-        callbacks.on_headers_complete = self._on_headers_complete
-        callbacks.on_body = handler.on_body
-        callbacks.on_message_complete = self._on_message_complete
-        return httptools.HttpRequestParser(callbacks)
+        self._parser = httptools.HttpRequestParser(self._callbacks())
+
+    def _callbacks(self) -> _Callbacks:
+        handler = self._handler
+        return _Callbacks(
+            handler.on_message_begin,
+            handler.on_url,
+            handler.on_header,
+            self._on_headers_complete,
+            handler.on_body,
+            self._on_message_complete,
+        )
 
     def feed_data(self, data: bytes) -> bytes:
         """Parse received bytes.
@@ -98,7 +90,7 @@
             except httptools.HttpParserUpgrade as offer:
                 data = data[offer.args[0] :]
                 if not self._framing:
-                    self._parser = self._new_parser()
+                    self._parser = httptools.HttpRequestParser(self._callbacks())
                     return data
                 self._restart_in_body()
             else:
@@ -112,13 +104,11 @@
         """
         method, framing = self._parser.get_method(), self._framing
         self._framing, self._is_restarting = b"", True
-        callbacks, handler = _Callbacks(), self._handler
-        callbacks.on_message_begin = self._on_restarted_message_begin
-        callbacks.on_url = self._on_restarted_url
-        callbacks.on_header = self._on_restarted_header
-        callbacks.on_headers_complete = self._on_headers_complete
-        callbacks.on_body = handler.on_body
-        callbacks.on_message_complete = self._on_message_complete
+        callbacks = self._callbacks()._replace(
+            on_message_begin=self._on_restarted_message_begin,
+            on_url=self._on_restarted_url,
+            on_header=self._on_restarted_header,
+        )
         self._parser = httptools.HttpRequestParser(callbacks)
         self._parser.feed_data(b"%b / HTTP/1.1\r\n%b\r\n" % (method, framing))
         self._is_restarting = False
@@ -138,7 +128,7 @@
     def _on_headers_complete(self) -> None:
         if self._is_restarting:
             return
-        if self._parser.should_upgrade() and not self.is_connect():
+        if self._parser.should_upgrade() and not self._is_connect():
             self._framing = self._handler.framing_headers()
         self._handler.on_headers_complete()
 
@@ -158,7 +148,7 @@
         """Return whether the connection goes on behind the request; call it in `on_headers_complete`."""
         return self._parser.should_keep_alive()
 
-    def is_connect(self) -> bool:
+    def _is_connect(self) -> bool:
         """Return whether the request asks for a tunnel (RFC 9110, 9.3.6): what follows its head is not HTTP."""
         return self.get_method() == b"CONNECT"
 
@@ -167,7 +157,7 @@
 
         Call it in `on_headers_complete`.
         """
-        return self._parser.should_upgrade() and not self._framing and not self.is_connect()
+        return self._parser.should_upgrade() and not self._framing and not self._is_connect()
 
     def close(self) -> None:
         """Break the reference cycle with the handler, which would keep both until garbage collection."""
