Describe the public methods of upstreams, and hold the package to the full linter

The package leaves the list of those that still had to be reworked for their readers: 44 doc comments, Google's form for the others, and one condition with a name of its own. No change in behaviour; the tests of upstreams pass.

--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -32,6 +32,7 @@
         backend.open += 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport, and let it report whether its write buffer holds data."""
         transport = cast(asyncio.Transport, transport)
         self.transport = transport
         # With these limits pause_writing reports that the write buffer holds data, and resume_writing that it is
@@ -58,7 +59,8 @@
         """Write after the bytes that are still buffered, or else directly to the socket.
 
         That way it is known which bytes the kernel has accepted. What it does not accept goes to the transport's
-        buffer, which may be empty again when this returns."""
+        buffer, which may be empty again when this returns.
+        """
         assert self.transport is not None
         if self.secure or self.transport.get_write_buffer_size():
             self.transport.write(data)
@@ -80,7 +82,8 @@
 
         The buffer is asked rather than the callbacks, which report nothing about a buffer that is filled and emptied
         within one call. A closing transport has discarded its buffer: there the last report before it decides. Over
-        TLS, bytes that the TLS layer has passed on count as sent."""
+        TLS, bytes that the TLS layer has passed on count as sent.
+        """
         if self.has_failed_write:
             return True
         if self.transport is None or self.transport.is_closing():
@@ -105,9 +108,11 @@
         return AttemptResult.NO_CONNECTION if self.is_unsent() else AttemptResult.RESET
 
     def pause_writing(self) -> None:
+        """Record that the write buffer holds data; called by the transport."""
         self.is_write_paused = True
 
     def resume_writing(self) -> None:
+        """Record that the write buffer is empty; called by the transport."""
         self.is_write_paused = False
 
     # Ending.
@@ -120,9 +125,11 @@
             self.pool.owner.finish_attempt(attempt, result)
 
     def eof_received(self) -> None:
+        """Finish the attempt: the endpoint has closed its side."""
         self.fail(self.failure_result())
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+        """Finish the attempt and release the connection."""
         if self.attempt is not None:
             self.fail(self.failure_result())
         self.drop()
@@ -150,7 +157,8 @@
         """Ensure that nothing more of the write buffer leaves.
 
         uvloop's abort closes the socket in a later iteration of the event loop and sends what it can until then, which
-        would complete a request that was reported as unsent."""
+        would complete a request that was reported as unsent.
+        """
         if not transport.is_closing() and transport.get_write_buffer_size():
             with suppress(OSError):  # the peer has reset the connection
                 self.sock.shutdown(socket.SHUT_RDWR)
@@ -159,7 +167,8 @@
         """Close the socket of a connection that never got a transport.
 
         If creating the transport failed after the socket was handed over, the transport has closed the descriptor
-        already. Closing its number again could close a newer connection that reuses it."""
+        already. Closing its number again could close a newer connection that reuses it.
+        """
         if self.is_handed_over:
             self.sock.detach()
         else:
--- a/loadbalancer/upstreams/connections.py
+++ b/loadbalancer/upstreams/connections.py
@@ -42,6 +42,7 @@
 
 
 def address_family(address: tuple[str, int]) -> socket.AddressFamily:
+    """Return the address family of an address; a path of a Unix socket has the prefix UNIX_PREFIX."""
     return socket.AF_UNIX if address[0].startswith(UNIX_PREFIX) else socket.AF_INET
 
 
@@ -80,7 +81,8 @@
 class ConnectionFactory(Protocol):
     """Creates the connection object of a protocol for a new socket."""
 
-    def __call__(self, backend: UpstreamEndpoint, pool: UpstreamPools, sock: socket.socket) -> Upstream: ...
+    def __call__(self, backend: UpstreamEndpoint, pool: UpstreamPools, sock: socket.socket) -> Upstream:
+        """Create the connection object."""
 
 
 class Attempt:
@@ -181,7 +183,8 @@
         """Create a pool without connections.
 
         `sockets`: maximum of descriptors. `connect_timeout`: seconds. `idle_close`: seconds after which a backend
-        closes an idle connection. `max_idle_connections`: maximum of idle connections kept to one backend."""
+        closes an idle connection. `max_idle_connections`: maximum of idle connections kept to one backend.
+        """
         self.owner, self.budget, self.logger = owner, budget, logger
         self.sockets, self._connection_factory = sockets, connection_factory
         self.connect_timeout = connect_timeout
@@ -236,7 +239,8 @@
         removed, or the deduplication window is over. The send guard also enforces what a fleet has agreed on, against
         a process that was stopped between its decision and its send. Nothing is lost, since the request has not run.
 
-        `late`: time has passed since the attempt was decided."""
+        `late`: time has passed since the attempt was decided.
+        """
         result = self.send_guard(attempt.endpoint) if self.send_guard is not None else None
         if result is None and self.owner.must_not_leave(attempt, late):
             result = AttemptResult.NOT_SENT
@@ -266,7 +270,8 @@
 
         An attempt that waits gets an existing connection that becomes free earlier. Guards members against all proxies
         that open their connections in the same moment, after most have restarted. Cost: while its member has no
-        connection from this process, a request waits for its turn, within its timeout."""
+        connection from this process, a request waits for its turn, within its timeout.
+        """
         while backend.waiting_attempts and not backend.is_opening_scheduled:
             attempt = backend.waiting_attempts.popleft()
             if attempt.ended:
@@ -384,7 +389,8 @@
         """Handle the end of every opening: success, failure or cancellation, also before it began.
 
         Guards against half-opened connections that stay counted, which would make the proxy believe that it has no
-        descriptor left."""
+        descriptor left.
+        """
         attempt.opening = None
         if task.cancelled() or task.exception() is not None or connection.closed:
             result = self._opening_result(connection, task)
@@ -428,6 +434,7 @@
                 connections.remove(connection)
 
     def close_idle(self, server: str) -> None:
+        """Close the idle connections to an endpoint."""
         backend = self.endpoints.get(server)
         while backend is not None and backend.idle:
             backend.idle[-1].drop()
@@ -437,7 +444,8 @@
 
         Guards against connections that stay open without a peer (a machine that vanished, a network path that dropped
         their state): each would cost one more request its whole timeout. It should also catch a backend that hangs and
-        recovers. Cost: new connections to a backend that was merely slow for that long."""
+        recovers. Cost: new connections to a backend that was merely slow for that long.
+        """
         backend = self.endpoints.get(attempt.endpoint)
         if backend is not None and backend.last_heard_at < attempt.written_at:
             self.close_idle(attempt.endpoint)
--- a/loadbalancer/upstreams/dialect.py
+++ b/loadbalancer/upstreams/dialect.py
@@ -43,7 +43,8 @@
     def is_retryable_status(self, status: int) -> bool:
         """Return whether a member's 5xx concerns the path to the application, so that another member may succeed.
 
-        Any other 5xx is the application's own answer; it counts against the member's health nevertheless."""
+        Any other 5xx is the application's own answer; it counts against the member's health nevertheless.
+        """
         return self.repeat_statuses is None or status in self.repeat_statuses
 
     def not_passed(self) -> frozenset[bytes]:
@@ -54,13 +55,15 @@
     def requests_retry(self, value: bytes | None) -> bool:
         """Return whether a member's header requests a retry; `value` is None without that header.
 
-        The policy module decides which requests may be retried."""
+        The policy module decides which requests may be retried.
+        """
         return value is not None and value.strip() not in (b"", b"0")
 
     def result(self, status: int, refusal: bytes | None) -> AttemptResult:
         """Return the result of a complete answer. `refusal`: the value of the refusal header, if the answer has it.
 
-        A refusal proves that the request never ran; any other 5xx may have run."""
+        A refusal proves that the request never ran; any other 5xx may have run.
+        """
         if (
             refusal is not None
             and status in REFUSAL_STATUSES
--- a/loadbalancer/upstreams/fastcgi.py
+++ b/loadbalancer/upstreams/fastcgi.py
@@ -79,6 +79,7 @@
         self.bytes_after_params = 0
 
     def start(self, attempt: Attempt) -> None:
+        """Write the attempt's request as records."""
         self.assign(attempt)
         self.received_bytes = 0
         self.stream = self.head = None
@@ -89,7 +90,8 @@
     def is_unsent(self) -> bool:
         """Return whether the end of the params is provably still unsent.
 
-        Over TLS, and on a transport that is closing, it is unknown how much of the request was sent."""
+        Over TLS, and on a transport that is closing, it is unknown how much of the request was sent.
+        """
         transport = self.transport
         if self.secure or transport is None or transport.is_closing():
             return False
@@ -98,6 +100,7 @@
     # Receiving.
 
     def data_received(self, data: bytes) -> None:
+        """Decode records, and stream, finish or reject the answer."""
         if self.attempt is None:
             self.drop()
             return
@@ -214,12 +217,14 @@
         self.pool.owner.finish_attempt(attempt, result, report, answer)
 
     def release(self) -> None:
+        """Release the buffered part of the answer."""
         self.pool.budget.release(self.charged_bytes)
         self.charged_bytes = 0
         self.side.stdout.clear()
 
 
 def log_stderr(pool: UpstreamPools, attempt: Attempt, text: bytes | bytearray) -> None:
+    """Log what an application has written to STDERR for one request."""
     if text:
         pool.logger(f"stderr of {attempt.endpoint}", bytes(text))
 
@@ -239,7 +244,8 @@
 
     `status`: the application status of END_REQUEST. `bodiless`: the request was a HEAD request.
 
-    Raises CgiError if STDOUT is not a valid, complete answer."""
+    Raises CgiError if STDOUT is not a valid, complete answer.
+    """
     head, body = _split_stdout(stdout, not_passed, dialect.body_most, bodiless)
     refusal = dialect.refusal_header
     result = dialect.result(head.status, head.headers.get(refusal) if refusal else None)
@@ -300,5 +306,6 @@
 
 
 def application(params: Mapping[str, str], keep: bool, multiplex: bool) -> Application:
+    """Return the settings of applications, with the encoded form of their fixed params."""
     fixed = fixed_params({name.encode(): value.encode() for name, value in params.items()})
     return Application(fixed, encode_pairs(fixed.items()), keep, multiplex)
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -92,6 +92,7 @@
     # Sending.
 
     def start(self, attempt: Attempt) -> None:
+        """Write the attempt's request, and attach its streamed body, if it has one."""
         self.assign(attempt)
         request = attempt.request
         if self.dialect.deadline_header is None:
@@ -109,12 +110,14 @@
     # Streamed request bodies.
 
     def receive_data(self, data: bytes) -> None:
+        """Write a part of the streamed request body."""
         assert self.upload is not None
         if self.upload.length is None:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self.write(data)
 
     def receive_end(self) -> None:
+        """Write the end of the streamed request body."""
         assert self.upload is not None
         last = b"0\r\n\r\n" if self.upload.length is None else b""
         self.upload = None
@@ -126,9 +129,11 @@
         self.fail(self.failure_result())
 
     def is_unsent(self) -> bool:
+        """Return whether the last byte of the request is provably unsent."""
         return self.upload is not None or self.has_unsent_bytes()
 
     def pause_writing(self) -> None:
+        """Pause the source of what is written here: a tunnel or a streamed request body."""
         if self.tunnel is not None:
             self.tunnel.set_full(True, True)
             return
@@ -137,6 +142,7 @@
             self.upload.set_full(True)
 
     def resume_writing(self) -> None:
+        """Resume the source of what is written here."""
         if self.tunnel is not None:
             self.tunnel.set_full(True, False)
             return
@@ -147,10 +153,12 @@
     # Callbacks of the parser. They record what was parsed; _process_response acts on it after the parser has returned.
 
     def on_message_begin(self) -> None:
+        """Record that bytes follow a complete answer."""
         if self.is_complete:
             self.has_surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header to forward, or one that frames or describes the answer."""
         if (
             self.has_surplus or self.buffered_bytes or self.stream is not None
         ):  # trailers, or an unsolicited answer
@@ -177,9 +185,11 @@
             self.upgrade_protocol = value.lower()
 
     def on_status(self, reason: bytes) -> None:
+        """Append a part of the reason phrase."""
         self.reason += reason
 
     def on_headers_complete(self) -> None:
+        """Store the status; the answer to HEAD is complete."""
         if self.has_surplus or self.parser is None or self.is_complete:
             return
         self.status = self.parser.get_status_code()
@@ -194,6 +204,7 @@
             self.length_only = self.is_parser_stale = True
 
     def on_body(self, body: bytes) -> None:
+        """Buffer a part of the body, charged to the budget."""
         if self.is_complete:
             self.has_surplus = True
         elif not self.has_surplus and (self.status == 200 or not self.dialect.platform):
@@ -202,6 +213,7 @@
             self.pool.budget.held_bytes += len(body)
 
     def on_message_complete(self) -> None:
+        """Record that the answer is complete, or skip an interim one."""
         if self.has_surplus or self.parser is None or self.length_only:
             return
         if self.status == 101:  # what follows is in another protocol, or unsolicited
@@ -215,6 +227,7 @@
     # Receiving.
 
     def data_received(self, data: bytes) -> None:
+        """Parse a part of the answer, or pass bytes on without parsing them."""
         if (self.attempt is None or self.parser is None) and self.tunnel is None:
             self.drop()
             return
@@ -245,16 +258,10 @@
         if self.stream is not None:
             self._forward(self.stream)
             return
-        if (
-            self.status
-            and not self.is_self_delimited
-            and self.status not in BODILESS
-            and not self.length_only
-        ):
-            if not self._may_end_with_connection():
-                # A truncated answer would look complete.
-                self._reject("the answer has neither a length nor chunked framing")
-                return
+        if self._lacks_framing() and not self._may_end_with_connection():
+            # A truncated answer would look complete.
+            self._reject("the answer has neither a length nor chunked framing")
+            return
         if self.upload is not None and self.status >= 200 and self._is_no_refusal():
             self._reject("answered before the request body was complete")
         elif self.is_complete and self.buffered_bytes <= dialect.body_most:
@@ -268,6 +275,11 @@
         elif max(self.buffered_bytes, self.length or 0) > dialect.body_most and not self.length_only:
             self._begin_stream()
 
+    def _lacks_framing(self) -> bool:
+        """Return whether the head is complete and states no end of the body that it announces."""
+        has_body = self.status > 0 and self.status not in BODILESS and not self.length_only
+        return has_body and not self.is_self_delimited
+
     def _is_no_refusal(self) -> bool:
         return self.dialect.result(self.status, self.refusal) != AttemptResult.FULL
 
@@ -303,7 +315,8 @@
     def _forward_unparsed(self, data: bytes) -> None:
         """Forward the rest of an answer of known length without the parser, which would copy it piece by piece.
 
-        Bytes beyond that length are unsolicited and are dropped. The parser is replaced before the next answer."""
+        Bytes beyond that length are unsolicited and are dropped. The parser is replaced before the next answer.
+        """
         stream = self.stream
         assert stream is not None and self.parser is not None
         if len(data) < self.unparsed_bytes:
@@ -321,7 +334,8 @@
         """Reject an invalid answer: close the connection and finish the attempt as RESET, since it may have run.
 
         An answer that is not streamed yet is rejected before any of it reaches the client. Cost: a healthy backend
-        whose answers exceed the limits fails."""
+        whose answers exceed the limits fails.
+        """
         self.pool.logger("spoilt answer", error)
         self.status = 0  # no part of the invalid answer is used
         self.fail(AttemptResult.RESET)
@@ -398,19 +412,23 @@
             self.tunnel.from_endpoint(rest)
 
     def send(self, data: bytes) -> None:
+        """Write bytes of a tunnel."""
         if self.transport is not None and not self.closed:
             self.transport.write(data)
 
     def finish(self) -> None:
+        """Close the sending direction of a tunnel."""
         if self.transport is not None and not self.closed and self.transport.can_write_eof():
             self.transport.write_eof()
 
     def shut(self) -> None:
+        """Close a tunnel once what is buffered has been written."""
         if self.transport is not None and not self.closed:
             self.transport.close()
             asyncio.get_running_loop().call_later(TUNNEL_CLOSE_TIMEOUT_S, self.drop)
 
     def abort(self) -> None:
+        """Close a tunnel at once."""
         self.drop()
 
     # Ending.
@@ -420,7 +438,8 @@
 
         Guards against invalid answers that state no length and leave their connection open: each would be waited for
         until its timeout. A member that means to end the answer by closing says so (RFC 9112, 9.6), or speaks
-        HTTP/1.0."""
+        HTTP/1.0.
+        """
         assert self.parser is not None
         closes = b"close" in [name.strip() for name in self.connection_options.split(b",")]
         return self.dialect.close_delimited and (
@@ -439,6 +458,7 @@
         )
 
     def eof_received(self) -> bool | None:  # type: ignore[override]
+        """Complete an answer that ends with its connection, or fail; in a tunnel, end only this direction."""
         if self.tunnel is not None:
             self.tunnel.finish(True)
             return True  # the other direction is still open
@@ -450,11 +470,13 @@
         return None
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Finish the attempt or the tunnel, and release the connection."""
         super().connection_lost(exc)
         if self.tunnel is not None:
             self.tunnel.lost()
 
     def release(self) -> None:
+        """Release the body, the streamed request body and the parser."""
         self._release_body()
         if self.upload is not None:
             upload, self.upload = self.upload, None
--- a/loadbalancer/upstreams/interfaces.py
+++ b/loadbalancer/upstreams/interfaces.py
@@ -43,7 +43,8 @@
     def must_not_leave(self, attempt: Attempt, late: bool) -> bool:
         """Return whether the attempt must not be sent; called right before it is written.
 
-        `late`: time has passed since it was decided."""
+        `late`: time has passed since it was decided.
+        """
 
     def finish_attempt(
         self,
@@ -59,7 +60,8 @@
     ) -> Stream | None:
         """Begin a streamed answer; return the stream for its body, or None if the answer is no longer wanted.
 
-        `answer` has the head; its `length` is that of the body, if stated."""
+        `answer` has the head; its `length` is that of the body, if stated.
+        """
 
 
 class TunnelOwner(AttemptOwner, Protocol):
@@ -74,9 +76,14 @@
 
     handshake_s: float
 
-    def context(self, member: str) -> ssl.SSLContext: ...
-    def name_of(self, member: str, address: tuple[str, int]) -> str: ...
-    def accepted(self, member: str, now: float) -> None: ...
+    def context(self, member: str) -> ssl.SSLContext:
+        """Return the context for handshakes with a member."""
+
+    def name_of(self, member: str, address: tuple[str, int]) -> str:
+        """Return the name that the member's certificate must have."""
+
+    def accepted(self, member: str, now: float) -> None:
+        """Record a successful handshake; `now` is monotonic, in seconds."""
 
     def failed(self, member: str, problem: BaseException | None, now: float) -> AttemptResult:
         """Record a failed handshake; return the result of the attempt that waited for it."""
--- a/loadbalancer/upstreams/report.py
+++ b/loadbalancer/upstreams/report.py
@@ -21,10 +21,11 @@
 def read_report(value: bytes, fields: Sequence[str]) -> dict[str, float] | None:
     """Parse a load report, and return its `fields` by their names in the settings, or None if it has none of them.
 
-    Raises ValueError if `value` is not a JSON object."""
+    Raises ValueError if `value` is not a JSON object.
+    """
     parsed = orjson.loads(value)
     if not isinstance(parsed, dict):
-        raise ValueError(f"a load report must be a JSON object, not {type(parsed).__name__}")
+        raise ValueError(f"a load report must be a JSON object, not {type(parsed).__name__}")  # noqa: TRY004
     report: dict[str, float] = {}
     for name, number in parsed.items():
         field = REPORT_FIELD_NAMES.get(str(name), str(name))
