--- a/loadbalancer/frontends/admission_gate.py
+++ b/loadbalancer/frontends/admission_gate.py
@@ -134,9 +134,10 @@
         if not admitted.rows:
             return True
         own, prefix = admitted.rows
-        if own.requests + 1 > self._always_allowed or prefix.requests + 1 > self._always_allowed:
-            if not self.admission.may_open_request(admitted.rows, time.monotonic()):
-                return False
+        open_requests = max(own.requests, prefix.requests)
+        is_always_allowed = open_requests + 1 <= self._always_allowed
+        if not is_always_allowed and not self.admission.may_open_request(admitted.rows, time.monotonic()):
+            return False
         admitted.requests += 1
         request_opened(admitted.rows)
         return True
--- a/loadbalancer/frontends/dialect.py
+++ b/loadbalancer/frontends/dialect.py
@@ -46,11 +46,16 @@
     """Where a request goes, chosen from its head: the buffer budget that it uses, and the size limits of its body."""
 
     @property
-    def budget(self) -> BufferBudget: ...
+    def budget(self) -> BufferBudget:
+        """Return the budget that buffered bytes are charged to."""
+
     @property
-    def body_most(self) -> int: ...  # bytes of the largest body that is buffered
+    def body_most(self) -> int:
+        """Return the size in bytes of the largest body that is buffered."""
+
     @property
-    def upload_most(self) -> int: ...  # bytes of the largest body that is streamed; 0 if none is
+    def upload_most(self) -> int:
+        """Return the size in bytes of the largest body that is streamed; 0 if none is."""
 
 
 class Head:
--- a/loadbalancer/frontends/fastcgi.py
+++ b/loadbalancer/frontends/fastcgi.py
@@ -67,11 +67,13 @@
         self.stream: Stream | None = None  # the answer that is being streamed
 
     def has_left(self) -> bool:
+        """Return whether the client has closed its side; if so, cancel its requests."""
         return self.connection.has_left()
 
     def begin_answer(
         self, status: int, lines: list[bytes], length: int | None, reason: bytes, stream: Stream
     ) -> None:
+        """Write the head of a streamed answer."""
         self.stream = stream
         length_lines = [b"Content-Length: %d\r\n" % length] if length is not None else []
         reason_phrase = reason or REASONS.get(status, b"No Reason")
@@ -80,11 +82,13 @@
         )
 
     def receive_data(self, data: bytes) -> None:
+        """Write a part of the streamed answer."""
         if not self.ended:
             self.connection.side.output += encode_stream(Type.STDOUT, self.number, data)
             self.connection.flush()
 
     def receive_end(self) -> None:
+        """Write the end of the streamed answer."""
         self._end_stream(True)
 
     def abort_body(self) -> None:
@@ -101,7 +105,7 @@
         status: int,
         lines: list[bytes],
         body: bytes,
-        close: bool = False,
+        close: bool = False,  # noqa: ARG002
         length: int | None = None,
         reason: bytes = b"",
     ) -> None:
@@ -113,6 +117,7 @@
         )
 
     def release_body(self) -> None:
+        """Release the buffered body."""
         if self.body is not None and self.head.destination is not None:
             self.head.destination.budget.release(len(self.body))
         self.body = None
@@ -138,11 +143,13 @@
         self.paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Add the connection to its listener."""
         self.register(transport)
 
     # Receiving.
 
     def data_received(self, data: bytes) -> None:
+        """Decode records, and handle the requests that they begin, continue and complete."""
         data = self.unwrap(data)
         if not data:
             return
@@ -308,6 +315,7 @@
             self.side.closing = True
 
     def flush(self) -> None:
+        """Write the records that are queued."""
         if self.side.output and self.transport is not None and not self.transport.is_closing():
             data = bytes(self.side.output)
             self.side.output.clear()
@@ -342,6 +350,7 @@
         self._set_streams_full(True)
 
     def resume_writing(self) -> None:
+        """Go on: the client has read all output."""
         self.uncharge()
         self._set_reading(True)
         self._set_streams_full(False)
@@ -360,7 +369,8 @@
         """Cancel the requests of a client that has closed its side; the transport then closes."""
         self.cancel_all_requests()
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+        """Cancel all requests and release the connection."""
         self.cancel_all_requests()
         self.uncharge()
         self.listener.remove(self)
@@ -376,6 +386,7 @@
         self.requests.clear()
 
     def close_if_idle(self) -> bool:
+        """Close the connection if no request is open on it; return whether it was closed."""
         return not self.requests and super().close_if_idle()
 
     def sweep(self, now: float) -> None:
@@ -403,7 +414,7 @@
             self.record_silence()
             self.abort()
 
-    def refuse(self, response: bytes) -> None:
+    def refuse(self, response: bytes) -> None:  # noqa: ARG002
         """Close the connection after reading what still arrives; no request has been read, so none can be answered."""
         assert self.transport is not None
         self.phase = Phase.LINGER
@@ -413,4 +424,5 @@
         self.end_writing()
 
     def is_busy(self) -> bool:
+        """Return whether the connection still has an answer to give or to write."""
         return self.phase != Phase.LINGER or bool(self.blocked_since)
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -88,6 +88,7 @@
         self.is_too_long_to_buffer = False  # the body must be streamed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Add the connection to its listener."""
         self.register(transport)
         if self.secure:
             self._begin_request()
@@ -95,6 +96,7 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
+        """Begin a request; called by the parser, as the others are that begin with on_."""
         self._begin_request()
         if self.phase == IDLE:
             self.mark_active()
@@ -103,10 +105,12 @@
         self.phase = HEAD
 
     def on_url(self, url: bytes) -> None:
+        """Append a part of the target."""
         self.head.url += url
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header; trailers are ignored."""
         self._count_head_bytes(len(name) + len(value))
         if self.phase != HEAD:  # trailers
             return
@@ -118,6 +122,7 @@
             raise RejectError(431, "head too large")
 
     def on_headers_complete(self) -> None:
+        """Choose the destination, and check the announced length against its limits."""
         head = self.head
         assert self.parser is not None
         head.method = self.parser.get_method()
@@ -137,6 +142,7 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def framing_headers(self) -> bytes:
+        """Return the header line that frames the body; empty if none is announced."""
         inspected = self.head.inspected
         if b"transfer-encoding" in inspected:
             return b"Transfer-Encoding: %b\r\n" % inspected[b"transfer-encoding"]
@@ -144,6 +150,7 @@
         return b"Content-Length: %d\r\n" % length if length else b""
 
     def on_body(self, data: bytes) -> None:
+        """Buffer a part of the body, or keep it to be streamed."""
         self.body_received += len(data)
         destination = self.head.destination
         assert destination is not None
@@ -160,6 +167,7 @@
         self.body += data
 
     def on_message_complete(self) -> None:
+        """Interpret the request, and queue it behind the earlier ones."""
         if self.reading_upload:
             self.reading_upload = False
             self.phase = WHOLE
@@ -182,6 +190,7 @@
     # Receiving.
 
     def data_received(self, data: bytes) -> None:
+        """Parse what was received, and serve the requests that are complete."""
         data = self.unwrap(data)
         if not data or self._consume_other_data(data):
             return
@@ -309,6 +318,7 @@
     # Tunnels after a protocol switch.
 
     def begin_tunnel(self, lines: list[bytes], reason: bytes, tunnel: Tunnel) -> None:
+        """Write the 101, and pass all further bytes through the tunnel."""
         assert self.transport is not None
         self.tunnel, self.request, self.phase = tunnel, None, TUNNEL
         self.end_request(True)
@@ -321,17 +331,20 @@
         self._set_reading(True)
 
     def send(self, data: bytes) -> None:
+        """Write bytes of the tunnel."""
         if not self._is_closed():
             assert self.transport is not None
             self.transport.write(data)
 
     def shut(self) -> None:
+        """Close a tunnel once what is buffered has been written."""
         if not self._is_closed():
             assert self.transport is not None
             self.transport.close()
             asyncio.get_running_loop().call_later(READ_STALL_S, self.abort)
 
     def finish(self) -> None:
+        """Close the sending direction of a tunnel."""
         if not self._is_closed():
             assert self.transport is not None
             self.end_writing()
@@ -449,6 +462,7 @@
         )
 
     def receive_data(self, data: bytes) -> None:
+        """Write a part of the streamed answer."""
         assert self.transport is not None
         if self._is_closed():
             return
@@ -458,6 +472,7 @@
             self.transport.write(data)
 
     def receive_end(self) -> None:
+        """Write the end of the streamed answer."""
         assert self.transport is not None
         if self.chunked and not self._is_closed():
             self.transport.write(b"0\r\n\r\n")
@@ -545,6 +560,7 @@
     # Flow control, close and timeouts.
 
     def pause_writing(self) -> None:
+        """Pause the source of what is written: a tunnel or a streamed answer."""
         if self.tunnel is not None:
             self.tunnel.set_full(False, True)
             return
@@ -554,6 +570,7 @@
             self.stream.set_full(True)
 
     def resume_writing(self) -> None:
+        """Resume the source of what is written."""
         if self.tunnel is not None:
             self.tunnel.set_full(False, False)
             return
@@ -569,7 +586,8 @@
         self.cancel_all_requests()
         return None
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+        """Cancel all requests and release the connection."""
         if self.tunnel is not None:
             self.tunnel.lost()
         self.cancel_all_requests()
@@ -580,6 +598,7 @@
             self.parser = None
 
     def cancel_all_requests(self) -> None:
+        """Cancel all requests of the connection; the client no longer waits for an answer."""
         self.closing = True
         request, self.request = self.request, None
         self.stream = self.upload = None
@@ -634,6 +653,7 @@
         return self.body_received >= BODY_RATE * (waited - REQUEST_S)
 
     def refuse(self, response: bytes) -> None:
+        """Write these bytes and close the connection, before anything has been read from it."""
         assert self.transport is not None
         self.closing = True
         self.listener.evictable.remove(self)
@@ -654,4 +674,5 @@
         return self.phase != LINGER or bool(self.blocked_since)
 
     def has_waiting_requests(self) -> bool:
+        """Return whether a complete request waits behind the one being served."""
         return bool(self.waiting)
--- a/loadbalancer/frontends/listener.py
+++ b/loadbalancer/frontends/listener.py
@@ -60,9 +60,8 @@
 class ConnectionFactory(Protocol):
     """Makes the protocol object of an accepted connection."""
 
-    def __call__(
-        self, listener: Listener, sock: socket.socket, overflow: bool, peer: str
-    ) -> FrontConnection: ...
+    def __call__(self, listener: Listener, sock: socket.socket, overflow: bool, peer: str) -> FrontConnection:
+        """Create the connection object."""
 
 
 class Listener:
--- a/loadbalancer/frontends/platform_http.py
+++ b/loadbalancer/frontends/platform_http.py
@@ -84,21 +84,27 @@
         self.draining = False  # set during shutdown: new clients are not wanted
 
     def proxies(self) -> Iterable[Proxy]:
+        """Return the one pool."""
         return (self.proxy,)
 
     def ready(self) -> bool:
+        """Return whether new clients are wanted and an endpoint is listed."""
         return not self.draining and bool(self.proxy.listed)
 
     def new_head(self, peer: str) -> Head:
+        """Return the empty head of a new request."""
         return Head(self, peer)
 
-    def trusts(self, peer: str) -> bool:
+    def trusts(self, peer: str) -> bool:  # noqa: ARG002
+        """Return False: the platform has no forwarding headers."""
         return False
 
-    def find_destination(self, head: Head) -> PlatformReader:
+    def find_destination(self, head: Head) -> PlatformReader:  # noqa: ARG002
+        """Return this reader: all requests go to its pool."""
         return self
 
     def read(self, head: Head, body: bytearray | None, client: Client) -> RoutedRequest | Reply:
+        """Interpret the request, or answer a call for readiness."""
         method, url, inspected = head.method, head.url, head.inspected
         if url == b"/ready" and method == b"GET":
             ready = self.ready()
--- a/loadbalancer/frontends/plugin_hooks.py
+++ b/loadbalancer/frontends/plugin_hooks.py
@@ -31,7 +31,7 @@
         Returns:
             The class and the tenant of the request, or the answer with which a plug-in rejected it.
         """
-        head.lines = [line for line in head.lines if not line[: len(TAG)].lower() == TAG]
+        head.lines = [line for line in head.lines if line[: len(TAG)].lower() != TAG]
         name = self.tenants[tenant] if tenant < len(self.tenants) else ""
         headers = [("host", target.authority), *_pairs(head.lines)]
         plugin_request = PluginRequest(
--- a/loadbalancer/frontends/reserve_descriptors.py
+++ b/loadbalancer/frontends/reserve_descriptors.py
@@ -43,6 +43,7 @@
                 self._held.append(self._opening())
 
     def close(self) -> None:
+        """Close the descriptors that are held in reserve."""
         while self.take():
             pass
 
--- a/loadbalancer/frontends/routed_http.py
+++ b/loadbalancer/frontends/routed_http.py
@@ -127,6 +127,7 @@
 
     @property
     def budget(self) -> BufferBudget:
+        """Return the budget of the pool."""
         return self.proxy.budget
 
 
@@ -208,17 +209,21 @@
         return frozenset(header_names)
 
     def proxies(self) -> Iterable[Proxy]:
+        """Return all pools of the routes."""
         return {id(t.proxy): t.proxy for t in self.targets.values() if isinstance(t, RouteTarget)}.values()
 
     def new_head(self, peer: str) -> PlainHead:
+        """Return the empty head of a new request."""
         return PlainHead(self, peer)
 
     def trusts(self, peer: str) -> bool:
+        """Return whether the forwarding headers of this peer are trusted."""
         return is_trusted(peer, self.trusted)
 
     # Choosing the destination from the head.
 
     def find_destination(self, head: Head) -> Destination:
+        """Find the route of the request; raise RejectError if it has a body that nothing would read."""
         assert isinstance(head, PlainHead)
         found = self._find(head)
         if isinstance(found, RouteTarget):
@@ -270,6 +275,7 @@
     # Interpreting the request.
 
     def read(self, head: Head, body: bytearray | None, client: Client) -> RoutedRequest | Reply:
+        """Interpret the request, and run the plug-ins of its route."""
         assert isinstance(head, PlainHead)
         if head.reply is not None:
             return Reply(*head.reply, head.close)
--- a/loadbalancer/frontends/tls_listener.py
+++ b/loadbalancer/frontends/tls_listener.py
@@ -97,6 +97,7 @@
             self._timer = self._loop.call_later(delay, self._begin_due_handshakes)
 
     def close(self) -> None:
+        """Cancel the timer of handshakes that wait."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
