Let connections rest longer at endpoints that send bytes nobody asked for

Cause: 5 ms after an answer its connection is used again, which is less than such a copy may be late, and HTTP/1.1 does not tell the two apart.

Change: most copies come while a connection rests and are noticed. For a minute after that the endpoint's connections rest 30 ms.

--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -42,7 +42,8 @@
     def is_alive(self) -> bool:
         """Return whether the socket is still open; detects a close by the peer that has not been read yet."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            if self.sock.recv(1, socket.MSG_PEEK) and not self.secure:  # over TLS it may be an alert
+                self.endpoint.record_surplus()
         except BlockingIOError:
             return not self.closed
         except OSError:
--- a/loadbalancer/upstreams/connections.py
+++ b/loadbalancer/upstreams/connections.py
@@ -32,6 +32,10 @@
 #: right behind an answer, which would be read as the answer to the next request. Cost: now and then a new connection,
 #: when a backend gets another request at once.
 MIN_IDLE_BEFORE_REUSE_S = 0.005
+#: The same for an endpoint that sends bytes which belong to no request: a second copy of an answer may come late.
+MIN_IDLE_AFTER_SURPLUS_S = 0.03
+#: Seconds for which such bytes count after the latest of them.
+SURPLUS_MEMORY_S = 60.0
 
 #: Seconds that a member has to answer the close of a TLS connection (close_notify).
 TLS_SHUTDOWN_TIMEOUT_S = 1.0
@@ -151,6 +155,7 @@
         "open",
         "is_opening_scheduled",
         "shared",
+        "surplus_until",
         "waiting_attempts",
     )
 
@@ -161,10 +166,22 @@
         self.is_serving = True  # listed as serving
         self.is_gone = False
         self.open = 0
+        self.surplus_until = (
+            0.0  # monotonic; until then it is expected to send bytes that belong to no request
+        )
         self.last_heard_at = 0.0  # monotonic, when bytes were last received on any of its connections
         self.waiting_attempts: deque[Attempt] = deque()  # attempts that the pacer delays
         self.is_opening_scheduled = False  # a timer to open the next one is set
 
+    def record_surplus(self) -> None:
+        """Record that bytes were received which belong to no request."""
+        self.surplus_until = time.monotonic() + SURPLUS_MEMORY_S
+
+    def min_idle_s(self) -> float:
+        """Return for how many seconds a connection must have been idle before it is reused."""
+        sends_surplus = time.monotonic() < self.surplus_until
+        return MIN_IDLE_AFTER_SURPLUS_S if sends_surplus else MIN_IDLE_BEFORE_REUSE_S
+
 
 class UpstreamPools:
     """All connections of one pool to its backends."""
@@ -332,8 +349,8 @@
         return None
 
     def _find_idle(self, backend: UpstreamEndpoint) -> Upstream | None:
-        """Return the most recently used connection that has been idle for MIN_IDLE_BEFORE_REUSE_S, or None."""
-        rested = time.monotonic() - MIN_IDLE_BEFORE_REUSE_S
+        """Return the most recently used connection that has been idle for long enough, or None."""
+        rested = time.monotonic() - backend.min_idle_s()
         for connection in reversed(backend.idle.copy()):
             if connection.idle_since > rested:
                 continue
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -229,6 +229,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse a part of the answer, or pass bytes on without parsing them."""
         if (self.attempt is None or self.parser is None) and self.tunnel is None:
+            self.endpoint.record_surplus()
             self.drop()
             return
         self.received_bytes += len(data)
@@ -354,6 +355,8 @@
             answer = self._build_response(b"".join(self.body), stated)
         self.attempt = None
         attempt.detach()
+        if self.has_surplus:
+            self.endpoint.record_surplus()
         if self.keep_alive and not self.has_surplus and not self.is_unsent() and not self.closed:
             if self.is_parser_stale:
                 self.parser = httptools.HttpResponseParser(self)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,6 +35,7 @@
 def reuse_connections_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let connections to backends be reused at once, so that the choice of connection does not depend on time."""
     monkeypatch.setattr(connections, "MIN_IDLE_BEFORE_REUSE_S", 0.0)
+    monkeypatch.setattr(connections, "MIN_IDLE_AFTER_SURPLUS_S", 0.0)
 
 
 @pytest.hookimpl(wrapper=True)
--- a/tests/test_combinations.py
+++ b/tests/test_combinations.py
@@ -106,7 +106,7 @@
 
 def main() -> None:
     """Print the table of the documentation: `PYTHONPATH=.:tests python -m test_combinations`."""
-    connections.MIN_IDLE_BEFORE_REUSE_S = 0.0  # as in conftest.py
+    connections.MIN_IDLE_BEFORE_REUSE_S = connections.MIN_IDLE_AFTER_SURPLUS_S = 0.0  # as in conftest.py
     for combination in COMBINATIONS:
         total: Counter[str] = Counter()
         for _, test, arguments in SCENES:
