List a long body that is refused for what is read right behind it

Found on reading the change once more: where the last bytes of a streamed body are read together with bytes that are no request, the parser raises before the body's end is passed on, and the request is answered 408 after 2.3 s.

--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -428,6 +428,25 @@
     run_with_timeout(scene)
 
 
+def test_long_body_with_invalid_bytes_right_behind_it_is_answered() -> None:
+    """Guards against a complete request that is refused because its last bytes arrive with what is no request."""
+
+    async def scene() -> None:
+        backend = ScriptedBackend("a", answering(OK))
+        async with running_proxy(backend) as here:
+            client = await here.connect()
+            body = bytes(LONG_BODY_BYTES)
+            await client.send(long_request_head() + body[:-100])
+            (connection,) = here.connections()
+            await here.proxy.until(lambda: here.proxy.uploads)
+            while connection.body_received < len(body) - 100:
+                await asyncio.sleep(0)
+            await client.send(body[-100:] + b"\x00\r\n\r\n")
+            assert (await client.read())[0] == 200
+
+    run_with_timeout(scene)
+
+
 def test_long_body_behind_an_open_request_is_answered_413() -> None:
     async def scene() -> None:
         async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
