Pass on an answer without a length that is arriving when its attempt times out

Cause: an answer was held back until it was whole or more than 64 KiB had come, a threshold in bytes that a slow member had not reached when the time of its attempt was over. Now the time-out, and the cancellation in favour of another attempt, first ask whether the answer is arriving (16 KiB a second, no silence of 2 s), and stream it then; so does a timer 1.5 s after the head, as 2 s would count as held back. One that was passed on and falls under these rates before 64 KiB is reset. FastCGI reads a stated length with the head rather than after 96 KiB.

--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -84,12 +84,15 @@
         attempt.timer = self._loop.call_later(attempt.timeout, self.time_out, attempt)
 
     def time_out(self, attempt: Attempt) -> None:
-        """End an attempt that has timed out.
+        """End an attempt that has timed out, unless its answer is arriving and can be streamed from now on.
 
-        If its request was not written completely, the endpoint has not run it, and the timeout indicates a problem
-        of the connection rather than of the endpoint's load.
+        A long answer would otherwise be cut off only because its length is not stated. If the request was not written
+        completely, the endpoint has not run it, and the timeout indicates a problem of the connection rather than of
+        the endpoint's load.
         """
         attempt.timer = None
+        if attempt.pass_on_partial_answer():
+            return
         attempt.drop()  # first: a multiplexed connection still sends what it has buffered of the request
         written = attempt.is_written()
         if written:
@@ -97,13 +100,15 @@
         self.finish(attempt, AttemptResult.TIMEOUT if written else AttemptResult.NO_CONNECTION)
 
     def cancel(self, attempt: Attempt) -> None:
-        """Cancel an attempt whose answer is no longer needed.
+        """Cancel an attempt whose answer is no longer needed, unless it is arriving for a request that has none yet.
 
         If its request is still open and the attempt still waits for a connection, it counts as not sent.
         """
         if attempt.ended:
             return
         request = cast(OpenRequest, attempt.request)
+        if not request.done and request.stream is None and attempt.pass_on_partial_answer():
+            return
         is_unsent = not request.done and not attempt.has_started()
         attempt.drop()
         self.finish(attempt, AttemptResult.NOT_SENT if is_unsent else AttemptResult.CANCELLED)
--- a/loadbalancer/streaming/streams.py
+++ b/loadbalancer/streaming/streams.py
@@ -71,6 +71,16 @@
             self._has_ended = True
             self._set_producer_paused(False)
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether either side has ended it."""
+        return self._has_ended
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the consumer's buffer is full, so that the producer is paused."""
+        return self._is_full
+
     def set_full(self, on: bool) -> None:
         """Pause the producer if the consumer's buffer is full (`on`), else resume it."""
         self._has_moved = True
--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -8,10 +8,9 @@
 from contextlib import suppress
 from typing import cast
 
-from loadbalancer.policy.events import (
-    AttemptResult,
-)
+from loadbalancer.policy.events import AttemptResult
 from loadbalancer.upstreams.connections import Attempt, Upstream, UpstreamEndpoint, UpstreamPools
+from loadbalancer.upstreams.partial_answers import PartialAnswer
 
 
 class SocketUpstream(Upstream):
@@ -28,6 +27,8 @@
         self.closed = False
         self.is_handed_over = False
         self.idle_since = 0.0
+        self.received_at = 0.0  # monotonic, when bytes were last received
+        self.partial_answer = PartialAnswer(self)
         pool.open += 1
         backend.open += 1
 
@@ -98,7 +99,13 @@
 
     def record_received(self) -> None:
         """Record the time at which bytes were received from the backend."""
-        self.endpoint.last_heard_at = time.monotonic()
+        self.received_at = self.endpoint.last_heard_at = time.monotonic()
+
+    def give_up_partial_answer(self, reason: str) -> None:
+        """Fail the attempt, whose answer was passed on before its end and hardly arrives."""
+        assert self.attempt is not None
+        self.pool.logger("answer given up", f"{reason}, from {self.attempt.endpoint}")
+        self.fail(AttemptResult.RESET)
 
     def is_unsent(self) -> bool:
         """Return whether enough of the request is still unsent that it cannot have run."""
@@ -146,6 +153,7 @@
             self.attempt = None
         if not self.closed:
             self.closed = True
+            self.partial_answer.cancel()
             self.release()
             self.pool.forget(self)
             if self.transport is not None:
--- a/loadbalancer/upstreams/connections.py
+++ b/loadbalancer/upstreams/connections.py
@@ -77,6 +77,14 @@
         """Return whether an idle connection can still be used."""
         raise NotImplementedError
 
+    def pass_on_partial_answer(self) -> bool:
+        """Stream the answer whose end is not known yet, if it is arriving and may be streamed.
+
+        Returns:
+            Whether the attempt now streams its answer, or has ended; otherwise nothing has changed.
+        """
+        return False
+
     def drop(self) -> None:
         """Close at once, without reporting a result for the attempt."""
         raise NotImplementedError
@@ -124,6 +132,10 @@
         """Return whether the last byte of the request was sent, so that it may have run."""
         return self._written if self.connection is None else not self.connection.is_unsent()
 
+    def pass_on_partial_answer(self) -> bool:
+        """Stream the part of the answer that has arrived; see `Upstream.pass_on_partial_answer`."""
+        return self.connection is not None and self.connection.pass_on_partial_answer()
+
     def has_started(self) -> bool:
         """Return whether a connection carries the attempt, or has sent its whole request."""
         return self.connection is not None or self._written
--- a/loadbalancer/upstreams/fastcgi.py
+++ b/loadbalancer/upstreams/fastcgi.py
@@ -31,9 +31,7 @@
 )
 from loadbalancer.fastcgi.records import encode_pairs
 from loadbalancer.fastcgi.webserver import End, WebServerSide, encode_request
-from loadbalancer.policy.events import (
-    AttemptResult,
-)
+from loadbalancer.policy.events import AttemptResult
 from loadbalancer.streaming.streams import Stream
 from loadbalancer.upstreams.base import SocketUpstream
 from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
@@ -75,6 +73,7 @@
         self.received_bytes = 0
         self.stream: Stream | None = None  # receives the body of a streamed answer
         self.head: CgiHead | None = None  # the head of the streamed answer
+        self.head_at = 0.0  # monotonic, when the head of an incomplete answer was complete; 0: not yet
         # Bytes of the request after its params; unsent ones don't prove that it has not run.
         self.bytes_after_params = 0
 
@@ -83,6 +82,7 @@
         self.assign(attempt)
         self.received_bytes = 0
         self.stream = self.head = None
+        self.head_at = 0.0
         data, start_bytes = request_records(self.side.begin(), attempt, self.dialect, self.application)
         self.bytes_after_params = len(data) - start_bytes
         self.write(data)
@@ -112,43 +112,91 @@
             self._forward(self.stream, end)
         elif end is not None:
             self._handle_end(end)
-        elif (
-            self.dialect.stream_most
-            and len(self.side.stdout) > self.dialect.body_most + MAX_HEADER_BLOCK_BYTES
-        ):
+        else:
+            self._handle_partial_answer()
+
+    def _handle_partial_answer(self) -> None:
+        """Stream an incomplete answer that is known to be long, reject one past the limits, or wait for the rest."""
+        buffered_most = self.dialect.body_most + MAX_HEADER_BLOCK_BYTES
+        if self.dialect.stream_most and len(self.side.stdout) > buffered_most:
+            self.head_at = self.head_at or time.monotonic()
             self._begin_stream()
-        elif len(self.side.stdout) > self.dialect.body_most + MAX_HEADER_BLOCK_BYTES:
-            self._reject(f"an answer of more than {self.dialect.body_most + MAX_HEADER_BLOCK_BYTES} bytes")
-        elif self.received_bytes > self.dialect.body_most + MAX_HEADER_BLOCK_BYTES + MAX_OVERHEAD_BYTES:
+        elif len(self.side.stdout) > buffered_most:
+            self._reject(f"an answer of more than {buffered_most} bytes")
+        elif self.received_bytes > buffered_most + MAX_OVERHEAD_BYTES:
             self._reject(f"{self.received_bytes} bytes of records without an end of the request")
+        elif self.dialect.stream_most and not self.head_at and find_end(self.side.stdout):
+            self.head_at = time.monotonic()
+            self._examine_partial_answer()
 
     # Streamed answers.
 
+    def _examine_partial_answer(self) -> None:
+        """Stream an answer whose complete head states a great length; limit the time that one without is held back."""
+        try:
+            partial = self._read_streamable_answer()
+        except CgiError:
+            return  # its end decides what it is
+        if partial.head.length is None:
+            self.partial_answer.limit_hold_back()
+        elif partial.head.length > self.dialect.body_most:
+            self._stream(partial)
+
     def _begin_stream(self) -> None:
-        """Stream an answer that is too long to be buffered, if it is SERVED and within the limit for streams."""
-        attempt, dialect = self.attempt, self.dialect
-        assert attempt is not None
-        found = find_end(self.side.stdout)
+        """Stream an answer that is too long to be buffered, or reject it."""
         try:
-            head = read_head(bytes(self.side.stdout[: found[0]]), self.not_passed) if found else None
+            partial = self._read_streamable_answer()
         except CgiError as problem:
             self._reject(problem)
             return
+        self._stream(partial)
+
+    def pass_on_partial_answer(self) -> bool:
+        """Stream an answer without a stated length that is arriving; see `Upstream`."""
+        if self.attempt is None or self.closed or self.stream is not None or not self.dialect.stream_most:
+            return False
+        try:
+            partial = self._read_streamable_answer()
+        except CgiError:
+            return False
+        body_bytes = len(self.side.stdout) - partial.body_offset
+        if partial.head.length is not None or self.partial_answer.find_problem(body_bytes, self.head_at):
+            return False
+        self._stream(partial)
+        return True
+
+    def _read_streamable_answer(self) -> _PartialAnswer:
+        """Return the head of the buffered answer, if the answer may be streamed.
+
+        Raises:
+            CgiError: The head is incomplete or malformed, or the answer is not SERVED, has no body, or is too long.
+        """
+        attempt, dialect = self.attempt, self.dialect
+        assert attempt is not None
+        found = find_end(self.side.stdout)
+        if found is None:
+            raise CgiError("a long answer that has no complete head")
+        head = read_head(bytes(self.side.stdout[: found[0]]), self.not_passed)
+        if attempt.request.bodiless or head.status in BODILESS:
+            raise CgiError("a long answer whose status or request allows no body")
         refusal = dialect.refusal_header
-        if found is None or head is None or attempt.request.bodiless or head.status in BODILESS:
-            self._reject("a long answer that has no complete head, or whose status or request allows no body")
-            return
         result = dialect.result(head.status, head.headers.get(refusal) if refusal else None)
         if result != AttemptResult.SERVED or (head.length or 0) > dialect.stream_most:
-            self._reject(f"a body longer than {dialect.body_most} bytes that can't be streamed")
-            return
-        attempt.answered_at = time.monotonic()
+            raise CgiError(f"a body longer than {dialect.body_most} bytes that can't be streamed")
+        return _PartialAnswer(head, found[1])
+
+    def _stream(self, partial: _PartialAnswer) -> None:
+        attempt, head = self.attempt, partial.head
+        assert attempt is not None
+        attempt.answered_at = self.head_at
         response_head = UpstreamResponse(head.lines, b"", head.status, head.reason, head.length)
         stream = self.pool.owner.begin_answer(attempt, response_head, self)
         if stream is None or self.closed:
             return
         self.stream, self.head = stream, head
-        del self.side.stdout[: found[1]]
+        if head.length is None:
+            self.partial_answer.watch(stream, attempt.answered_at, self.dialect.body_most)
+        del self.side.stdout[: partial.body_offset]
         self._forward(stream, None)
 
     def _forward(self, stream: Stream, end: End | None) -> None:
@@ -206,6 +254,7 @@
         """Finish the attempt, and keep the connection for the next one or close it."""
         attempt = self.attempt
         assert attempt is not None
+        self.partial_answer.cancel()
         self.attempt = None
         attempt.detach()
         is_clean = not self.side.has_stray_records and not self.has_unsent_bytes()
@@ -223,6 +272,13 @@
         self.side.stdout.clear()
 
 
+class _PartialAnswer(NamedTuple):
+    """The head of an answer that is not complete, and the offset of its body in STDOUT."""
+
+    head: CgiHead
+    body_offset: int
+
+
 def log_stderr(pool: UpstreamPools, attempt: Attempt, text: bytes | bytearray) -> None:
     """Log what an application has written to STDERR for one request."""
     if text:
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -9,9 +9,7 @@
 
 import httptools
 
-from loadbalancer.policy.events import (
-    AttemptResult,
-)
+from loadbalancer.policy.events import AttemptResult
 from loadbalancer.streaming.streams import Stream
 from loadbalancer.streaming.tunnels import Tunnel
 from loadbalancer.streaming.uploads import Upload
@@ -275,6 +273,23 @@
             self._reject(f"{self.received_bytes} bytes received, with {self.buffered_bytes} of the body")
         elif max(self.buffered_bytes, self.length or 0) > dialect.body_most and not self.length_only:
             self._begin_stream()
+        elif self._has_unknown_end():
+            self.partial_answer.limit_hold_back()
+
+    def _has_unknown_end(self) -> bool:
+        """Return whether a part of a body has arrived that is not complete and whose length is not stated."""
+        return self.status >= 200 and self.length is None and not self.is_complete
+
+    def pass_on_partial_answer(self) -> bool:
+        """Stream an answer without a stated length that is arriving; see `Upstream`."""
+        if self.attempt is None or self.closed or self.stream is not None or self.upload is not None:
+            return False
+        if not self._has_unknown_end() or not self._is_served() or not self.dialect.stream_most:
+            return False
+        if self.partial_answer.find_problem(self.buffered_bytes, self.attempt.answered_at) is not None:
+            return False
+        self._begin_stream()
+        return True
 
     def _lacks_framing(self) -> bool:
         """Return whether the head is complete and states no end of the body that it announces."""
@@ -288,16 +303,21 @@
         """Stream an answer that is too long to be buffered, if it is SERVED and within the limit for streams."""
         dialect, attempt = self.dialect, self.attempt
         assert attempt is not None
-        served = self.status > 0 and dialect.result(self.status, self.refusal) == AttemptResult.SERVED
-        if not served or max(self.buffered_bytes, self.length or 0) > dialect.stream_most:
+        if not self._is_served() or max(self.buffered_bytes, self.length or 0) > dialect.stream_most:
             self._reject(f"a body longer than {dialect.body_most} bytes that can't be streamed")
             return
         stream = self.pool.owner.begin_answer(attempt, self._build_response(b"", self.length), self)
         if stream is None or self.closed:
             return
         self.stream = stream
+        if self._has_unknown_end():
+            self.partial_answer.watch(stream, attempt.answered_at, dialect.body_most)
         self._forward(stream)
 
+    def _is_served(self) -> bool:
+        """Return whether the head is complete and says that the request was served."""
+        return self.status > 0 and self.dialect.result(self.status, self.refusal) == AttemptResult.SERVED
+
     def _forward(self, stream: Stream) -> None:
         """Forward the bytes of a streamed body received so far; abort it if the answer turns out to be invalid."""
         data = b"".join(self.body)
@@ -345,6 +365,7 @@
         """Finish the attempt with its complete answer, and keep or close the connection."""
         attempt = self.attempt
         assert attempt is not None
+        self.partial_answer.cancel()
         result = self.dialect.result(self.status, self.refusal)
         report = self._read_load_report()
         answer, streamed = None, self.stream is not None
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -31,14 +31,20 @@
 _numbers = count()
 
 
-def request_head(lane: str = "safe", target: str = "/api", *lines: str, txn: str = "") -> bytes:
+def request_head(
+    lane: str = "safe",
+    target: str = "/api",
+    *lines: str,
+    txn: str = "",
+    deadline_s: float = DEADLINE_S,
+) -> bytes:
     """Return the head of a request without the empty line that ends it; `txn` is a new id by default."""
     txn = txn or f"{lane}-{next(_numbers)}"
     method = "GET" if lane == "safe" else "POST"
     fields = [f"{method} {target} HTTP/1.1", "Host: a", f"X-Txn: {txn}", f"X-Lane: {lane}"]
     if lane == "keyed":
         fields.append(f"Idempotency-Key: {txn}")
-    fields.append(f"X-Remaining: {DEADLINE_S * 1000:.0f}m")
+    fields.append(f"X-Remaining: {deadline_s * 1000:.0f}m")
     return "\r\n".join([*fields, *lines]).encode() + b"\r\n"
 
 
@@ -226,16 +232,60 @@
 async def read_answer(reader: asyncio.StreamReader) -> tuple[int, bytes]:
     """Return the status and body of an answer, framed by its length, in chunks, or by the end of the connection."""
     head = await reader.readuntil(b"\r\n\r\n")
+    return int(head[9:12]), await _read_body(reader, head)
+
+
+async def _read_body(reader: asyncio.StreamReader, head: bytes) -> bytes:
     length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
     if length:
-        return int(head[9:12]), await reader.readexactly(int(length[1]))
+        return await reader.readexactly(int(length[1]))
     if not re.search(rb"(?i)\r\ntransfer-encoding: *chunked", head):
-        return int(head[9:12]), await reader.read()
+        return await reader.read()
     body = b""
     while size := int(await reader.readline(), 16):
         body += (await reader.readexactly(size + 2))[:-2]
     await reader.readline()
-    return int(head[9:12]), body
+    return body
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a client got.
+
+    Attributes:
+        status: The status; 0 if the connection ended before the answer was whole.
+        body: The body, as far as the answer was whole.
+        first_byte_s: Seconds from the last byte of the request to the first of the answer.
+        seconds: Seconds from the last byte of the request to the last of the answer.
+        is_own: Whether the body is that of this request's answer.
+    """
+
+    status: int
+    body: bytes
+    first_byte_s: float
+    seconds: float
+    is_own: bool
+
+
+async def fetch(address: Address, lane: str, target: str, deadline_s: float, body: bytes = b"") -> Answer:
+    """Send one request on a connection of its own, and read its answer."""
+    txn = f"{lane}-{next(_numbers)}"
+    lines = [] if lane == "safe" else [f"Content-Length: {len(body)}"]
+    reader, writer = await asyncio.open_connection(*address)
+    first_byte_s = -1.0
+    try:
+        writer.write(request_head(lane, target, *lines, txn=txn, deadline_s=deadline_s) + b"\r\n" + body)
+        await writer.drain()
+        sent_at = time.monotonic()
+        head = await reader.readuntil(b"\r\n\r\n")
+        first_byte_s = time.monotonic() - sent_at
+        status, answered = int(head[9:12]), await _read_body(reader, head)
+    except (OSError, asyncio.IncompleteReadError):
+        status, answered = 0, b""
+    finally:
+        writer.close()
+    is_own = answered == answer_body(txn, len(answered))
+    return Answer(status, answered, first_byte_s, time.monotonic() - sent_at, is_own)
 
 
 class Flood:
--- a/tests/translated.py
+++ b/tests/translated.py
@@ -104,6 +104,7 @@
             writer,
             connection,
         )
+        self.number = number
         self._translator = _ResponseTranslator(number)
 
     async def say(self, data: bytes) -> None:
