Parse input in shares, so that one client's small parts don't keep the others waiting

Cause: a turn of the event loop parsed all that a read had brought, up to 256 KiB with a callback for each byte. Evidence: the wait grew with the size of the read; profiles of other floods on one connection showed no such turn. Now a connection parses 4 KiB, goes on while parts are few, and queues for the rest: one share of one connection an iteration, for clients' bodies and members' answers. Kernel buffers are bounded, so a read brings less. A head whose name or value never ends is counted by share, no longer by whole reads, which also counted what was not part of it.

--- a/loadbalancer/frontends/connection.py
+++ b/loadbalancer/frontends/connection.py
@@ -64,7 +64,7 @@
         """
         if self.transport is not None and self.transport.get_write_buffer_size():
             return False
-        if self._peek():
+        if self.has_unparsed_input() or self._peek():
             return False
         self.listener.evictable.remove(self)
         self.abort()
@@ -225,6 +225,10 @@
         """Return whether a complete request waits behind the one being served."""
         return False
 
+    def has_unparsed_input(self) -> bool:
+        """Return whether input was read that is not parsed yet, so that it may hold a request."""
+        return False
+
     def refuse(self, response: bytes) -> None:
         """Write these bytes and close the connection, before anything has been read from it."""
         raise NotImplementedError
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -20,6 +20,7 @@
 from loadbalancer.frontends.dialect import RejectError, Reply, RoutedRequest
 from loadbalancer.frontends.http1_answers import encode_answer, encode_stream_head, retry_after
 from loadbalancer.frontends.listener import Listener
+from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES
 from loadbalancer.proxy.final_answers import frontend_proxy_status
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.request_parser import RequestParser
@@ -72,6 +73,10 @@
         self.upload_parts: list[bytes] = []  # of the streamed body, parsed and not passed on yet
         self.upload_paused = False  # the member applies backpressure to the streamed body
         self.upload_paused_at = 0.0  # monotonic time of the last change
+        self.unparsed = b""  # input that waits for its turn, or until the requests before it are served
+        self.is_queued = False  # for a turn
+        self.unreported_bytes = 0  # of the head, since the parser's last report
+        self.part_count = 0  # parts of bodies that were parsed in this turn
         self.discarded = 0  # bytes read after the last answer
         self.stream: Stream | None = None  # the answer that is being streamed
         self.chunked = False  # the streamed answer uses chunked encoding
@@ -151,6 +156,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body, or keep it to be streamed."""
+        self.part_count += 1
         self.body_received += len(data)
         destination = self.head.destination
         assert destination is not None
@@ -194,27 +200,67 @@
         data = self.unwrap(data)
         if not data or self._consume_other_data(data):
             return
+        if self.unparsed:
+            self.unparsed += data
+            return
+        self._receive(data)
+
+    def take_turn(self) -> None:
+        """Parse one share of the input that waits; the listener calls this once the connection's turn has come."""
+        self.is_queued = False
+        if not self.unparsed or self._is_closed() or self.waiting or self.upload_paused:
+            return
+        data, self.unparsed = self.unparsed, b""
+        if not self._consume_other_data(data):
+            self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        """Parse one share of the input, and act on it."""
         if self.phase == BODY:
             self.body_received_at = time.monotonic()
         try:
-            self._parse(data)
+            self.unparsed = self._parse(data)
         except httptools.HttpParserError as problem:
             self._handle_parser_error(problem)
         else:
-            if self.phase == HEAD:  # the parser does not report a name or value until it ends
-                self.head.size += len(data)
-                if self.head.size > 2 * HEAD_MOST:
-                    self._reject(431, "head too large")
             self._forward_body()
+        if self.unparsed:
+            self._set_reading(False)
         self._serve_waiting()
 
-    def _parse(self, data: bytes) -> None:
-        """Parse requests, up to one that may switch to another protocol: what follows may be in that protocol."""
-        assert self.parser is not None
-        while (data := self.parser.feed_data(data)) and not self.closing:
-            if self._awaits_switch():
+    def _parse(self, data: bytes) -> bytes:
+        """Parse requests, up to one that may switch to another protocol: what follows may be in that protocol.
+
+        Returns:
+            The rest of the input, if it has to wait: for a turn of its own, or for the requests before it.
+        """
+        self.part_count, size = 0, SLICE_BYTES
+        while data and not self.closing:
+            behind_request = self._feed(data[:size])
+            data = behind_request + data[size:]
+            if data and self._awaits_switch():
                 self._buffer_early_bytes(data)
-                return
+                return b""
+            if data and (self.part_count > MAX_PARTS or self.waiting) and not self.closing:
+                return data
+            size *= 2
+        return b""
+
+    def _feed(self, data: bytes) -> bytes:
+        """Feed the parser, and reject a head with an endless name or value, which it does not report until it ends.
+
+        Returns:
+            The bytes behind a request that may switch to another protocol.
+        """
+        assert self.parser is not None
+        head, size_before = self.head, self.head.size
+        behind_request = self.parser.feed_data(data)
+        if self.phase == HEAD:
+            is_reported = self.head is not head or head.size != size_before
+            self.unreported_bytes = 0 if is_reported else self.unreported_bytes + len(data)
+            if self.head.size + self.unreported_bytes > 2 * HEAD_MOST:
+                self._reject(431, "head too large")
+        return behind_request
 
     def _awaits_switch(self) -> bool:
         """Return whether the latest request may switch to another protocol and has no answer yet."""
@@ -325,7 +371,7 @@
         self.transport.write(
             b"HTTP/1.1 101 %b\r\n%b\r\n" % (reason or b"Switching Protocols", b"".join(lines))
         )
-        early_bytes, self.early_bytes = self.early_bytes, b""
+        early_bytes, self.early_bytes, self.unparsed = self.early_bytes + self.unparsed, b"", b""
         if early_bytes:
             tunnel.from_client(early_bytes)
         self._set_reading(True)
@@ -352,6 +398,7 @@
     def _reject(self, status: int, message: str) -> None:
         """Queue an error answer behind the earlier requests; nothing more is read from the connection."""
         self.closing = True
+        self.unparsed = b""
         if status in (400, 431, 501):
             self.record_malformed()
         self.listener.evictable.remove(self)
@@ -412,7 +459,15 @@
         self._finish_answer()
 
     def _set_reading(self, on: bool) -> None:
-        """Resume or pause reading. Guards against pipelining floods: nothing is read while a complete request waits."""
+        """Resume or pause reading, or queue for a turn if input waits for one.
+
+        Guards against pipelining floods: nothing is read while a complete request waits.
+        """
+        if on and self.unparsed:
+            if not self.is_queued:
+                self.is_queued = True
+                self.listener.input_turns.add(self)
+            return
         if on == self.paused and not self._is_closed():
             assert self.transport is not None
             self.paused = not on
@@ -520,7 +575,7 @@
 
         It is not while another request waits or is being received: that one must be served, during shutdown too.
         """
-        if self.phase != WHOLE or self.waiting:
+        if self.phase != WHOLE or self.waiting or self.unparsed:
             return False
         if self.early_bytes:  # of a protocol that was not switched to
             return True
@@ -534,6 +589,7 @@
         self.since = time.monotonic()
         if self.close_after:
             self.closing = True
+            self.unparsed = b""
             self.phase = LINGER
             self.listener.evictable.lingering[self] = None
             while self.waiting:
@@ -600,6 +656,7 @@
     def cancel_all_requests(self) -> None:
         """Cancel all requests of the connection; the client no longer waits for an answer."""
         self.closing = True
+        self.unparsed = b""
         request, self.request = self.request, None
         self.stream = self.upload = None
         if request is not None:
@@ -676,3 +733,7 @@
     def has_waiting_requests(self) -> bool:
         """Return whether a complete request waits behind the one being served."""
         return bool(self.waiting)
+
+    def has_unparsed_input(self) -> bool:
+        """Return whether input waits to be parsed."""
+        return bool(self.unparsed)
--- a/loadbalancer/frontends/listener.py
+++ b/loadbalancer/frontends/listener.py
@@ -19,6 +19,8 @@
 from loadbalancer.frontends.http1_answers import encode_refusal
 from loadbalancer.frontends.shutdown_deadline import platform_shutdown_duration
 from loadbalancer.frontends.sockets import LOCAL, UNIX, bind, block_new_connections, release
+from loadbalancer.input_turns import InputTurns
+from loadbalancer.kernel_buffers import limit_kernel_buffers
 from loadbalancer.read_first_timer import read_what_has_arrived
 from loadbalancer.resource_limits import RateLimitedLogger
 
@@ -88,6 +90,7 @@
         self.tls: TlsAcceptor | None = None  # runs the handshakes of new connections; None without TLS
         self.speaks_http = True  # an immediate refusal can carry a 503 answer
         self.evictable = EvictableConnections()
+        self.input_turns = InputTurns()
         self._opening_tasks: set[asyncio.Task[None]] = set()
         self.draining = False
         self._loop = asyncio.get_running_loop()
@@ -102,6 +105,7 @@
     def start(self, sock: socket.socket) -> tuple[str, int]:
         """Begin to accept on a listening socket, which the listener now owns."""
         self._sock = sock
+        limit_kernel_buffers(sock)  # accepted connections inherit them
         self.shared = False  # another process listens on it too
         self.was_offered = False  # another process may have received the socket, and may accept on it later
         self._loop.add_reader(sock, self.accept)
--- a/loadbalancer/upstreams/connections.py
+++ b/loadbalancer/upstreams/connections.py
@@ -14,6 +14,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Callable, Protocol
 
+from loadbalancer.input_turns import InputTurns
+from loadbalancer.kernel_buffers import limit_kernel_buffers
 from loadbalancer.policy.events import AttemptResult
 from loadbalancer.read_first_timer import ReadFirstTimer
 from loadbalancer.resource_limits import BufferBudget, RateLimitedLogger
@@ -227,6 +229,7 @@
         self.free_descriptor: Callable[[], bool] = lambda: (
             False
         )  # called when the system has no descriptor left
+        self.input_turns = InputTurns()
         self.pacer: Pacer | None = None  # set while many proxies restart at once
         # Returns the result of an attempt to an endpoint that must not be sent now, or None if it may.
         self.send_guard: Callable[[str], AttemptResult | None] | None = None
@@ -340,9 +343,11 @@
         """Create a socket. If the system has no descriptor left, free a spare one and retry, for requests in flight."""
         for last in (False, True):
             try:
-                return socket.socket(
+                sock = socket.socket(
                     address_family(backend.identity[0]), socket.SOCK_STREAM | socket.SOCK_NONBLOCK
                 )
+                limit_kernel_buffers(sock)
+                return sock
             except OSError as problem:
                 if last or problem.errno not in (errno.EMFILE, errno.ENFILE) or not self.free_descriptor():
                     self.logger("no socket for a backend", problem)
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES
 from loadbalancer.policy.events import AttemptResult
 from loadbalancer.streaming.streams import Stream
 from loadbalancer.streaming.tunnels import Tunnel
@@ -55,6 +56,10 @@
         self.tunnel: Tunnel | None = None  # set after the upgrade to another protocol
         self.upload: Upload | None = None  # the streamed request body, until it has ended
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self.unparsed = b""  # input that waits for its turn
+        self.is_queued = False  # for a turn
+        self.is_consumer_full = False  # the client's buffer is full
+        self.part_count = 0  # parts of the body that were parsed in this turn
         self._reset()
 
     def _reset(self) -> None:
@@ -64,10 +69,10 @@
         self.is_complete = self.has_surplus = self.keep_alive = self.length_only = False
         # The parser is in the middle of an answer, and must be replaced before the next one.
         self.is_parser_stale = False
-        self.received_bytes = 0
+        self.received_bytes = 0  # parsed ones
         self.stream = None
-        # Bytes of a streamed answer of known length that are forwarded without the parser.
-        self.unparsed_bytes = 0
+        # Bytes of a streamed answer of known length that are still to be forwarded, without the parser.
+        self.raw_body_bytes = 0
 
     def _reset_head(self) -> None:
         self.status = 0
@@ -203,6 +208,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body, charged to the budget."""
+        self.part_count += 1
         if self.is_complete:
             self.has_surplus = True
         elif not self.has_surplus and (self.status == 200 or not self.dialect.platform):
@@ -230,27 +236,89 @@
             self.endpoint.record_surplus()
             self.drop()
             return
-        self.received_bytes += len(data)
         self.record_received()
         if self.tunnel is not None:
             self.tunnel.from_endpoint(data)
-            return
-        if self.unparsed_bytes:
-            self._forward_unparsed(data)
-            return
-        assert self.parser is not None
+        elif self.unparsed:
+            self.unparsed += data
+        elif self.raw_body_bytes:
+            self._forward_raw_body(data)
+        else:
+            self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        """Parse one share of the answer, and act on it; the rest waits for its turn."""
         try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
-            if isinstance(problem, httptools.HttpParserUpgrade) and self.status == 101:
-                self._switch_protocol(data[problem.args[0] :] if problem.args else b"")
+            self.unparsed = self._parse(data)
+        except httptools.HttpParserUpgrade as offer:
+            rest = offer.args[0]
+            if self.status == 101:
+                self._switch_protocol(rest)
                 return
+            self.has_surplus = True
+        except httptools.HttpParserError as problem:
             if not self.is_complete:
                 self._reject(repr(problem.__context__ or problem))
                 return
             self.has_surplus = True
+        self.received_bytes += len(data) - len(self.unparsed)
+        if self.unparsed and self.is_complete:
+            self.unparsed, self.has_surplus = b"", True
+        if self.unparsed:
+            super().set_reading_paused(True)
+            self._queue_for_turn()
         self._process_response()
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parse one share of the answer.
+
+        Returns:
+            The rest, if its turn comes later.
+
+        Raises:
+            httptools.HttpParserError: The bytes are not HTTP/1.1.
+            httptools.HttpParserUpgrade: What follows is in another protocol; the argument is the bytes of it.
+        """
+        assert self.parser is not None
+        self.part_count, size = 0, SLICE_BYTES
+        while data:
+            piece, data = data[:size], data[size:]
+            try:
+                self.parser.feed_data(piece)
+            except httptools.HttpParserUpgrade as offer:
+                raise httptools.HttpParserUpgrade(piece[offer.args[0] :] + data) from None
+            if self.part_count > MAX_PARTS:
+                return data
+            size *= 2
+        return b""
+
+    def _queue_for_turn(self) -> None:
+        if not self.is_queued:
+            self.is_queued = True
+            self.pool.input_turns.add(self)
+
+    def take_turn(self) -> None:
+        """Parse one share of the input that waits; the pool calls this once the connection's turn has come."""
+        self.is_queued = False
+        if not self.unparsed or self.closed or self.is_consumer_full:
+            return
+        data, self.unparsed = self.unparsed, b""
+        self.record_received()
+        if self.raw_body_bytes:
+            self._forward_raw_body(data)
+        else:
+            self._receive(data)
+        if not self.unparsed and not self.is_consumer_full:
+            super().set_reading_paused(False)
+
+    def set_reading_paused(self, on: bool) -> None:
+        """Pause or resume reading: the client's buffer is full, or has room again."""
+        self.is_consumer_full = on
+        if self.unparsed and not on:
+            self._queue_for_turn()
+        else:
+            super().set_reading_paused(on)
+
     def _process_response(self) -> None:
         """Act on the bytes parsed so far: finish, stream or reject the answer, or wait for more."""
         dialect = self.dialect
@@ -329,24 +397,24 @@
         if self.is_complete and not self.closed:
             self._finish()
         elif self.length is not None and not self.has_transfer_coding:
-            self.unparsed_bytes = self.length - stream.passed_bytes
+            self.raw_body_bytes = self.length - stream.passed_bytes
         elif self.received_bytes > MAX_OVERHEAD_PER_BODY_BYTE * stream.passed_bytes + MAX_OVERHEAD_BYTES:
             self._reject(f"{self.received_bytes} bytes received, with {stream.passed_bytes} of the body")
 
-    def _forward_unparsed(self, data: bytes) -> None:
+    def _forward_raw_body(self, data: bytes) -> None:
         """Forward the rest of an answer of known length without the parser, which would copy it piece by piece.
 
         Bytes beyond that length are unsolicited and are dropped. The parser is replaced before the next answer.
         """
         stream = self.stream
         assert stream is not None and self.parser is not None
-        if len(data) < self.unparsed_bytes:
-            self.unparsed_bytes -= len(data)
+        if len(data) < self.raw_body_bytes:
+            self.raw_body_bytes -= len(data)
             stream.send(data)
             return
-        self.has_surplus = len(data) > self.unparsed_bytes
-        stream.send(data[: self.unparsed_bytes] if self.has_surplus else data)
-        self.unparsed_bytes, self.is_complete, self.keep_alive = 0, True, self.parser.should_keep_alive()
+        self.has_surplus = len(data) > self.raw_body_bytes
+        stream.send(data[: self.raw_body_bytes] if self.has_surplus else data)
+        self.raw_body_bytes, self.is_complete, self.keep_alive = 0, True, self.parser.should_keep_alive()
         self.is_parser_stale = True
         if not self.closed:
             self._finish()
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -176,7 +176,7 @@
 
     Attributes:
         statuses: How often each status was received.
-        lost: Ids whose new connection ended without an answer; a kept one may, and its request is sent again.
+        lost: Requests whose new connection ended without an answer; a kept one may, and its request is sent again.
         longest_s: The longest time to an answer.
         wrong: Ids whose answer was another one's.
     """
@@ -217,8 +217,9 @@
             writer.write(request_head(self.lane, "/api?size=40", "Content-Length: 0", txn=txn) + b"\r\n")
             try:
                 status, body = await read_answer(reader)
-            except (OSError, asyncio.IncompleteReadError):
-                self.lost += [] if number else [txn]
+            except (OSError, asyncio.IncompleteReadError) as problem:
+                if number == 0:
+                    self.lost.append(f"{txn} after {time.monotonic() - sent_at:.3f} s: {problem!r}")
                 return
             self.statuses[status] += 1
             self.longest_s = max(self.longest_s, time.monotonic() - sent_at)
@@ -304,10 +305,10 @@
         """Begin to send."""
         self._thread.start()
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """Send no more, and wait until the thread has ended."""
         self._is_stopped.set()
-        self._thread.join()
+        await asyncio.to_thread(self._thread.join)
 
     def _run(self) -> None:
         while not self._is_stopped.is_set():
