--- a/loadbalancer/daemon/admin_queries.py
+++ b/loadbalancer/daemon/admin_queries.py
@@ -94,6 +94,9 @@
             "pools": len(daemon.pools),
             "open": sum(len(pool.proxy.open) for pool in daemon.pools.values()),
             "retiring": daemon.retiring,
+            "memory_held": daemon.account.held_bytes,
+            "memory_peak": daemon.account.peak_bytes,
+            "memory_most": daemon.account.max_bytes,
             "store": None,
         }
         status: dict[str, object] = {**row}
--- a/loadbalancer/daemon/admin_rows.py
+++ b/loadbalancer/daemon/admin_rows.py
@@ -20,6 +20,9 @@
     pools: int
     open: int
     retiring: int
+    memory_held: int  # bytes that peers make the process hold
+    memory_peak: int
+    memory_most: int
     store: str | None
 
 
--- a/loadbalancer/daemon/components.py
+++ b/loadbalancer/daemon/components.py
@@ -20,6 +20,7 @@
 from loadbalancer.daemon.pools import RunningPool
 from loadbalancer.discovery.overrides import AdminOverride
 from loadbalancer.frontends.listener import Listener
+from loadbalancer.memory_account import MemoryAccount
 from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.routing.traffic_migration import Migration
 
@@ -96,6 +97,7 @@
     """The part of the daemon's interface that components use.
 
     Attributes:
+        account: The memory that peers make the process hold.
         logger: The daemon's log.
         plan: The configuration in force; None before the first one is applied.
         components: Running components by name.
@@ -103,6 +105,7 @@
         inherited_snapshot: The previous daemon's endpoint state, until it is restored or too old.
     """
 
+    account: MemoryAccount
     logger: RateLimitedLogger
     plan: Plan | None
     components: dict[str, Component]
--- a/loadbalancer/daemon/daemon.py
+++ b/loadbalancer/daemon/daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 import socket
+import sys
 import time
 from itertools import count
 from typing import TYPE_CHECKING, Iterator, Mapping
@@ -26,9 +27,12 @@
 from loadbalancer.daemon.snapshot_restore import restore_listed_pools
 from loadbalancer.daemon.staged_configuration import StagedConfiguration
 from loadbalancer.daemon.typed_components import TypedComponents, typed
+from loadbalancer.frontends.connection import FrontConnection
 from loadbalancer.frontends.listener import Listener, drain
+from loadbalancer.frontends.memory_reclaimer import MemoryReclaimer
 from loadbalancer.frontends.reserve_descriptors import ReserveDescriptors
 from loadbalancer.frontends.shutdown_deadline import shutdown_duration
+from loadbalancer.memory_account import MemoryAccount
 from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.routing.fair_shares import WINDOW_S
 
@@ -50,6 +54,7 @@
     """Runs the listeners, pools and components of one configuration at a time, and owns them until `close`.
 
     Attributes:
+        account: The memory that peers make the process hold.
         logger: Log of the daemon and of everything that it runs.
         plan: The configuration in force; None before the first one is applied.
         components: Running components by name.
@@ -75,8 +80,12 @@
         self.spares = ReserveDescriptors()
         self._random = random.Random(seed)
         request_ids = _request_ids(self._random)
-        self._pool_set = PoolSet(logger, self.spares, self._random, self.retirement.retire_pool)
-        self._listener_set = ListenerSet(logger, self.spares, request_ids, self.retirement.retire_listener)
+        self.account = MemoryAccount(sys.maxsize)
+        self._reclaimer = MemoryReclaimer(self.account, self._client_connections, logger)
+        self._pool_set = PoolSet(logger, self.spares, self._random, self.retirement.retire_pool, self.account)
+        self._listener_set = ListenerSet(
+            logger, self.spares, request_ids, self.retirement.retire_listener, self.account
+        )
         self._reloader = Reloader(lambda prepared: self.apply(*prepared), self.spares, logger)
         self._descriptor_limit = 0  # the process's limit when it was last read
         self._loop = asyncio.get_running_loop()
@@ -158,27 +167,28 @@
         self._restore_snapshot()
 
     def _make_pools(self, staged: StagedConfiguration, division: ResourceDivision) -> None:
-        _, allocations = division
         plan = staged.plan
         admin = typed(staged.components).admin
         is_start = self.plan is None and plan.file.fleet is not None and self.inherited is None
         self._pool_set.make(
             plan,
             staged.pools,
-            allocations,
+            division.allocations,
             admin.state.overrides if admin is not None else {},
             MAX_FIRST_POLL_DELAY_S if is_start else 0.0,
         )
 
     def _swap(self, staged: StagedConfiguration, division: ResourceDivision) -> None:
         """Switch to a staged configuration. Must not fail."""
-        slots, allocations = division
         plan = staged.plan
-        self._pool_set.replace(plan, staged.pools, allocations, self.tls_keys)
+        self.account.resize(division.limits.buffered)
+        self._pool_set.replace(plan, staged.pools, division, self.tls_keys)
         for component in self.components.values():
             component.reload(plan)
         targets = self._targets(plan)
-        self._listener_set.replace(plan, staged.kept_listeners, staged.sockets, slots, targets, self.tls_keys)
+        self._listener_set.replace(
+            plan, staged.kept_listeners, staged.sockets, division, targets, self.tls_keys
+        )
         if staged.is_successor:
             self._listener_set.set_shared(True)
         self.plan = plan
@@ -245,15 +255,19 @@
         if allowed == self._descriptor_limit or self.plan is None:
             return
         self._descriptor_limit = allowed
-        slots, allocations = divide_resources(self.plan)
+        division = divide_resources(self.plan)
         configured = self.plan.file.process.descriptors
         if allowed < configured:
             self.logger(
                 "limit of descriptors", f"the process may open {allowed}, {configured} are configured"
             )
         for name, listener in self.listeners.items():
-            listener.resize(*slots[name])
-        self._pool_set.resize(allocations)
+            listener.resize(*division.slots[name])
+        self._pool_set.resize(division.allocations)
+
+    def _client_connections(self) -> Iterator[FrontConnection]:
+        for listener in (*self.listeners.values(), *self.retirement.listeners):
+            yield from listener.connections
 
     def _measure_usage(self) -> None:
         """Report the processor's utilization in the last window to the scheduler that divides it among pools."""
@@ -283,6 +297,7 @@
     def close(self) -> None:
         """Release everything immediately; open requests get no response."""
         self.spares.close()
+        self._reclaimer.close()
         self._poll_timer.cancel()
         self._usage_timer.cancel()
         for listener in (*self.listeners.values(), *self.retirement.listeners):
--- a/loadbalancer/daemon/listener_factory.py
+++ b/loadbalancer/daemon/listener_factory.py
@@ -6,7 +6,7 @@
 import math
 import resource
 from functools import partial
-from typing import Sequence
+from typing import NamedTuple, Sequence
 
 from loadbalancer.admission.admission import Admission, Caps
 from loadbalancer.config.plan import Plan
@@ -15,11 +15,19 @@
 from loadbalancer.frontends.fastcgi import FastCgiFront
 from loadbalancer.frontends.http1 import ClientConnection
 from loadbalancer.frontends.listener import ConnectionFactory
-from loadbalancer.resource_limits import ResourceLimits
+from loadbalancer.resource_limits import BYTES_PER_MB, ResourceLimits
 from loadbalancer.routing.fair_shares import ListenerSlots, PoolAllocation, divide_listeners, divide_pools
 
-#: Each listener's and each pool's share of the process's resources, by their names.
-ResourceDivision = tuple[dict[str, ListenerSlots], dict[str, PoolAllocation]]
+#: Memory of `serve` with its libraries, in MB.
+BASE_MB = 38.0
+
+
+class ResourceDivision(NamedTuple):
+    """The shares of listeners and pools, by their names, and the limits of the whole process."""
+
+    slots: dict[str, ListenerSlots]
+    allocations: dict[str, PoolAllocation]
+    limits: ResourceLimits
 
 
 def make_connection_factory(table: ListenerTable) -> ConnectionFactory:
@@ -64,7 +72,8 @@
 def divide_resources(plan: Plan) -> ResourceDivision:
     """Divide the process's descriptors and memory among listeners and pools."""
     process = plan.file.process
-    limits = ResourceLimits(process.memory / (1 << 20), min(process.descriptors, descriptor_limit()))
+    descriptors = min(process.descriptors, descriptor_limit())
+    limits = ResourceLimits(process.memory / BYTES_PER_MB, descriptors, base_mb=BASE_MB)
     slots = divide_listeners(
         limits.client_sockets,
         limits.overflow_sockets,
@@ -78,4 +87,5 @@
             if listener.table.routes is None or route.name in listener.table.routes:
                 listeners_by_pool[route.pool].add(name)
     weights = {name: pool.table.limits.share for name, pool in plan.pools.items()}
-    return slots, divide_pools(limits.buffered, limits.backend_sockets, weights, slots, listeners_by_pool)
+    allocations = divide_pools(limits.buffered, limits.backend_sockets, weights, slots, listeners_by_pool)
+    return ResourceDivision(slots, allocations, limits)
--- a/loadbalancer/daemon/listener_set.py
+++ b/loadbalancer/daemon/listener_set.py
@@ -7,12 +7,17 @@
 
 from loadbalancer.config.plan import ListenerPlan, Plan
 from loadbalancer.config.reader import read_address
-from loadbalancer.daemon.listener_factory import make_admission_gate, make_connection_factory
+from loadbalancer.daemon.listener_factory import (
+    ResourceDivision,
+    make_admission_gate,
+    make_connection_factory,
+)
 from loadbalancer.daemon.route_targets import RouteTargets
 from loadbalancer.frontends.listener import Listener
 from loadbalancer.frontends.reserve_descriptors import ReserveDescriptors
 from loadbalancer.frontends.routed_http import RoutedReader
 from loadbalancer.frontends.sockets import UNIX, bind, release
+from loadbalancer.memory_account import MemoryAccount
 from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.routing.fair_shares import ListenerSlots
 
@@ -34,6 +39,7 @@
         spares: ReserveDescriptors,
         request_ids: Iterator[bytes],
         retire: Callable[[Listener], None],
+        account: MemoryAccount,
     ) -> None:
         """Create an empty set.
 
@@ -42,12 +48,14 @@
             spares: Descriptors held in reserve for when the system has no others left.
             request_ids: Generates ids for requests that arrive without one.
             retire: Called with each listener that a new configuration removes.
+            account: The memory account of the process.
         """
         self.running: dict[str, Listener] = {}
         self._logger = logger
         self._spares = spares
         self._request_ids = request_ids
         self._retire = retire
+        self._account = account
 
     def find_kept(self, plan: Plan, before: Plan | None) -> dict[str, str]:
         """Find the running listeners that a configuration reuses: those with the same address, whatever their name.
@@ -91,7 +99,7 @@
         plan: Plan,
         kept: Mapping[str, str],
         sockets: Mapping[str, socket.socket],
-        slots: Mapping[str, ListenerSlots],
+        division: ResourceDivision,
         targets: RouteTargets,
         tls_keys: TlsKeys | None,
     ) -> None:
@@ -101,7 +109,7 @@
             plan: The configuration.
             kept: The reused listeners, as returned by `find_kept`.
             sockets: The new sockets, as returned by `bind`.
-            slots: Each listener's share of the process's resources, by name.
+            division: Each listener's share of the process's resources.
             targets: Targets of the routes.
             tls_keys: Certificates of the listeners with TLS.
         """
@@ -113,11 +121,14 @@
             reader = RoutedReader(
                 listener_plan, targets.for_listener(listener_plan), plan.key_headers, self._request_ids
             )
+            slots = division.slots[name]
             if name in sockets:
                 factory = make_connection_factory(listener_plan.table)
-                running[name] = Listener(reader, slots[name], self._logger, factory)
+                running[name] = Listener(
+                    reader, slots, self._logger, factory, self._account, division.limits.kernel_buffers
+                )
                 running[name].start(sockets[name])
-            self._configure(running[name], listener_plan, reader, slots[name], tls_keys)
+            self._configure(running[name], listener_plan, reader, slots, tls_keys)
 
     def _configure(
         self,
--- a/loadbalancer/daemon/pool_set.py
+++ b/loadbalancer/daemon/pool_set.py
@@ -7,9 +7,11 @@
 
 from loadbalancer.config.plan import Plan
 from loadbalancer.config.reader import ConfigError
+from loadbalancer.daemon.listener_factory import ResourceDivision
 from loadbalancer.daemon.pools import RunningPool
 from loadbalancer.discovery.overrides import AdminOverride
 from loadbalancer.frontends.reserve_descriptors import ReserveDescriptors
+from loadbalancer.memory_account import MemoryAccount
 from loadbalancer.proxy.open_requests import TransactionIds
 from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.routing.fair_shares import PoolAllocation, WeightedAdmission
@@ -32,6 +34,7 @@
         spares: ReserveDescriptors,
         random_source: random.Random,
         retire: Callable[[RunningPool], None],
+        account: MemoryAccount,
     ) -> None:
         """Create an empty set.
 
@@ -40,6 +43,7 @@
             spares: Descriptors held in reserve for when the system has no others left.
             random_source: Generates the seeds of the pools.
             retire: Called with each pool that a new configuration removes or replaces.
+            account: The memory account of the process.
         """
         self.running: dict[str, RunningPool] = {}
         self.weighted_turns: WeightedAdmission | None = None
@@ -47,6 +51,7 @@
         self._spares = spares
         self._random_source = random_source
         self._retire = retire
+        self._account = account
         self._ids = TransactionIds()
 
     def make(
@@ -78,6 +83,7 @@
                     self._random_source.getrandbits(64),
                     self._ids,
                     self._logger,
+                    self._account,
                     plan.path.parent,
                     overrides.get(name),
                     max_first_poll_delay_s,
@@ -87,7 +93,7 @@
         self,
         plan: Plan,
         made: Mapping[str, RunningPool],
-        allocations: Mapping[str, PoolAllocation],
+        division: ResourceDivision,
         tls_keys: TlsKeys | None,
     ) -> None:
         """Switch to the pools of a configuration, including those in `made`. Must not fail."""
@@ -103,7 +109,8 @@
         weights = {name: pool.table.limits.share for name, pool in plan.pools.items()}
         self.weighted_turns = WeightedAdmission(weights) if len(weights) > 1 else None
         for name, pool in self.running.items():
-            pool.resize(allocations[name], self.weighted_turns)
+            pool.resize(division.allocations[name], self.weighted_turns)
+            pool.proxy.upstreams.kernel_buffers = division.limits.kernel_buffers
             pool.proxy.upstreams.free_descriptor = self._spares.take
             pool.proxy.upstreams.tls = tls_keys.pools.get(name) if tls_keys is not None else None
 
--- a/loadbalancer/daemon/pools.py
+++ b/loadbalancer/daemon/pools.py
@@ -17,6 +17,7 @@
 from loadbalancer.discovery.static_list import MembersFile, StaticEndpoints
 from loadbalancer.discovery.watch import DiscoveryClient
 from loadbalancer.frontends.platform_http import PlatformReader
+from loadbalancer.memory_account import MemoryAccount
 from loadbalancer.proxy.open_requests import TransactionIds
 from loadbalancer.proxy.proxy import Proxy
 from loadbalancer.resource_limits import RateLimitedLogger
@@ -71,7 +72,12 @@
 
 
 def _make_proxy(
-    plan: PoolPlan, allocation: PoolAllocation, seed: int, ids: TransactionIds, logger: RateLimitedLogger
+    plan: PoolPlan,
+    allocation: PoolAllocation,
+    seed: int,
+    ids: TransactionIds,
+    logger: RateLimitedLogger,
+    account: MemoryAccount,
 ) -> Proxy:
     proxy = Proxy(
         plan.deployment,
@@ -83,6 +89,7 @@
         ids=ids,
         timeout_status=GATEWAY_TIMEOUT,
         tunnels=make_tunnel_limits(plan.table.tunnels),
+        account=account,
     )
     proxy.name = plan.table.name
     return proxy
@@ -107,6 +114,7 @@
         seed: int,
         ids: TransactionIds,
         logger: RateLimitedLogger,
+        account: MemoryAccount,
         base: Path,
         overrides: Mapping[str, AdminOverride] | None = None,
         max_first_poll_delay_s: float = 0.0,
@@ -119,6 +127,7 @@
             seed: Seed of the pool's random choices.
             ids: Generator of request ids, shared by all pools of the process.
             logger: Log of the daemon.
+            account: The memory account of the process.
             base: Folder to which the path of an endpoints file is relative.
             overrides: Operators' overrides by endpoint.
             max_first_poll_delay_s: Longest delay of the first discovery poll, in seconds.
@@ -132,7 +141,7 @@
         self._logger = logger
         self._base = base
         self._max_first_poll_delay_s = max_first_poll_delay_s
-        self.proxy = _make_proxy(plan, allocation, seed, ids, logger)
+        self.proxy = _make_proxy(plan, allocation, seed, ids, logger, account)
         self.reader = (
             PlatformReader(self.proxy, plan.deployment) if plan.table.dialect == "platform" else None
         )
--- a/loadbalancer/fastcgi/application.py
+++ b/loadbalancer/fastcgi/application.py
@@ -205,6 +205,10 @@
         """Return whether the last received record is incomplete."""
         return self._decoder.held > 0
 
+    def held_bytes(self) -> int:
+        """Return how many bytes of records and params are buffered."""
+        return self._decoder.held + sum(len(entry.params) for entry in self.open.values())
+
     # Answers.
 
     def end(self, request: int, status: int = Status.REQUEST_COMPLETE, application: int = 0) -> bytes:
--- a/loadbalancer/frontends/connection.py
+++ b/loadbalancer/frontends/connection.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, cast
 
 from loadbalancer.admission.pressure import UNUSED_AFTER_S
-from loadbalancer.resource_limits import BufferBudget
+from loadbalancer.kernel_buffers import unacknowledged_bytes
 
 if TYPE_CHECKING:
     from loadbalancer.frontends.admission_gate import AdmittedConnection
@@ -51,16 +51,15 @@
     blocked_since: float = 0.0  # monotonic time since which the client has not read its answer; 0 if it reads
     secure: bool = False  # over TLS
     certificate_names: tuple[str, ...] = ()  # subject names in the client's certificate
-    _charged: int = 0  # bytes charged to `_charged_to`
-    _charged_to: BufferBudget | None = None
-    _last_buffer_size: int = 0  # size of the write buffer at the last check, in bytes
+    _charged_output: int = 0  # bytes of the write buffer that are charged to the account
+    _last_unread_bytes: int = 0  # written bytes that the client had not read at the last check
 
     def close_if_idle(self) -> bool:
         """Close the connection if no request is open on it; return whether it was closed.
 
         It stays open if a request waits unread in the kernel, because that request must be served, or if part of an
-        answer is still in the write buffer. Guards against requests lost when the proxy is short of CPU and reads late,
-        and against answers that are cut off.
+        answer is still in the write buffer. Guards against requests
+        lost when the proxy is short of CPU and reads late, and against answers that are cut off.
         """
         if self.transport is not None and self.transport.get_write_buffer_size():
             return False
@@ -105,6 +104,9 @@
     def register(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to its listener once it is open and its TLS handshake, if any, is done."""
         self.transport = cast(asyncio.Transport, transport)
+        if transport.get_extra_info("ssl_object") is None:
+            # pause_writing then reports that the client has no room for something, and resume_writing that it has all.
+            self.transport.set_write_buffer_limits(high=0, low=0)
         acceptor = self.listener.tls
         if acceptor is not None and (ssl_object := transport.get_extra_info("ssl_object")) is not None:
             self.secure, self.certificate_names = True, acceptor.certificate_names(ssl_object)
@@ -123,27 +125,71 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def charge(self, budget: BufferBudget | None) -> None:
-        """Charge the unread part of the answer to the budget, and record since when the client has not read."""
-        assert self.transport is not None
+    def write(self, data: bytes) -> None:
+        """Write directly to the socket, or behind what waits in the transport's buffer.
+
+        That way the buffer holds only what the client has made no room for.
+        """
+        transport = self.transport
+        assert transport is not None
+        if transport.is_closing():
+            return
+        if self.secure or transport.get_write_buffer_size():
+            transport.write(data)
+            if self.blocked_since:
+                self._charge_output()
+            return
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            transport.abort()
+            return
+        if sent < len(data):
+            transport.write(data[sent:])
+
+    # What the client has not read.
+
+    def begin_blocked(self) -> None:
+        """Charge what the client has made no room for, and record since when it has not read."""
         self.blocked_since = time.monotonic()
-        if budget is not None:
-            self._charged = self.transport.get_write_buffer_size()
-            self._charged_to = budget
-            budget.held_bytes += self._charged
+        self._charge_output()
+
+    def _charge_output(self) -> None:
+        assert self.transport is not None
+        size = self.transport.get_write_buffer_size()
+        self.listener.account.charge(size - self._charged_output)
+        self._charged_output = size
 
     def has_write_progress(self) -> bool:
         """Return whether the client has read some of the written data since the last call."""
         assert self.transport is not None
-        before, self._last_buffer_size = self._last_buffer_size, self.transport.get_write_buffer_size()
-        return self._last_buffer_size < before
+        unread_bytes = self.transport.get_write_buffer_size() + unacknowledged_bytes(self.sock)
+        before, self._last_unread_bytes = self._last_unread_bytes, unread_bytes
+        return unread_bytes < before
 
-    def uncharge(self) -> None:
-        """Release the charge of `charge`, once the client reads again or the connection has ended."""
+    def end_blocked(self) -> None:
+        """Release the charge, once the client has read all or the connection has ended."""
         self.blocked_since = 0.0
-        if self._charged_to is not None:
-            self._charged_to.release(self._charged)
-        self._charged, self._charged_to = 0, None
+        self.listener.account.release(self._charged_output)
+        self._charged_output = 0
+
+    # Memory.
+
+    def reclaimable_bytes(self) -> int:
+        """Return how many charged bytes `evict_for_memory` would free now."""
+        return self._charged_output
+
+    def idle_for_s(self, now: float) -> float:
+        """Return for how many seconds the client has neither sent nor read; `now` is monotonic."""
+        return now - (self.blocked_since or self.since)
+
+    def evict_for_memory(self) -> str:
+        """End the connection to free memory, and return what it was doing, for the log."""
+        self.end_blocked()
+        self.abort()
+        return "an answer that is not read"
 
     # Admission.
 
--- a/loadbalancer/frontends/dialect.py
+++ b/loadbalancer/frontends/dialect.py
@@ -8,9 +8,9 @@
 import time
 from typing import TYPE_CHECKING, Iterable, NamedTuple, Protocol, Union
 
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.proxy.open_requests import Client, OpenRequest
 from loadbalancer.proxy.proxy import Proxy
-from loadbalancer.resource_limits import BufferBudget
 from loadbalancer.streaming.uploads import Upload
 
 if TYPE_CHECKING:  # imported only where idempotency keys are remembered
@@ -34,6 +34,10 @@
 )
 
 
+#: Memory that each header field takes beside its name and value: its object, and its place in a list.
+FIELD_COST_BYTES = 64
+
+
 class RejectError(Exception):
     """The proxy answers the request itself with an error status; with HTTP it then closes the connection."""
 
@@ -67,6 +71,7 @@
         "lines",
         "inspected",
         "size",
+        "field_count",
         "method",
         "is_http10",
         "close",
@@ -83,7 +88,8 @@
         self.url = b""
         self.lines: list[bytes] = []  # header lines to forward, each with its CRLF
         self.inspected: dict[bytes, bytes] = {}  # headers that the reader inspects, by lower-case name
-        self.size = 0  # bytes received so far
+        self.size = 0  # bytes of the target and of the names and values received so far
+        self.field_count = 0  # header fields received so far
         self.method = b""
         self.is_http10 = False
         self.close = False  # the connection is closed after the answer
@@ -95,6 +101,10 @@
         self.destination: Destination | None = None
         self.upload: Upload | None = None  # the body, if it is streamed
 
+    def held_bytes(self) -> int:
+        """Return how many bytes of memory the head takes."""
+        return self.size + FIELD_COST_BYTES * self.field_count
+
     def add(self, name: bytes, value: bytes) -> None:
         """Add a header of the request.
 
--- a/loadbalancer/frontends/fastcgi.py
+++ b/loadbalancer/frontends/fastcgi.py
@@ -28,7 +28,6 @@
 from loadbalancer.frontends.listener import Listener
 from loadbalancer.proxy.final_answers import frontend_proxy_status
 from loadbalancer.proxy.open_requests import OpenRequest
-from loadbalancer.resource_limits import BufferBudget
 from loadbalancer.streaming.streams import Stream
 
 
@@ -139,8 +138,8 @@
         self.requests: dict[int, FcgiRequest] = {}  # begun and not answered
         self.since = time.monotonic()
         self.phase = Phase.IDLE
-        self.budget: BufferBudget | None = None  # of the pool that the latest request goes to
         self.paused = False
+        self.charged_input = 0  # bytes of records, params and heads that are charged to the memory account
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to its listener."""
@@ -166,8 +165,30 @@
         if self.side.protocol_violation and not was_malformed:
             self.record_malformed()
         self.flush()
+        self._charge_input()
         self._finish_answer()
 
+    def _charge_input(self) -> None:
+        """Charge what the connection holds of requests, beside the bodies, which their destinations charge."""
+        held_bytes = self.side.held_bytes() + sum(
+            request.head.held_bytes() for request in self.requests.values()
+        )
+        if held_bytes != self.charged_input:
+            added, self.charged_input = held_bytes - self.charged_input, held_bytes
+            self.listener.account.charge(added)
+
+    def reclaimable_bytes(self) -> int:
+        """Return how many charged bytes `evict_for_memory` would free now."""
+        is_open = any(request.open_request is not None for request in self.requests.values())
+        return 0 if is_open and not self.blocked_since else self.charged_input + super().reclaimable_bytes()
+
+    def evict_for_memory(self) -> str:
+        """End the connection, on which no request is complete, or whose answers are not read."""
+        reason = "answers that are not read" if self.blocked_since else "requests that are not complete"
+        self.cancel_all_requests()
+        super().evict_for_memory()
+        return reason
+
     def _handle_event(self, event: Event) -> None:
         if isinstance(event, ParamsReceived):
             self._begin_request(event)
@@ -195,11 +216,12 @@
             head.url, head.method, request.length = cgi_request.target, cgi_request.method, cgi_request.length
             request.bodiless = cgi_request.method == b"HEAD"
             for name, value in cgi_request.headers:
+                head.size += len(name) + len(value)
+                head.field_count += 1
                 head.add(name, value)
             if cgi_request.length is not None:
                 head.inspected[b"content-length"] = b"%d" % cgi_request.length
             destination = head.destination = head.reader.find_destination(head)
-            self.budget = destination.budget
             if (cgi_request.length or 0) > destination.body_most:
                 raise RejectError(413, "body too large")
         except CgiError as problem:
@@ -319,7 +341,7 @@
         if self.side.output and self.transport is not None and not self.transport.is_closing():
             data = bytes(self.side.output)
             self.side.output.clear()
-            self.transport.write(data)
+            self.write(data)
 
     def _finish_answer(self) -> None:
         """Close the connection, or wait for the next request."""
@@ -344,14 +366,14 @@
     # Flow control, close and timeouts.
 
     def pause_writing(self) -> None:
-        """Charge unread output to the budget, and stop reading requests and streams until the client reads again."""
-        self.charge(self.budget)
+        """Charge unread output, and stop reading requests and streams until the client reads again."""
+        self.begin_blocked()
         self._set_reading(False)
         self._set_streams_full(True)
 
     def resume_writing(self) -> None:
         """Go on: the client has read all output."""
-        self.uncharge()
+        self.end_blocked()
         self._set_reading(True)
         self._set_streams_full(False)
 
@@ -372,7 +394,9 @@
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Cancel all requests and release the connection."""
         self.cancel_all_requests()
-        self.uncharge()
+        self.end_blocked()
+        self.listener.account.release(self.charged_input)
+        self.charged_input = 0
         self.listener.remove(self)
 
     def cancel_all_requests(self) -> None:
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -30,6 +30,10 @@
 
 #: Largest head of a request; guards against endless headers.
 HEAD_MOST = 16 << 10
+#: Header fields of a request, with its trailers, at most.
+MAX_FIELDS = 256
+#: Bytes of input that a connection holds without a charge to the memory account: they count in the process's base.
+FREE_INPUT_BYTES = 4 << 10
 #: Requests that may wait on one connection behind the one being served; guards against pipelining floods.
 PIPELINE_MOST = 16
 #: A body may take longer than REQUEST_S while it keeps arriving: its least rate in bytes a second, and the longest
@@ -39,8 +43,6 @@
 BODY_STALL_S = 1.0
 #: An answer is abandoned once the client has not read any of it for this long.
 READ_STALL_S = 5.0
-#: Send buffer of the kernel for streamed answers, in bytes; the kernel doubles the figure.
-STREAM_BUFFER = 128 << 10
 #: After the last answer the sending direction is closed, and the connection is read for this long, so that data still
 #: arriving does not reset it before the client has read the answer.
 LINGER_S = 1.0
@@ -75,6 +77,7 @@
         self.upload_paused_at = 0.0  # monotonic time of the last change
         self.unparsed = b""  # input that waits for its turn, or until the requests before it are served
         self.is_queued = False  # for a turn
+        self.charged_input = 0  # bytes of heads and unparsed input that are charged to the memory account
         self.unreported_bytes = 0  # of the head, since the parser's last report
         self.part_count = 0  # parts of bodies that were parsed in this turn
         self.discarded = 0  # bytes read after the last answer
@@ -116,10 +119,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are ignored."""
+        head = self.head
+        head.field_count += 1
+        if head.field_count > MAX_FIELDS:
+            raise RejectError(431, "too many header fields")
         self._count_head_bytes(len(name) + len(value))
         if self.phase != HEAD:  # trailers
             return
-        self.head.add(name, value)
+        head.add(name, value)
 
     def _count_head_bytes(self, size: int) -> None:
         self.head.size += size
@@ -144,7 +151,7 @@
         # An HTTP/1.0 client would take it for its answer (RFC 9110, 10.1.1).
         if expects_continue and not head.is_http10 and self.request is None and not self.waiting:
             assert self.transport is not None
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def framing_headers(self) -> bytes:
         """Return the header line that frames the body; empty if none is announced."""
@@ -226,8 +233,53 @@
             self._forward_body()
         if self.unparsed:
             self._set_reading(False)
+        self._charge_input()
+        if self.listener.account.is_overdrawn and self._is_incomplete():
+            self._refuse_for_memory()
         self._serve_waiting()
 
+    def _charge_input(self) -> None:
+        """Charge what the connection holds of requests, beside the bodies, which their destinations charge."""
+        held_bytes = self.head.held_bytes() + len(self.unparsed) + len(self.early_bytes)
+        for item in self.waiting:
+            held_bytes += len(item.request.head) if isinstance(item, RoutedRequest) else 0
+        if self.request is not None:
+            held_bytes += len(self.request.head)
+        if held_bytes <= FREE_INPUT_BYTES:
+            held_bytes = 0
+        if held_bytes != self.charged_input:
+            added, self.charged_input = held_bytes - self.charged_input, held_bytes
+            self.listener.account.charge(added)
+
+    def _is_incomplete(self) -> bool:
+        """Return whether a request is arriving that no pool knows of."""
+        return self.phase in (HEAD, BODY) and self.request is None and not self.waiting and not self.closing
+
+    def _refuse_for_memory(self) -> None:
+        self._reject(503, "too much memory is in use")
+
+    def reclaimable_bytes(self) -> int:
+        """Return how many charged bytes `evict_for_memory` would free now."""
+        if self.blocked_since or self._is_incomplete():
+            return self.charged_input + len(self.body or b"") + super().reclaimable_bytes()
+        return 0
+
+    def idle_for_s(self, now: float) -> float:
+        """Return for how many seconds the client has neither sent nor read; a head counts from its beginning."""
+        if self.phase == BODY and not self.blocked_since:
+            return now - self.body_received_at
+        return super().idle_for_s(now)
+
+    def evict_for_memory(self) -> str:
+        """Refuse an incomplete request, or close a connection whose answer is not read."""
+        if self.blocked_since:
+            self.cancel_all_requests()
+            self._release_input()
+            return super().evict_for_memory()
+        self._refuse_for_memory()
+        self._serve_waiting()
+        return "a request that is not complete"
+
     def _parse(self, data: bytes) -> bytes:
         """Parse requests, up to one that may switch to another protocol: what follows may be in that protocol.
 
@@ -243,7 +295,8 @@
                 return b""
             if data and (self.part_count > MAX_PARTS or self.waiting) and not self.closing:
                 return data
-            size *= 2
+            if self.phase == BODY:
+                size *= 2
         return b""
 
     def _feed(self, data: bytes) -> bytes:
@@ -368,9 +421,7 @@
         assert self.transport is not None
         self.tunnel, self.request, self.phase = tunnel, None, TUNNEL
         self.end_request(True)
-        self.transport.write(
-            b"HTTP/1.1 101 %b\r\n%b\r\n" % (reason or b"Switching Protocols", b"".join(lines))
-        )
+        self.write(b"HTTP/1.1 101 %b\r\n%b\r\n" % (reason or b"Switching Protocols", b"".join(lines)))
         early_bytes, self.early_bytes, self.unparsed = self.early_bytes + self.unparsed, b"", b""
         if early_bytes:
             tunnel.from_client(early_bytes)
@@ -379,8 +430,7 @@
     def send(self, data: bytes) -> None:
         """Write bytes of the tunnel."""
         if not self._is_closed():
-            assert self.transport is not None
-            self.transport.write(data)
+            self.write(data)
 
     def shut(self) -> None:
         """Close a tunnel once what is buffered has been written."""
@@ -407,7 +457,7 @@
 
     def _serve_waiting(self) -> None:
         """Serve the waiting requests in order, until one has been submitted to its pool."""
-        while self.request is None and self.waiting and not self._is_closed():
+        while self.request is None and self.waiting and not self.blocked_since and not self._is_closed():
             item = self.waiting.popleft()
             self.close_after = item.close
             if isinstance(item, Reply):
@@ -424,6 +474,9 @@
                 self._refuse_request(item, 503, b"this proxy is not of its fleet now\n", False, lines)
             elif not item.proxy.has_room():
                 self._refuse_request(item, 503, b"this pool has all it can hold\n", False)
+            elif self.listener.account.is_overdrawn:
+                lines = retry_after(RETRY_AFTER_S)
+                self._refuse_request(item, 503, b"too much memory is in use\n", False, lines)
             elif not self.try_begin_request():
                 lines = retry_after(RETRY_AFTER_S)
                 self._refuse_request(
@@ -508,9 +561,7 @@
         self.stream = stream
         self.chunked = length is None and not self.is_http10
         self.close_after = self.close_after or (length is None and self.is_http10) or self._is_last(True)
-        # By default the kernel buffers megabytes for a slow client, which long hides whether it reads at all.
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_BUFFER)
-        self.transport.write(
+        self.write(
             encode_stream_head(
                 status, lines, length, is_last=self.close_after, is_chunked=self.chunked, reason=reason
             )
@@ -518,19 +569,13 @@
 
     def receive_data(self, data: bytes) -> None:
         """Write a part of the streamed answer."""
-        assert self.transport is not None
-        if self._is_closed():
-            return
-        if self.chunked:
-            self.transport.writelines((b"%x\r\n" % len(data), data, b"\r\n"))
-        else:
-            self.transport.write(data)
+        if not self._is_closed():
+            self.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
 
     def receive_end(self) -> None:
         """Write the end of the streamed answer."""
-        assert self.transport is not None
         if self.chunked and not self._is_closed():
-            self.transport.write(b"0\r\n\r\n")
+            self.write(b"0\r\n\r\n")
         self._end_stream(True)
         self._finish_answer()
 
@@ -555,9 +600,8 @@
         reason: bytes = b"",
         served: bool = True,
     ) -> None:
-        assert self.transport is not None
         self.close_after = self.close_after or self._is_last(served)
-        self.transport.write(
+        self.write(
             encode_answer(
                 status,
                 lines,
@@ -594,7 +638,7 @@
             self.listener.evictable.lingering[self] = None
             while self.waiting:
                 self._drop_waiting(self.waiting.popleft())
-            self._release_body()
+            self._release_input()
             self._set_reading(True)
             if not self._is_closed():
                 self.end_writing()
@@ -602,8 +646,16 @@
             asyncio.get_running_loop().call_soon(self._serve_waiting)
         elif self.phase == WHOLE:
             self.phase = IDLE
+            if self.charged_input:
+                self._release_input()
             self.mark_idle()
 
+    def _release_input(self) -> None:
+        """Release the body and the head of a request that is over."""
+        self._release_body()
+        self._begin_request()
+        self._charge_input()
+
     def _drop_waiting(self, item: RoutedRequest | Reply) -> None:
         if isinstance(item, RoutedRequest):
             item.proxy.drop(item.request)
@@ -620,8 +672,7 @@
         if self.tunnel is not None:
             self.tunnel.set_full(False, True)
             return
-        destination = self.head.destination
-        self.charge(destination.budget if destination is not None else None)
+        self.begin_blocked()
         if self.stream is not None:
             self.stream.set_full(True)
 
@@ -630,9 +681,11 @@
         if self.tunnel is not None:
             self.tunnel.set_full(False, False)
             return
-        self.uncharge()
+        self.end_blocked()
         if self.stream is not None:
             self.stream.set_full(False)
+        elif self.waiting or self.unparsed:
+            asyncio.get_running_loop().call_soon(self._serve_waiting)
 
     def eof_received(self) -> bool | None:
         """Cancel the requests of a client that has closed its side; in a tunnel, end only that direction."""
@@ -647,7 +700,9 @@
         if self.tunnel is not None:
             self.tunnel.lost()
         self.cancel_all_requests()
-        self.uncharge()
+        self.end_blocked()
+        self.listener.account.release(self.charged_input)
+        self.charged_input = 0
         self.listener.remove(self)
         if self.parser is not None:
             self.parser.close()
@@ -714,7 +769,7 @@
         assert self.transport is not None
         self.closing = True
         self.listener.evictable.remove(self)
-        self.transport.write(response)
+        self.write(response)
         self.close_after = True
         self._finish_answer()
 
--- a/loadbalancer/frontends/listener.py
+++ b/loadbalancer/frontends/listener.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import sys
 import time
 from contextlib import suppress
 from typing import TYPE_CHECKING, Mapping, Protocol, Sequence
@@ -20,7 +21,8 @@
 from loadbalancer.frontends.shutdown_deadline import platform_shutdown_duration
 from loadbalancer.frontends.sockets import LOCAL, UNIX, bind, block_new_connections, release
 from loadbalancer.input_turns import InputTurns
-from loadbalancer.kernel_buffers import limit_kernel_buffers
+from loadbalancer.kernel_buffers import KernelBuffers
+from loadbalancer.memory_account import MemoryAccount
 from loadbalancer.read_first_timer import read_what_has_arrived
 from loadbalancer.resource_limits import RateLimitedLogger
 
@@ -70,7 +72,13 @@
     """One listening socket, and the client connections accepted on it."""
 
     def __init__(
-        self, reader: Reader, slots: tuple[int, int], logger: RateLimitedLogger, serve: ConnectionFactory
+        self,
+        reader: Reader,
+        slots: tuple[int, int],
+        logger: RateLimitedLogger,
+        serve: ConnectionFactory,
+        account: MemoryAccount | None = None,
+        kernel_buffers: KernelBuffers | None = None,
     ) -> None:
         """Create a listener that does not listen yet.
 
@@ -79,6 +87,8 @@
             slots: Connections that it may hold, and further ones that it may hold only to refuse their requests.
             logger: Logs refusals and errors.
             serve: Makes the protocol objects of connections.
+            account: The memory account of the process; by default one without a limit.
+            kernel_buffers: Buffers in the kernel of each connection.
         """
         self.reader, self.logger, self._serve = reader, logger, serve
         self.most, self.overflow_most = slots
@@ -90,7 +100,9 @@
         self.tls: TlsAcceptor | None = None  # runs the handshakes of new connections; None without TLS
         self.speaks_http = True  # an immediate refusal can carry a 503 answer
         self.evictable = EvictableConnections()
+        self.kernel_buffers = kernel_buffers if kernel_buffers is not None else KernelBuffers()
         self.input_turns = InputTurns()
+        self.account = account if account is not None else MemoryAccount(sys.maxsize)
         self._opening_tasks: set[asyncio.Task[None]] = set()
         self.draining = False
         self._loop = asyncio.get_running_loop()
@@ -105,7 +117,7 @@
     def start(self, sock: socket.socket) -> tuple[str, int]:
         """Begin to accept on a listening socket, which the listener now owns."""
         self._sock = sock
-        limit_kernel_buffers(sock)  # accepted connections inherit them
+        self.kernel_buffers.apply(sock)  # accepted connections inherit them
         self.shared = False  # another process listens on it too
         self.was_offered = False  # another process may have received the socket, and may accept on it later
         self._loop.add_reader(sock, self.accept)
--- a/loadbalancer/frontends/routed_http.py
+++ b/loadbalancer/frontends/routed_http.py
@@ -24,12 +24,12 @@
 )
 from loadbalancer.frontends.platform_http import PlatformReader, encode_forwarded_head
 from loadbalancer.frontends.sockets import LOCAL
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.policy.events import (
     AttemptResult,
 )
 from loadbalancer.proxy.open_requests import Client, OpenRequest
 from loadbalancer.proxy.proxy import Proxy
-from loadbalancer.resource_limits import BufferBudget
 from loadbalancer.routing.rewrites import Rewrites
 from loadbalancer.routing.routes import Rule
 from loadbalancer.routing.targets import Target, TargetError, read_target
--- a/loadbalancer/kernel_buffers.py
+++ b/loadbalancer/kernel_buffers.py
@@ -6,15 +6,61 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import termios
+from typing import NamedTuple
 
-RECEIVE_BUFFER_BYTES = 32 << 10
-"""Receive buffer of each connection, in bytes; the kernel doubles the figure for its own overhead."""
-SEND_BUFFER_BYTES = 64 << 10
-"""Send buffer of each connection, in bytes; doubled likewise."""
+MIN_RECEIVE_BYTES = 4 << 10
+"""Smallest receive buffer, in bytes."""
+MAX_RECEIVE_BYTES = 32 << 10
+"""Largest receive buffer, in bytes."""
+SEND_PER_RECEIVE = 2
+"""Size of the send buffer, as a multiple of the receive buffer."""
+SEGMENTS_PER_BUFFER = 4
+"""Segments that fill the receive buffer.
+
+A peer may delay its acknowledgement until two segments have come, so the buffers have to hold several. Networks have
+small segments anyway; on loopback they are longer than these buffers.
+"""
+
+
+class KernelBuffers(NamedTuple):
+    """Sizes of the kernel's buffers for one connection, in bytes; the kernel doubles them for its own overhead."""
+
+    receive_bytes: int = MAX_RECEIVE_BYTES
+
+    @classmethod
+    def for_share(cls, memory_bytes: float) -> KernelBuffers:
+        """Return the buffers of connections for each of which the process may buffer so much."""
+        return cls(max(MIN_RECEIVE_BYTES, min(MAX_RECEIVE_BYTES, int(memory_bytes / 2))))
+
+    @property
+    def send_bytes(self) -> int:
+        """Size of the send buffer."""
+        return self.receive_bytes * SEND_PER_RECEIVE
+
+    def apply(self, sock: socket.socket) -> None:
+        """Set the sizes for a socket before it is connected, or for the connections that it will accept."""
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_bytes)
+        if sock.family == socket.AF_INET:
+            segment_bytes = self.receive_bytes // SEGMENTS_PER_BUFFER
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes of the send buffer the peer has not acknowledged; 0 if the kernel does not tell."""
+    try:
+        return int(struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))[0])
+    except OSError:
+        return 0
 
 
-def limit_kernel_buffers(sock: socket.socket) -> None:
-    """Set the buffer sizes of a socket before it is connected, or of the connections that it will accept."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes have been received that were not read yet; 0 if the kernel does not tell."""
+    try:
+        return int(struct.unpack("i", fcntl.ioctl(sock, termios.FIONREAD, bytes(4)))[0])
+    except OSError:
+        return 0
--- a/loadbalancer/platform/node.py
+++ b/loadbalancer/platform/node.py
@@ -10,7 +10,9 @@
 from loadbalancer.discovery.watch import DiscoveryClient
 from loadbalancer.frontends.http1 import ClientConnection
 from loadbalancer.frontends.listener import Listener
+from loadbalancer.frontends.memory_reclaimer import MemoryReclaimer
 from loadbalancer.frontends.platform_http import PlatformReader
+from loadbalancer.memory_account import MemoryAccount
 from loadbalancer.platform.configuration import NodeConfiguration
 from loadbalancer.proxy.proxy import Proxy
 from loadbalancer.resource_limits import RateLimitedLogger, ResourceLimits, describe_loop_context
@@ -36,9 +38,11 @@
     Attributes:
         configuration: Its configuration.
         logger: Its log.
+        account: The memory that its peers make it hold.
         proxy: The open requests and the connections to endpoints.
         discovery: The source of the endpoint list.
         listener: The connections of clients.
+        reclaimer: Ends idle connections when the account is full.
         stopping: Set once the process was told to end.
     """
 
@@ -48,11 +52,15 @@
         limits = configuration.limits
         self.configuration = configuration
         self.logger = logger
-        self.proxy = Proxy(deployment, configuration.seed, limits, logger)
+        self.account = MemoryAccount(limits.buffered)
+        self.proxy = Proxy(deployment, configuration.seed, limits, logger, account=self.account)
         self.discovery = DiscoveryClient(self.proxy, deployment, configuration.discovery, logger)
         self.proxy.source = self.discovery
         slots = limits.client_sockets, limits.overflow_sockets
-        self.listener = Listener(PlatformReader(self.proxy, deployment), slots, logger, ClientConnection)
+        reader = PlatformReader(self.proxy, deployment)
+        self.listener = Listener(reader, slots, logger, ClientConnection, self.account, limits.kernel_buffers)
+        self.proxy.upstreams.kernel_buffers = limits.kernel_buffers
+        self.reclaimer = MemoryReclaimer(self.account, lambda: self.listener.connections, logger)
         self._inherited: socket.socket | None = None
         if configuration.accept_fd is not None:
             self._inherited = inherit_listener(configuration.accept_fd)
@@ -92,6 +100,7 @@
         falls as they end: closing one would lose a request that the client sends at that moment. Each open request can
         get a connection to an endpoint at any limits, since it was accepted.
         """
+        self.account.resize(limits.buffered)
         self.proxy.resize(limits)
         self.proxy.upstreams.sockets = max(
             limits.backend_sockets, self.proxy.metrics.open + RESERVED_DESCRIPTORS
--- a/loadbalancer/platform/operations.py
+++ b/loadbalancer/platform/operations.py
@@ -35,11 +35,14 @@
     in_progress: int
     known_backends: int
     skipped_backends: int
+    memory_held_bytes: int
+    memory_peak_bytes: int
+    memory_max_bytes: int
 
 
 def counts_of(proxy: Proxy, classes: Mapping[str, int]) -> Counts:
     """Return all counts of a proxy; `classes` maps the names of its request classes to their numbers."""
-    ended = proxy.metrics.ended
+    ended, account = proxy.metrics.ended, proxy.budget.account
     handled: dict[str, HandledRequests] = {
         name: {
             "passed": ended[number][RequestResult.PASSED],
@@ -54,6 +57,9 @@
         "in_progress": proxy.metrics.open,
         "known_backends": len(proxy.listed),
         "skipped_backends": proxy.avoided_count(),
+        "memory_held_bytes": account.held_bytes,
+        "memory_peak_bytes": account.peak_bytes,
+        "memory_max_bytes": account.max_bytes,
     }
 
 
--- a/loadbalancer/proxy/answer_writer.py
+++ b/loadbalancer/proxy/answer_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.metrics import RequestResult, result_of_status
 from loadbalancer.proxy.final_answers import (
     FinalAnswer,
@@ -12,7 +13,6 @@
 )
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.proxy.request_table import RequestTable
-from loadbalancer.resource_limits import BufferBudget
 from loadbalancer.upstreams.dialect import Dialect
 from loadbalancer.upstreams.interfaces import UpstreamResponse
 
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -14,6 +14,7 @@
 from loadbalancer.deployment import Deployment
 from loadbalancer.discovery.endpoint_source import EndpointSource, Entry
 from loadbalancer.event_loop_lag import EventLoopLag
+from loadbalancer.memory_account import BufferBudget, MemoryAccount
 from loadbalancer.metrics import PoolMetrics, RequestResult, result_of_status
 from loadbalancer.policy.balancer import Balancer
 from loadbalancer.policy.events import (
@@ -31,12 +32,7 @@
 from loadbalancer.proxy.request_owner import BAD_GATEWAY, PoolRequestOwner
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.response_streams import ResponseStreams
-from loadbalancer.resource_limits import (
-    MAX_STREAMED_BODY_BYTES,
-    BufferBudget,
-    PoolLimits,
-    RateLimitedLogger,
-)
+from loadbalancer.resource_limits import MAX_STREAMED_BODY_BYTES, PoolLimits, RateLimitedLogger
 from loadbalancer.streaming.streams import Stream, StreamProducer
 from loadbalancer.streaming.tunnels import Tunnel, TunnelEnd, TunnelLimits, Tunnels
 from loadbalancer.upstreams.connections import Attempt, Upstream, UpstreamPools
@@ -74,6 +70,7 @@
         ids: TransactionIds | None = None,
         timeout_status: int = BAD_GATEWAY,
         tunnels: TunnelLimits | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
         """Start without endpoints; must be called on the event loop.
 
@@ -87,6 +84,7 @@
             ids: Transaction ids, shared by all pools whose requests have them.
             timeout_status: Status of the answer to a request that failed because its last attempt timed out.
             tunnels: Limits on connections that were upgraded to another protocol.
+            account: The memory account of the process; by default the pool has one of its own.
         """
         self.logger = logger
         self.name = ""  # unique among the pools of the process
@@ -97,7 +95,7 @@
         self.takes_uploads: bool = getattr(connect, "takes_uploads", False)
         self.max_open_requests = limits.max_open_requests
         self.balancer = Balancer(deployment.settings, seed)
-        self.budget = BufferBudget(limits.buffered)
+        self.budget = BufferBudget(limits.buffered, account)
         self.metrics = PoolMetrics(len(deployment.settings.classes))
         self.tunnels = Tunnels(tunnels or TunnelLimits(), time.monotonic)
         self.ids = ids or TransactionIds()
--- a/loadbalancer/proxy/request_table.py
+++ b/loadbalancer/proxy/request_table.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import Callable
 
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.metrics import PoolMetrics, RequestResult
 from loadbalancer.proxy.open_requests import OpenRequest, RequestOwner, TransactionIds
-from loadbalancer.resource_limits import BufferBudget
 
 OVERDUE_S = 0.03
 """Seconds past its client's deadline after which a request is failed if the policy has not answered it."""
--- a/loadbalancer/resource_limits.py
+++ b/loadbalancer/resource_limits.py
@@ -8,6 +8,7 @@
 import traceback
 from typing import Any, Mapping, NamedTuple, Protocol
 
+from loadbalancer.kernel_buffers import KernelBuffers
 from loadbalancer.line_writer import LineWriter
 
 BYTES_PER_MB = 1 << 20
@@ -17,14 +18,16 @@
 """A request body up to this size is buffered whole, if the buffer budget allows it."""
 MAX_STREAMED_BODY_BYTES = 32 << 20
 """Maximum body size of the platform's protocol in both directions; a body above the limits above is streamed."""
-BASE_MB = 27.0
-"""Memory of the interpreter, its libraries and the objects of connections and requests."""
+BASE_MB = 28.0
+"""Memory of the interpreter and its libraries."""
+CONNECTION_MB = 4 / 1024
+"""Memory of a client's connection with the objects of a short request and of its attempt."""
+MARGIN_SHARE = 0.1
+"""Share of the memory limit that stays unused."""
 BUFFER_SHARE = 0.5
-"""Share of the remaining memory for buffered bytes; the rest is for the slack of growing buffers."""
+"""Share of the remaining memory for buffered bytes; the rest is for what the allocator adds to them."""
 MIN_BUFFER_MB = 1.5
 """Minimum memory for buffered bytes: a proxy that could buffer none would serve nothing."""
-RESPONSE_BUFFER_SHARE = 0.2
-"""Share of the buffered bytes that uploads may not use, so that there is always room for answers."""
 RESERVED_DESCRIPTORS = 20
 """Descriptors for the listener, discovery, standard streams and the event loop's own."""
 MIN_DIVIDED_DESCRIPTORS = 16
@@ -63,55 +66,29 @@
 class ResourceLimits:
     """Divides the deployment's limits on one process among its uses."""
 
-    def __init__(self, memory_mb: float, sockets: int, kept: int = 0) -> None:
+    def __init__(self, memory_mb: float, sockets: int, kept: int = 0, base_mb: float = BASE_MB) -> None:
         """Divide the limits.
 
         Args:
             memory_mb: Memory of the process.
             sockets: Descriptors of the process.
+            base_mb: Memory of the process without connections.
             kept: Descriptors, in addition to RESERVED_DESCRIPTORS, that are not for clients or endpoints.
         """
         self.memory_mb = memory_mb
         self.sockets = sockets
         self.reserved_descriptors = kept
-        buffer_mb = max(MIN_BUFFER_MB, (memory_mb - BASE_MB) * BUFFER_SHARE)
-        self.buffered = int(buffer_mb * BYTES_PER_MB)
         divided = max(MIN_DIVIDED_DESCRIPTORS, sockets - RESERVED_DESCRIPTORS - kept)
         self.overflow_sockets = int(divided * OVERFLOW_SHARE)
         self.backend_sockets = int(divided * BACKEND_SHARE)
         self.client_sockets = divided - self.overflow_sockets - self.backend_sockets
+        clients = self.client_sockets + self.overflow_sockets
+        usable_mb = memory_mb * (1 - MARGIN_SHARE) - base_mb - clients * CONNECTION_MB
+        self.buffered = int(max(MIN_BUFFER_MB, usable_mb * BUFFER_SHARE) * BYTES_PER_MB)
+        self.kernel_buffers = KernelBuffers.for_share(self.buffered / clients)
         self.max_open_requests = sockets  # one per connection of a client, and there are fewer of these
 
 
-class BufferBudget:
-    """Counts the bytes that are buffered for all requests and answers of a pool."""
-
-    def __init__(self, most: int) -> None:
-        """Start empty; `most`: maximum buffered bytes."""
-        self.held_bytes = 0
-        self.resize(most)
-
-    def resize(self, most: int) -> None:
-        """Set another maximum, in bytes."""
-        self.max_bytes = most
-        self.max_upload_bytes = int(most * (1 - RESPONSE_BUFFER_SHARE))
-
-    def try_acquire_upload(self, count: int) -> bool:
-        """Acquire bytes for an upload, or for data that can be dropped in the same way.
-
-        Returns:
-            Whether there was room; otherwise nothing is acquired.
-        """
-        if self.held_bytes + count > self.max_upload_bytes:
-            return False
-        self.held_bytes += count
-        return True
-
-    def release(self, count: int) -> None:
-        """Release bytes."""
-        self.held_bytes -= count
-
-
 def describe_exception(problem: BaseException) -> str:
     """Return an exception in one line: its type, its message, and where it was raised."""
     frames = traceback.extract_tb(problem.__traceback__)
--- a/loadbalancer/streaming/uploads.py
+++ b/loadbalancer/streaming/uploads.py
@@ -8,7 +8,7 @@
 
 from typing import Callable
 
-from loadbalancer.resource_limits import BufferBudget
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.streaming.streams import StreamConsumer, StreamProducer
 
 
@@ -67,7 +67,7 @@
         if self._consumer is None and self.kept_bytes is not None:
             # Bytes that arrived before the pause took effect: at most one read.
             self.kept_bytes += data
-            self._budget.held_bytes += len(data)
+            self._budget.charge(len(data))
             return
         if self.kept_bytes is not None:
             self._discard_kept()
--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -12,6 +12,9 @@
 from loadbalancer.upstreams.connections import Attempt, Upstream, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.partial_answers import PartialAnswer
 
+#: Parts in which a long body is written: so much of it is copied at a time.
+BODY_PART_BYTES = 64 << 10
+
 
 class SocketUpstream(Upstream):
     """A socket connection that carries one attempt at a time; subclasses implement the protocol."""
@@ -23,6 +26,7 @@
         self.attempt: Attempt | None = None
         # Last report of the transport: its write buffer holds data. Decides once the transport is closing.
         self.is_write_paused = False
+        self._unwritten_body: memoryview | None = None  # the part of a long body that was not written yet
         self.has_failed_write = False  # some bytes were neither sent nor buffered
         self.closed = False
         self.is_handed_over = False
@@ -79,6 +83,18 @@
             self.transport.write(data[sent:])
             self.has_failed_write = self.transport.is_closing()  # it has discarded them
 
+    def write_body(self, body: bytearray) -> None:
+        """Write a body part by part, as the peer makes room for it, so that it is never copied as a whole."""
+        self._unwritten_body = memoryview(body)
+        self._write_next_parts()
+
+    def _write_next_parts(self) -> None:
+        assert self.transport is not None
+        while self._unwritten_body is not None and not self.transport.get_write_buffer_size():
+            part, rest = self._unwritten_body[:BODY_PART_BYTES], self._unwritten_body[BODY_PART_BYTES:]
+            self._unwritten_body = rest if rest else None
+            self.write(bytes(part))
+
     def has_unsent_bytes(self) -> bool:
         """Return whether the last byte written to this connection has provably not been passed to the kernel.
 
@@ -86,7 +102,7 @@
         within one call. A closing transport has discarded its buffer: there the last report before it decides. Over
         TLS, bytes that the TLS layer has passed on count as sent.
         """
-        if self.has_failed_write:
+        if self.has_failed_write or self._unwritten_body is not None:
             return True
         if self.transport is None or self.transport.is_closing():
             return self.is_write_paused
@@ -120,8 +136,9 @@
         self.is_write_paused = True
 
     def resume_writing(self) -> None:
-        """Record that the write buffer is empty; called by the transport."""
+        """Record that the write buffer is empty, and go on with a body; called by the transport."""
         self.is_write_paused = False
+        self._write_next_parts()
 
     # Ending.
 
@@ -154,6 +171,7 @@
         if not self.closed:
             self.closed = True
             self.partial_answer.cancel()
+            self._unwritten_body = None
             self.release()
             self.pool.forget(self)
             if self.transport is not None:
--- a/loadbalancer/upstreams/connections.py
+++ b/loadbalancer/upstreams/connections.py
@@ -15,10 +15,11 @@
 from typing import TYPE_CHECKING, Callable, Protocol
 
 from loadbalancer.input_turns import InputTurns
-from loadbalancer.kernel_buffers import limit_kernel_buffers
+from loadbalancer.kernel_buffers import KernelBuffers
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.policy.events import AttemptResult
 from loadbalancer.read_first_timer import ReadFirstTimer
-from loadbalancer.resource_limits import BufferBudget, RateLimitedLogger
+from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.upstreams.interfaces import AttemptOwner, TlsConnector, UpstreamRequest
 from loadbalancer.upstreams.pacing import Pacer
 
@@ -229,6 +230,7 @@
         self.free_descriptor: Callable[[], bool] = lambda: (
             False
         )  # called when the system has no descriptor left
+        self.kernel_buffers = KernelBuffers()
         self.input_turns = InputTurns()
         self.pacer: Pacer | None = None  # set while many proxies restart at once
         # Returns the result of an attempt to an endpoint that must not be sent now, or None if it may.
@@ -346,7 +348,7 @@
                 sock = socket.socket(
                     address_family(backend.identity[0]), socket.SOCK_STREAM | socket.SOCK_NONBLOCK
                 )
-                limit_kernel_buffers(sock)
+                self.kernel_buffers.apply(sock)
                 return sock
             except OSError as problem:
                 if last or problem.errno not in (errno.EMFILE, errno.ENFILE) or not self.free_descriptor():
--- a/loadbalancer/upstreams/fastcgi.py
+++ b/loadbalancer/upstreams/fastcgi.py
@@ -222,7 +222,7 @@
     def _charge_stdout(self) -> None:
         added = len(self.side.stdout) - self.charged_bytes
         self.charged_bytes += added
-        self.pool.budget.held_bytes += added
+        self.pool.budget.charge(added)
 
     def _reject(self, error: object) -> None:
         """Reject an invalid answer: close the connection and finish the attempt as a reset, as for HTTP."""
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -27,6 +27,10 @@
 MAX_OVERHEAD_PER_BODY_BYTE = 8
 #: Bytes that may be received before the head of the answer is complete.
 MAX_HEAD_BYTES = 32 << 10
+#: Header fields of an answer, with its trailers, at most.
+MAX_FIELDS = 256
+#: Body of a request up to which it is copied behind its head, to be sent in one call.
+MAX_JOINED_BODY_BYTES = 16 << 10
 #: Bytes buffered for one end of a tunnel above which reading from the other end is paused.
 TUNNEL_BUFFER_BYTES = 64 << 10
 #: Seconds to flush the bytes buffered for an end of a tunnel, after both ends have sent all.
@@ -76,6 +80,7 @@
 
     def _reset_head(self) -> None:
         self.status = 0
+        self.field_count = 0
         self.lines: list[bytes] = []
         self.length: int | None = None
         # Has a length of its own or is chunked; has a Transfer-Encoding.
@@ -103,10 +108,13 @@
         else:
             timeout_ms = max(1, round(attempt.timeout * 1000))
             data = b"%b%b: %dm\r\n\r\n" % (request.head, self.dialect.deadline_header, timeout_ms)
-        if request.body:
-            data += request.body
         self.upload = request.upload
-        self.write(data)
+        if request.body and len(request.body) > MAX_JOINED_BODY_BYTES:
+            self.write(data)
+            if not self.closed:
+                self.write_body(request.body)
+        else:
+            self.write(data + request.body if request.body else data)
         if self.upload is not None:
             self.upload.attach(self)
 
@@ -162,6 +170,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header to forward, or one that frames or describes the answer."""
+        self._count_field()
         if (
             self.has_surplus or self.buffered_bytes or self.stream is not None
         ):  # trailers, or an unsolicited answer
@@ -187,6 +196,11 @@
         elif key == b"upgrade":
             self.upgrade_protocol = value.lower()
 
+    def _count_field(self) -> None:
+        self.field_count += 1
+        if self.field_count > MAX_FIELDS:
+            raise ValueError("too many header fields")
+
     def on_status(self, reason: bytes) -> None:
         """Append a part of the reason phrase."""
         self.reason += reason
@@ -214,7 +228,7 @@
         elif not self.has_surplus and (self.status == 200 or not self.dialect.platform):
             self.body.append(body)
             self.buffered_bytes += len(body)
-            self.pool.budget.held_bytes += len(body)
+            self.pool.budget.charge(len(body))
 
     def on_message_complete(self) -> None:
         """Record that the answer is complete, or skip an interim one."""
@@ -339,11 +353,23 @@
             else MAX_HEAD_BYTES
         ):
             self._reject(f"{self.received_bytes} bytes received, with {self.buffered_bytes} of the body")
-        elif max(self.buffered_bytes, self.length or 0) > dialect.body_most and not self.length_only:
+        elif self._is_to_be_streamed():
             self._begin_stream()
         elif self._has_unknown_end():
             self.partial_answer.limit_hold_back()
 
+    def _is_to_be_streamed(self) -> bool:
+        """Return whether the incomplete answer is too long to be buffered, or memory too short to buffer it."""
+        if self.length_only:
+            return False
+        if max(self.buffered_bytes, self.length or 0) > self.dialect.body_most:
+            return True
+        return self.pool.budget.account.is_tight and self._can_be_streamed()
+
+    def _can_be_streamed(self) -> bool:
+        """Return whether the answer, whose end has not come, was served and has a body."""
+        return self._is_served() and not self.length_only and bool(self.dialect.stream_most)
+
     def _has_unknown_end(self) -> bool:
         """Return whether a part of a body has arrived that is not complete and whose length is not stated."""
         return self.status >= 200 and self.length is None and not self.is_complete
@@ -352,7 +378,7 @@
         """Stream an answer without a stated length that is arriving; see `Upstream`."""
         if self.attempt is None or self.closed or self.stream is not None or self.upload is not None:
             return False
-        if not self._has_unknown_end() or not self._is_served() or not self.dialect.stream_most:
+        if not self._has_unknown_end() or not self._can_be_streamed():
             return False
         if self.partial_answer.find_problem(self.buffered_bytes, self.attempt.answered_at) is not None:
             return False
--- a/loadbalancer/upstreams/multiplex.py
+++ b/loadbalancer/upstreams/multiplex.py
@@ -64,7 +64,7 @@
         """Charge what was received since the last call to the budget."""
         added = len(self.exchange.stdout) - self.charged_bytes
         self.charged_bytes += added
-        self.connection.pool.budget.held_bytes += added
+        self.connection.pool.budget.charge(added)
 
     def release(self) -> None:
         """Release the buffered part of the answer, and detach the attempt."""
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -117,6 +117,26 @@
     return use
 
 
+def slow_receiver(size: int, rate: int) -> Behaviour:
+    """Return a client whose body goes to a member that reads so many bytes a second."""
+
+    async def use(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        target = f"/api?read_rate={rate}"
+        writer.write(request_head("unsafe", target, f"Content-Length: {size}") + b"\r\n" + bytes(size))
+        await reader.read()
+
+    return use
+
+
+def idle() -> Behaviour:
+    """Return a client that sends nothing."""
+
+    async def use(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+        await asyncio.Event().wait()
+
+    return use
+
+
 @dataclass
 class Crowd:
     """Many clients of one behaviour, each of which opens its connection once more when it was closed.
--- a/standins/platform_run.py
+++ b/standins/platform_run.py
@@ -81,6 +81,7 @@
         self, limits: Limits = Limits(), members: int = 4, settings: dict[str, Any] | None = None
     ) -> None:
         self.address = free_address()
+        self.management = free_address()
         self.members: Sequence[SlowMember] = [SlowMember(f"m{number}") for number in range(members)]
         self.base_mb = 0.0
         self.peak_mb = 0.0
@@ -128,6 +129,14 @@
         """What the process has written to its log."""
         return (Path(self._folder.name) / "log").read_text()
 
+    async def read_stats(self) -> dict[str, Any]:
+        """Return the figures that operators read."""
+        reader, writer = await asyncio.open_connection(*self.management)
+        writer.write(b"GET /admin/stats HTTP/1.1\r\nHost: a\r\n\r\n")
+        answer = await reader.read()
+        writer.close()
+        return dict(json.loads(answer.partition(b"\r\n\r\n")[2]))
+
     async def _start(self) -> asyncio.subprocess.Process:
         folder = Path(self._folder.name)
         path = folder / "config.json"
@@ -145,6 +154,7 @@
             "name": "n0",
             "listen": "{}:{}".format(*self.address),
             "discovery": "127.0.0.1:1",
+            "management": "{}:{}".format(*self.management),
             "seed": "1",
             "limits": {"cores": 1.0, "memory_mb": self._limits.memory_mb, "sockets": self._limits.sockets},
             "settings": self._settings,
--- a/tests/fleet/test_comeback.py
+++ b/tests/fleet/test_comeback.py
@@ -19,11 +19,12 @@
 from loadbalancer.admin.snapshot import EndpointSnapshot, PoolSnapshot, Snapshot
 from loadbalancer.admin.snapshot_merge import merge_snapshots
 from loadbalancer.discovery.list_handoff import read, write
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.policy.events import (
     AttemptResult,
     EndpointEntry,
 )
-from loadbalancer.resource_limits import BufferBudget, RateLimitedLogger
+from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.upstreams.connections import Attempt, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
 from loadbalancer.upstreams.http1 import Http1UpstreamConnection
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+from contextlib import suppress
 
 import pytest
 from peers import (
@@ -262,9 +263,10 @@
             (connection,) = here.connections()
             while here.server.connections:  # send requests without reading the answers
                 if not connection.request and not connection.closing:
-                    await client.send(request())
+                    with suppress(ConnectionError):  # disconnected while it waits for room to send
+                        await client.send(request())
                 await asyncio.sleep(0)
-            assert here.proxy.budget.held_bytes == 0
+            assert here.proxy.budget.held_bytes == here.proxy.budget.account.held_bytes == 0
 
     run_with_timeout(scene)
 
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -21,7 +21,7 @@
 
 from loadbalancer.frontends.connection import Phase
 from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES, InputTurns
-from loadbalancer.kernel_buffers import RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES
+from loadbalancer.kernel_buffers import KernelBuffers
 from loadbalancer.upstreams.http1 import Http1UpstreamConnection
 from standins.crowds import Flood, RegularClients, request_head
 from standins.platform_run import PlatformRun
@@ -172,10 +172,10 @@
             await client.send(request())
             await backend.until_called()
             (attempt,) = next(iter(here.proxy.open.values())).attempts
-            upstream = cast(Http1UpstreamConnection, attempt.connection)
+            upstream, buffers = cast(Http1UpstreamConnection, attempt.connection), KernelBuffers()
             for sock in (here.connections()[0].sock, upstream.sock):
-                assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) <= 2 * RECEIVE_BUFFER_BYTES
-                assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) <= 2 * SEND_BUFFER_BYTES
+                assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) <= 2 * buffers.receive_bytes
+                assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) <= 2 * buffers.send_bytes
 
     run_with_timeout(scene)
 
--- a/tests/test_request_written.py
+++ b/tests/test_request_written.py
@@ -29,8 +29,9 @@
 from test_uploads import LONG_BODY_BYTES, long_request_head
 
 from loadbalancer.fastcgi.records import Type, encode, encode_pairs
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.policy.events import NEVER_RAN, AttemptResult
-from loadbalancer.resource_limits import BufferBudget, RateLimitedLogger
+from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.streaming.uploads import Upload
 from loadbalancer.upstreams import base
 from loadbalancer.upstreams.connections import Attempt, UpstreamPools
@@ -180,6 +181,7 @@
 def set_up(monkeypatch: pytest.MonkeyPatch, scene: Scene, partial_socket: bool, **options: Any) -> None:
     """Count what the connection writes, and limit its next `send` or its kernel buffer."""
     connection_made, write = base.SocketUpstream.connection_made, base.SocketUpstream.write
+    write_body, counted = base.SocketUpstream.write_body, set[base.SocketUpstream]()
 
     def prepare(connection: base.SocketUpstream, transport: asyncio.BaseTransport) -> None:
         if partial_socket:
@@ -189,11 +191,18 @@
         connection_made(connection, transport)
 
     def count(connection: base.SocketUpstream, data: bytes) -> None:
-        scene.written_bytes += len(data)
+        scene.written_bytes += 0 if connection in counted else len(data)
         write(connection, data)
 
+    def count_body(connection: base.SocketUpstream, body: bytearray) -> None:
+        """Count a body at once, as the connection was given it; its parts are written later."""
+        scene.written_bytes += len(body)
+        counted.add(connection)
+        write_body(connection, body)
+
     monkeypatch.setattr(base.SocketUpstream, "connection_made", prepare)
     monkeypatch.setattr(base.SocketUpstream, "write", count)
+    monkeypatch.setattr(base.SocketUpstream, "write_body", count_body)
 
 
 @pytest.mark.parametrize("end", ["reset", "end of input", "timeout"])
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -23,6 +23,7 @@
 from test_streams import RecordingEnd
 
 from loadbalancer.frontends import http1
+from loadbalancer.memory_account import BufferBudget
 from loadbalancer.policy.events import (
     AttemptResult,
     BodyProgress,
@@ -30,7 +31,7 @@
     Request,
 )
 from loadbalancer.proxy import response_streams
-from loadbalancer.resource_limits import MAX_HELD_BODY_BYTES, MAX_STREAMED_BODY_BYTES, BufferBudget
+from loadbalancer.resource_limits import MAX_HELD_BODY_BYTES, MAX_STREAMED_BODY_BYTES
 from loadbalancer.streaming.streams import STALL_S
 from loadbalancer.streaming.uploads import Upload
 
