Evict answered connections that linger before new clients are turned away

Cause: a refused connection lingers for 1 s while its client may still send, was the last to be evicted, and not at all with unread bytes on it; 400 clients that come again took all slots so, and the newest connection was evicted instead. Evidence: the process's log (too many connections: 452), and the time of the closes (6 to 17 ms after the connect). Now lingering connections of 0.1 s and more go right after silent ones; bytes behind the last answer are no request.

Test: test_new_clients_find_slots_while_answered_ones_linger fails without either half.

--- a/loadbalancer/frontends/connection.py
+++ b/loadbalancer/frontends/connection.py
@@ -58,12 +58,12 @@
         """Close the connection if no request is open on it; return whether it was closed.
 
         It stays open if a request waits unread in the kernel, because that request must be served, or if part of an
-        answer is still in the write buffer. Guards against requests
+        answer is still in the write buffer. What comes after the last answer is no request. Guards against requests
         lost when the proxy is short of CPU and reads late, and against answers that are cut off.
         """
         if self.transport is not None and self.transport.get_write_buffer_size():
             return False
-        if self.has_unparsed_input() or self._peek():
+        if self.phase != Phase.LINGER and (self.has_unparsed_input() or self._peek()):
             return False
         self.listener.evictable.remove(self)
         self.abort()
--- a/loadbalancer/frontends/evictable_connections.py
+++ b/loadbalancer/frontends/evictable_connections.py
@@ -69,6 +69,7 @@
     ) -> Iterator[tuple[Iterable[FrontConnection], float]]:
         """Yield groups, each with the time before which the phase of a connection must have begun to be evicted."""
         yield self.unused, silent_before
+        yield self.lingering, silent_before
         yield self.idle, answered_before
         if len(self.idle) > len(self.unused) + opening:
             yield self.idle, ANY_TIME
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,6 +20,7 @@
 from benchmarks.crowds import play
 from loadbalancer.frontends import http1
 from loadbalancer.frontends.connection import FrontConnection
+from loadbalancer.frontends.listener import SILENT_S
 from loadbalancer.frontends.memory_reclaimer import MIN_IDLE_S, MemoryReclaimer
 from loadbalancer.memory_account import BufferBudget, MemoryAccount
 from loadbalancer.policy.events import AttemptResult
@@ -276,6 +277,29 @@
     run_with_timeout(scene)
 
 
+def test_new_clients_find_slots_while_answered_ones_linger() -> None:
+    async def scene() -> None:
+        async with running_proxy(ScriptedBackend("a", answering(OK)), sockets=60) as here:
+            while here.server.taken < here.server.most - 1:
+                client = await here.connect()
+                assert (await client.ask(b"GARBAGE\r\n\r\n"))[0] == 400
+                (connection,) = [each for each in here.connections() if each.discarded == 0]
+                connection._set_reading(False)
+                connection.discarded = 1
+                client.writer.write(b"more")
+                while not connection._peek():
+                    await asyncio.sleep(0)
+                connection.since -= SILENT_S
+            first = await here.connect()
+            while here.server.taken < here.server.most:
+                await asyncio.sleep(0)
+            second = await here.connect()
+            assert await second.ask(request()) == (200, b"hi")
+            assert await first.ask(request()) == (200, b"hi")
+
+    run_with_timeout(scene)
+
+
 @pytest.mark.parametrize("memory_mb", [40, 64, 192])
 @pytest.mark.parametrize("sockets", [384, 1024])
 def test_limits_leave_a_margin_whatever_connections_there_are(memory_mb: int, sockets: int) -> None:
