Start a request's time when its client may have sent all, not when the rest is read

Cause: the time of a streamed request began when the proxy read its last byte, and under backpressure the rest stands in the kernel meanwhile, here and in the client's send buffer.

Test: 502 after 6.6 s before, 503 now, keyed and unsafe.

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -21,6 +21,7 @@
 from loadbalancer.frontends.http1_answers import encode_answer, encode_stream_head, retry_after
 from loadbalancer.frontends.listener import Listener
 from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES
+from loadbalancer.kernel_buffers import peek_unread
 from loadbalancer.proxy.final_answers import frontend_proxy_status
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.request_parser import RequestParser
@@ -50,6 +51,11 @@
 #: upload.
 LINGER_MOST = 128 << 10
 
+#: Bytes of a body that a client may have written to its connection although they have not arrived.
+CLIENT_SEND_BUFFER_BYTES = 1 << 20
+#: The end of a body in chunks without trailers, behind its last part.
+LAST_CHUNK = b"\r\n0\r\n\r\n"
+
 IDLE, HEAD, BODY, WHOLE, LINGER, TUNNEL = Phase
 
 
@@ -753,11 +759,24 @@
         if self.upload_paused and self.request is not None:
             self.since += now - max(self.body_received_at, self.upload_paused_at)
             self.body_received_at = now
+            if self._may_have_sent_all():
+                self.request.owner.uploaded(self.request)
             if now - self.upload_paused_at > STALL_S:
                 self.request.owner.upload_failed(self.request, 503)  # no member has all of it: it has not run
         elif now - self.since > REQUEST_S and not self._is_body_arriving(now, now - self.since):
             self._expire()
 
+    def _may_have_sent_all(self) -> bool:
+        """Return whether the client may have written its last byte, although the rest of the body stands unread.
+
+        Its time counts from that byte. While the member applies backpressure, the rest waits in the kernel: here, where
+        it can be seen, and in the client's own send buffer, where it can't.
+        """
+        if self.length is not None:
+            return self.body_received + len(self.unparsed) + CLIENT_SEND_BUFFER_BYTES >= self.length
+        rest = self.unparsed + (peek_unread(self.sock) if not self.secure else b"")
+        return rest.endswith(LAST_CHUNK)
+
     def _is_body_arriving(self, now: float, waited: float) -> bool:
         """Return whether a body is still arriving, and at the least rate."""
         if self.phase != BODY or now - self.body_received_at > BODY_STALL_S:
--- a/loadbalancer/kernel_buffers.py
+++ b/loadbalancer/kernel_buffers.py
@@ -58,9 +58,9 @@
         return 0
 
 
-def unread_bytes(sock: socket.socket) -> int:
-    """Return how many bytes have been received that were not read yet; 0 if the kernel does not tell."""
+def peek_unread(sock: socket.socket) -> bytes:
+    """Return the bytes that have been received and not read yet, without reading them; empty if there are none."""
     try:
-        return int(struct.unpack("i", fcntl.ioctl(sock, termios.FIONREAD, bytes(4)))[0])
+        return sock.recv(2 * MAX_RECEIVE_BYTES, socket.MSG_PEEK)
     except OSError:
-        return 0
+        return b""
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -34,6 +34,8 @@
 from loadbalancer.resource_limits import MAX_HELD_BODY_BYTES, MAX_STREAMED_BODY_BYTES
 from loadbalancer.streaming.streams import STALL_S
 from loadbalancer.streaming.uploads import Upload
+from standins.crowds import fetch
+from standins.platform_run import PlatformRun
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
@@ -488,3 +490,16 @@
             await wait_until_released(here)
 
     run_with_timeout(scene)
+
+
+@pytest.mark.parametrize("lane", ["keyed", "unsafe"])
+def test_client_of_a_member_that_reads_slowly_is_not_answered_seconds_after_its_time(lane: str) -> None:
+    """Its last byte stands unread in the kernel; an answer in time says that the request has not run."""
+
+    async def scene() -> None:
+        async with PlatformRun(members=1) as run:
+            answer = await fetch(run.address, lane, "/api?read_rate=400000", 0.6, bytes(6_000_000))
+            assert answer.status == 503
+            assert not run.members[0].effects
+
+    run_with_timeout(scene)
