Remember the ids of requests that may have run, across the processes of an upgrade

Cause: ids were kept for open requests alone. Now ids of classes that are not safe to repeat are remembered from before the first attempt, unless they never ran, in a table of 64 KiB; where the platform opens the socket it is a file in TMPDIR that the processes of one proxy map, so that each sees the others' at once and after their end. A known id is answered 409, as while its request is open.

Ids are numbered by two checksums rather than hash(), which differs between processes.

--- a/loadbalancer/daemon/pool_set.py
+++ b/loadbalancer/daemon/pool_set.py
@@ -12,7 +12,7 @@
 from loadbalancer.discovery.overrides import AdminOverride
 from loadbalancer.frontends.reserve_descriptors import ReserveDescriptors
 from loadbalancer.memory_account import MemoryAccount
-from loadbalancer.proxy.open_requests import TransactionIds
+from loadbalancer.proxy.transaction_ids import TransactionIds
 from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.routing.fair_shares import PoolAllocation, WeightedAdmission
 
--- a/loadbalancer/daemon/pools.py
+++ b/loadbalancer/daemon/pools.py
@@ -18,8 +18,8 @@
 from loadbalancer.discovery.watch import DiscoveryClient
 from loadbalancer.frontends.platform_http import PlatformReader
 from loadbalancer.memory_account import MemoryAccount
-from loadbalancer.proxy.open_requests import TransactionIds
 from loadbalancer.proxy.proxy import Proxy
+from loadbalancer.proxy.transaction_ids import TransactionIds
 from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.routing.fair_shares import PoolAllocation, WeightedAdmission
 from loadbalancer.streaming.tunnels import TunnelLimits
--- a/loadbalancer/frontends/platform_http.py
+++ b/loadbalancer/frontends/platform_http.py
@@ -22,6 +22,7 @@
 )
 from loadbalancer.proxy.open_requests import Client, OpenRequest
 from loadbalancer.proxy.proxy import Proxy
+from loadbalancer.proxy.transaction_ids import transaction_number
 from loadbalancer.resource_limits import MAX_HELD_BODY_BYTES, MAX_STREAMED_BODY_BYTES
 
 REMAINING = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
@@ -143,7 +144,7 @@
         forwarded_head = encode_forwarded_head(head, body, head.method == b"POST")
         return RoutedRequest(
             self.proxy,
-            OpenRequest(client, hash(inspected[b"x-txn"]), forwarded_head, body),
+            OpenRequest(client, transaction_number(inspected[b"x-txn"]), forwarded_head, body),
             cls,
             time.monotonic() + remaining_s,
             tenant,
--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -11,9 +11,10 @@
 from loadbalancer.policy.actions import Send
 from loadbalancer.policy.events import NEVER_RAN, AttemptResult, Event, Outcome
 from loadbalancer.proxy.answer_writer import AnswerWriter
-from loadbalancer.proxy.open_requests import OpenRequest, TransactionIds
+from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.response_streams import ResponseStreams
+from loadbalancer.proxy.transaction_ids import TransactionIds
 from loadbalancer.upstreams.connections import Attempt, UpstreamPools
 from loadbalancer.upstreams.interfaces import UpstreamResponse
 
--- a/loadbalancer/proxy/open_requests.py
+++ b/loadbalancer/proxy/open_requests.py
@@ -11,12 +11,8 @@
 from loadbalancer.upstreams.connections import Attempt
 from loadbalancer.upstreams.interfaces import UpstreamResponse
 
-MAX_UNUSABLE_IDS = 2000
-"""Limit on the remembered ids of unusable requests; the oldest ids are evicted."""
 NO_ATTEMPT = -1
 """Attempt number that stands for none."""
-NO_TRANSACTION = 0
-"""Hash of a request without a transaction id."""
 
 HeaderEdit = Callable[[list[bytes]], list[bytes]]
 """Changes the header lines of an answer."""
@@ -120,7 +116,7 @@
 
         Args:
             client: The connection that it was received on.
-            txn: A hash of the client's transaction id, of a fixed size whatever clients send; 0 for none.
+            txn: Number of the client's transaction id, of a fixed size whatever clients send; 0 for none.
             head: The head as an endpoint gets it, without the header of the remaining time.
             body: The body as an endpoint gets it; None if it is streamed, or there is none.
             bodiless: Whether its answer has no body, as for HEAD.
@@ -163,35 +159,3 @@
     def response_lines(self, answer: UpstreamResponse) -> list[bytes]:
         """Return the header lines of an endpoint's answer as the client gets them."""
         return answer.lines if self.edit_headers is None else self.edit_headers(answer.lines)
-
-
-class TransactionIds:
-    """Tracks the transaction ids of open requests, and of requests that endpoints could not use.
-
-    A client that follows the protocol uses a new id for every request. A request with a known id is rejected, so that
-    no answer goes to the wrong client and no unusable request is sent again. `NO_TRANSACTION` is not tracked.
-    """
-
-    def __init__(self) -> None:
-        self.open: set[int] = set()
-        self.unusable: dict[int, None] = {}  # the oldest first; used as an ordered set
-
-    def is_known(self, txn: int) -> bool:
-        """Return whether a request with this id is open or was unusable."""
-        return txn in self.open or txn in self.unusable
-
-    def opened(self, txn: int) -> None:
-        """Record that a request is open."""
-        if txn != NO_TRANSACTION:
-            self.open.add(txn)
-
-    def ended(self, txn: int) -> None:
-        """Record that a request has ended."""
-        self.open.discard(txn)
-
-    def found_unusable(self, txn: int) -> None:
-        """Record that an endpoint could not use a request."""
-        if txn != NO_TRANSACTION:
-            self.unusable[txn] = None
-        if len(self.unusable) > MAX_UNUSABLE_IDS:
-            del self.unusable[next(iter(self.unusable))]
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -23,15 +23,17 @@
     FirstByte,
     Request,
 )
+from loadbalancer.policy.settings import Effect
 from loadbalancer.proxy.answer_writer import AnswerWriter
 from loadbalancer.proxy.attempt_runner import AttemptRunner, PolicyClock
 from loadbalancer.proxy.endpoint_directory import EndpointDirectory
 from loadbalancer.proxy.interfaces import ProcessorShare, TunnelClient
-from loadbalancer.proxy.open_requests import OpenRequest, TransactionIds
+from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.proxy.policy_driver import PolicyDriver
 from loadbalancer.proxy.request_owner import BAD_GATEWAY, PoolRequestOwner
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.response_streams import ResponseStreams
+from loadbalancer.proxy.transaction_ids import TransactionIds
 from loadbalancer.resource_limits import MAX_STREAMED_BODY_BYTES, PoolLimits, RateLimitedLogger
 from loadbalancer.streaming.streams import Stream, StreamProducer
 from loadbalancer.streaming.tunnels import Tunnel, TunnelEnd, TunnelLimits, Tunnels
@@ -125,7 +127,10 @@
     def _compose(self, timeout_status: int) -> None:
         self._clock = PolicyClock()
         self._lag = EventLoopLag(asyncio.get_running_loop(), self._report_lag)
-        self._table = RequestTable(self.metrics, self.budget, self.ids, self._on_overdue)
+        safe_classes = frozenset(
+            number for number, cls in enumerate(self.balancer.settings.classes) if cls.effect == Effect.SAFE
+        )
+        self._table = RequestTable(self.metrics, self.budget, self.ids, safe_classes, self._on_overdue)
         self._answers = AnswerWriter(self._table, self.budget, self.dialect, timeout_status)
         self._streams = ResponseStreams(self._table)
         self._attempts = AttemptRunner(
--- a/loadbalancer/proxy/request_table.py
+++ b/loadbalancer/proxy/request_table.py
@@ -7,7 +7,8 @@
 
 from loadbalancer.memory_account import BufferBudget
 from loadbalancer.metrics import PoolMetrics, RequestResult
-from loadbalancer.proxy.open_requests import OpenRequest, RequestOwner, TransactionIds
+from loadbalancer.proxy.open_requests import OpenRequest, RequestOwner
+from loadbalancer.proxy.transaction_ids import TransactionIds
 
 OVERDUE_S = 0.03
 """Seconds past its client's deadline after which a request is failed if the policy has not answered it."""
@@ -21,6 +22,7 @@
         metrics: PoolMetrics,
         budget: BufferBudget,
         ids: TransactionIds,
+        safe_classes: frozenset[int],
         on_overdue: Callable[[OpenRequest], None],
     ) -> None:
         """Start without requests.
@@ -29,6 +31,7 @@
             metrics: Counts the requests.
             budget: Budget that their bodies and kept answers are charged to.
             ids: Transaction ids, shared by all pools whose requests have them.
+            safe_classes: Numbers of the classes whose requests may be repeated at will.
             on_overdue: Called for a request that has no answer though its client's deadline has passed.
         """
         self.open: dict[int, OpenRequest] = {}
@@ -37,6 +40,7 @@
         self._metrics = metrics
         self._budget = budget
         self._ids = ids
+        self._safe_classes = safe_classes
         self._on_overdue = on_overdue
         self._loop = asyncio.get_running_loop()
         self._last_id = 0
@@ -51,7 +55,7 @@
         request.time_remaining = time_remaining
         request.is_complete = request.upload is None or request.upload.is_complete
         self.open[request.id] = request
-        self._ids.opened(request.transaction)
+        self._ids.opened(request.transaction, class_index in self._safe_classes)
         if request.upload is not None:
             self.open_uploads += 1
         if request.is_complete:
@@ -97,7 +101,7 @@
         if request.kept_error is not None:
             self._budget.release(len(request.kept_error.body))
             request.kept_error = None
-        self._ids.ended(request.transaction)
+        self._ids.ended(request.transaction, request.may_have_run)
         self._released.append(request)
 
     def forget_released(self) -> None:
