Bound the start of a new member by what this process saw, not by its wall clock alone

Cause: a start time of the list, from another machine's clock, was subtracted from this one's. Now a start that was not listed before counts as at most 2 s old, or as the time for which nothing was heard of the service, on the monotonic clock; one in the future counts as now; the log tells an implausible one.

--- a/loadbalancer/discovery/watch.py
+++ b/loadbalancer/discovery/watch.py
@@ -5,11 +5,13 @@
 import asyncio
 import math
 import random
+import time
 
 from loadbalancer.deployment import Deployment
 from loadbalancer.discovery.endpoint_source import Address, EndpointListener
 from loadbalancer.discovery.errors import ListError
 from loadbalancer.discovery.list_decoding import read_list
+from loadbalancer.discovery.start_times import StartTimes
 from loadbalancer.discovery.watch_connection import WatchConnection
 from loadbalancer.resource_limits import RateLimitedLogger
 
@@ -54,11 +56,15 @@
         self.version: int | None = None  # of the current list
         self.current: WatchConnection | None = None
         self.wanted = False
+        self.heard_at = -math.inf  # when the service last sent anything, on the clock of the event loop
         self.last_list_at = -math.inf  # when the service last sent a list, on the clock of the event loop
         self._first_watch_timer: asyncio.TimerHandle | None = (
             None  # while the first watch waits for `release`
         )
         self._loop = asyncio.get_running_loop()
+        epoch = time.time() - self._loop.time()
+        self._start_times = StartTimes(lambda: epoch + self._loop.time(), logger)
+        self._gap_s = 0.0  # for which nothing was heard before the current watch
         self._opening: asyncio.Task[None] | None = None
 
     def start(self, known: object, held: float = 0.0) -> None:
@@ -76,7 +82,8 @@
             self.proxy.take_list([], whole=True, stale=True)
         else:
             self.version = update.version
-            self.proxy.take_list(update.entries, whole=True, stale=True)
+            entries = self._start_times.bound(update.entries, True, math.inf)
+            self.proxy.take_list(entries, whole=True, stale=True)
         if self.pushed and held:
             self._first_watch_timer = self._loop.call_later(held, self.release)
         elif self.pushed:
@@ -158,6 +165,7 @@
     def watch_opened(self, watch: WatchConnection) -> None:
         """Use a watch as soon as it is connected: values may arrive before `create_connection` returns."""
         self.current = watch
+        self._gap_s = self._loop.time() - self.heard_at
 
     def watch_failed(self, watch: WatchConnection | None, reason: object, busy: bool = False) -> None:
         """Handle the end of a watch for any reason; the current list stays in use."""
@@ -190,4 +198,5 @@
             return
         self.version = update.version
         self.last_list_at = self._loop.time()
-        self.proxy.take_list(update.entries, update.full)
+        gap_s, self._gap_s = self._gap_s, 0.0
+        self.proxy.take_list(self._start_times.bound(update.entries, update.full, gap_s), update.full)
--- a/loadbalancer/discovery/watch_connection.py
+++ b/loadbalancer/discovery/watch_connection.py
@@ -33,6 +33,7 @@
 
     address: Address
     version: int | None
+    heard_at: float
 
     def watch_opened(self, watch: WatchConnection) -> None:
         """Handle the established connection."""
@@ -97,6 +98,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes. The idle timer is not restarted inside of a value, so a slow one has to end in time."""
+        self._owner.heard_at = self._loop.time()
         if not self._values.is_inside:
             self._expect_bytes(IDLE_TIMEOUT_S)
         try:
