Serve requests without an id again: none is remembered, and none is known

Cause: a request without X-Txn has the number 0, and an empty place of the table of ids is 0, so it counted as known. Now the number 0 is never known.

Test: test_requests_without_an_id_are_never_known fails before.

--- a/loadbalancer/proxy/transaction_ids.py
+++ b/loadbalancer/proxy/transaction_ids.py
@@ -80,6 +80,8 @@
 
     def is_known(self, number: int) -> bool:
         """Return whether a request with this id is open, may have run, or was unusable."""
+        if number == NO_TRANSACTION:
+            return False
         return number in self.open or number in self.unusable or number in self._recent
 
     def opened(self, number: int, is_safe: bool) -> None:
@@ -92,7 +94,7 @@
     def ended(self, number: int, may_have_run: bool) -> None:
         """Record that a request has ended, and forget it if it never ran."""
         self.open.discard(number)
-        if not may_have_run:
+        if number != NO_TRANSACTION and not may_have_run:
             self._recent.discard(number)
 
     def found_unusable(self, number: int) -> None:
--- a/tests/test_transaction_ids.py
+++ b/tests/test_transaction_ids.py
@@ -119,6 +119,14 @@
     assert not new.is_known(9)
 
 
+def test_requests_without_an_id_are_never_known() -> None:
+    ids = TransactionIds()
+    ids.opened(NO_TRANSACTION, is_safe=False)
+    assert not ids.is_known(NO_TRANSACTION)
+    ids.ended(NO_TRANSACTION, may_have_run=False)
+    assert not ids.is_known(NO_TRANSACTION) and not ids.open
+
+
 def post(host: Platform, txn: str) -> int:
     connection = http.client.HTTPConnection(*host.address, timeout=10)
     connection.request("POST", "/api", headers={"X-Txn": txn, "X-Lane": "unsafe"})
