Soak beside crowds: many fields, half bodies, slow readers, chunks of one byte

The soak had idle clients alone. Runs whose idle clients use up the descriptors get no crowd: new connections may be shut unread there.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,14 +1,16 @@
 """A soak test of real processes: clients use every connection until the process is killed, amid series of signals.
 
 python -m benchmarks.soak [--seeds 50] [--first 1] [--seconds 6] [--side-by-side 2] [--hold-up 0.15] [--hang-at-end]
-                          [--unread-log]
+                          [--unread-log] [--crowds]
 
 Each seed is one run, which starts and ends a few processes one after another: the platform's `run`, for every fourth
 seed `serve`, with stand-in members and discovery. A process gets SIGTERM, and SIGKILL at the earliest moment that the
 platform allows. Members hang, are slow, drain, and close idle connections; in some runs many idle clients use up the
-descriptors. With --hold-up S the process is paused for at most S seconds at random moments and during each step of its
-shutdown; with --hang-at-end all members hang during each shutdown; with --unread-log the process's standard error is
-a full pipe that nobody reads.
+descriptors. With --crowds two crowds come with each process (many fields, half and slow bodies, long answers that are
+read or written slowly, pipelined requests), now and then with a client that sends chunks of one byte at full speed; the
+process may take 64 MB then. With --hold-up S the process is paused for at most S seconds at random moments and during
+each step of its shutdown; with --hang-at-end all members hang during each shutdown; with --unread-log the process's
+standard error is a full pipe that nobody reads.
 
 Rules that are checked: each request gets exactly one answer, its own, in time; an unsafe request runs once, one with
 a key repeatedly only inside its window; a draining member gets nothing after its grace period; no process ends before
@@ -33,6 +35,7 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.soak_crowds import SoakCrowds
 from benchmarks.soak_evidence import UsageRecord, describe_sockets, describe_threads, read_usage
 from benchmarks.soak_hold_ups import HoldUps
 from benchmarks.soak_peers import STALL_S, Address, Journal, SoakClient, SoakDiscovery, SoakMember
@@ -49,6 +52,9 @@
 #: Time limit, in seconds, for a process to accept connections.
 START_TIMEOUT_S = 30.0
 SOCKETS = 256
+MEMORY_MB = 128
+#: Memory of a process with crowds: the least that a deployment names.
+CROWDED_MEMORY_MB = 64
 #: Number of idle connections in runs with idle clients: more than a process may hold.
 IDLE_CLIENTS = 240
 #: Descriptors that a process may hold without clients, beside those held at its start: idle connections to members and
@@ -116,11 +122,13 @@
         hold_up_s: Longest time in seconds that the process is paused for; 0 disables pauses.
         hangs_at_end: Whether all members hang during each shutdown.
         log_is_unread: Whether nobody reads what the process writes to its standard error.
+        has_crowds: Whether crowds come with each process.
     """
 
     hold_up_s: float = 0.0
     hangs_at_end: bool = False
     log_is_unread: bool = False
+    has_crowds: bool = False
 
 
 #: The default, used in CI.
@@ -178,6 +186,7 @@
         self._discoveries = [SoakDiscovery(self._on_drain_sent), SoakDiscovery(self._on_drain_sent)]
         self._hangs_at_end = disturbances.hangs_at_end
         self._log_is_unread = disturbances.log_is_unread
+        self._has_crowds = disturbances.has_crowds
         self._unread_log: UnreadLog | None = None
         self._hold_ups = HoldUps(disturbances.hold_up_s, schedule.seed, DEADLINE_S, self.journal)
         self._current = 0
@@ -239,7 +248,11 @@
             "listen": "{}:{}".format(*address),
             "discovery": discovery.address,
             "seed": str(self.schedule.seed),
-            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": SOCKETS},
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": CROWDED_MEMORY_MB if self._has_crowds else MEMORY_MB,
+                "sockets": SOCKETS,
+            },
             "settings": SETTINGS,
             "known": discovery.list(),
         }
@@ -305,8 +318,9 @@
         clients = [self._make_client(number * CLIENTS + each, address) for each in range(CLIENTS)]
         tasks = [asyncio.ensure_future(client.run()) for client in clients]
         await self._open_idle_connections(address)
+        crowds = self._make_crowds(process.pid, number, address)
         await asyncio.sleep(max(1.0, duration_s))
-        if number == 0 and not self.schedule.has_idle_clients:
+        if number == 0 and not self.schedule.has_idle_clients and crowds is None:
             tasks = await self._check_descriptors(process, descriptors, clients, tasks)
         if process.returncode is not None:
             self.journal.record_violation("crash", f"life {number} ended with {process.returncode}")
@@ -314,6 +328,8 @@
         await self._hold_ups.begin_shutdown(process)
         await self._shut_down(process, series, pause_s, address)
         await self._hold_ups.close()
+        if crowds is not None:
+            await crowds.close()
         self._set_hanging(False)
         for client in clients:
             client.stopped = True
@@ -330,6 +346,15 @@
             number, address, self.journal, random_source, DEADLINE_S, has_idle_clients, self.counts
         )
 
+    def _make_crowds(self, pid: int, number: int, address: Address) -> SoakCrowds | None:
+        """Return the crowds of a process, unless idle clients use up its descriptors already."""
+        if not self._has_crowds or self.schedule.has_idle_clients:
+            return None
+        memory_mb = 0 if self.schedule.is_daemon else CROWDED_MEMORY_MB
+        crowds = SoakCrowds(self.schedule.seed * 10 + number, address, pid, memory_mb, self.journal)
+        crowds.start()
+        return crowds
+
     async def _open_idle_connections(self, address: Address) -> None:
         for _ in range(IDLE_CLIENTS if self.schedule.has_idle_clients else 0):
             with suppress(OSError):
@@ -524,8 +549,9 @@
     parser.add_argument("--hold-up", type=float, default=0.0, metavar="S")
     parser.add_argument("--hang-at-end", action="store_true")
     parser.add_argument("--unread-log", action="store_true")
+    parser.add_argument("--crowds", action="store_true")
     options = parser.parse_args()
-    disturbances = Disturbances(options.hold_up, options.hang_at_end, options.unread_log)
+    disturbances = Disturbances(options.hold_up, options.hang_at_end, options.unread_log, options.crowds)
     seeds = range(options.first, options.first + options.seeds)
     return 1 if asyncio.run(_run_all(seeds, options.seconds, options.side_by_side, disturbances)) else 0
 
--- a/benchmarks/soak_peers.py
+++ b/benchmarks/soak_peers.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Callable, Iterator
 
+from standins.slow_member import AnswerPlan, answer_body, write_answer
+
 Address = tuple[str, int]
 
 #: Seconds after its deadline in which an answer is only late; after that, it counts as lost.
@@ -84,11 +86,19 @@
                 async with asyncio.timeout(self._idle_close_s):
                     head = await reader.readuntil(b"\r\n\r\n")
                 txn = (re.search(rb"(?i)x-txn: *(\S+)", head) or [b"", b""])[1].decode()
+                length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
+                await reader.readexactly(int(length[1]) if length else 0)
                 self._record_execution(txn)
                 if self.fault == "hang":
                     await reader.read()
                     break
                 await asyncio.sleep(0.2 if self.fault == "slow" else 0.003)
+                if b"?" in head.split(b" ", 2)[1]:
+                    plan = AnswerPlan.from_target(head.split(b" ", 2)[1].decode())
+                    await write_answer(writer, answer_body(txn, plan.size), plan)
+                    if plan.framing == "close":
+                        break
+                    continue
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(txn), txn.encode()))
                 await writer.drain()
         writer.close()
--- a/standins/slow_member.py
+++ b/standins/slow_member.py
@@ -110,7 +110,8 @@
                 match = re.search(r"(?i)\r\nx-txn: *(\S+)", head)
                 txn = match[1] if match else ""
                 self.effects[txn] += 1
-                await self._answer(writer, txn, plan)
+                await asyncio.sleep(plan.delay)
+                await write_answer(writer, answer_body(txn, plan.size), plan)
                 if plan.framing == "close":
                     writer.close()
                     return
@@ -139,25 +140,26 @@
             if rate:
                 await asyncio.sleep(READ_INTERVAL_S)
 
-    async def _answer(self, writer: asyncio.StreamWriter, txn: str, plan: AnswerPlan) -> None:
-        await asyncio.sleep(plan.delay)
-        framing = {
-            "length": b"Content-Length: %d\r\n" % plan.size,
-            "chunked": b"Transfer-Encoding: chunked\r\n",
-            "close": b"Connection: close\r\n",
-        }[plan.framing]
-        writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % framing)
-        body, written = answer_body(txn, plan.size), 0
-        for piece, pause in _pieces(body, plan):
-            if plan.stalls_after and written >= plan.stalls_after:
-                await asyncio.Event().wait()
-            writer.write(b"%x\r\n%b\r\n" % (len(piece), piece) if plan.framing == "chunked" else piece)
-            written += len(piece)
-            await writer.drain()
-            await asyncio.sleep(pause)
-        if plan.framing == "chunked":
-            writer.write(b"0\r\n\r\n")
+
+async def write_answer(writer: asyncio.StreamWriter, body: bytes, plan: AnswerPlan) -> None:
+    """Write an answer with this body as a plan describes it; a stalled one is never completed."""
+    framing = {
+        "length": b"Content-Length: %d\r\n" % len(body),
+        "chunked": b"Transfer-Encoding: chunked\r\n",
+        "close": b"Connection: close\r\n",
+    }[plan.framing]
+    writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % framing)
+    written = 0
+    for piece, pause in _pieces(body, plan):
+        if plan.stalls_after and written >= plan.stalls_after:
+            await asyncio.Event().wait()
+        writer.write(b"%x\r\n%b\r\n" % (len(piece), piece) if plan.framing == "chunked" else piece)
+        written += len(piece)
         await writer.drain()
+        await asyncio.sleep(pause)
+    if plan.framing == "chunked":
+        writer.write(b"0\r\n\r\n")
+    await writer.drain()
 
 
 def _pieces(body: bytes, plan: AnswerPlan) -> list[tuple[bytes, float]]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,6 +45,17 @@
     assert len(kinds) == 4
 
 
+# Guards against a process that passes its memory limit, or lets its other clients wait, beside crowds.
+@pytest.mark.parametrize("seed", [pytest.param(7001, id="run"), pytest.param(7004, id="serve")])
+def test_no_rule_is_broken_beside_crowds(seed: int) -> None:
+    soak = asyncio.run(run_soak(seed, SHORT_RUN_S, Disturbances(has_crowds=True)))
+
+    assert soak.counts["200"] > 100
+    assert not soak.journal.violations, "\n".join(
+        (soak.journal.violations[0], *soak.journal.preceding_events)
+    )
+
+
 # Guards against an event loop that blocks until its log is read, which would delay every client as long.
 @pytest.mark.parametrize(
     ("seed", "seconds"),
