Pass on the end of a long body that is read together with invalid bytes

Callers saw 408 after 2.3 s for a request that was whole, where bytes that are no request stood right behind it in the same read. Cause: the parser raises before the parts that it had parsed were passed on. Now they are passed on before the error is handled.

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -234,6 +234,7 @@
         try:
             self.unparsed = self._parse(data)
         except httptools.HttpParserError as problem:
+            self._forward_body()  # what came before the error
             self._handle_parser_error(problem)
         else:
             self._forward_body()
