--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -22,6 +22,7 @@
 
 from loadbalancer.frontends import connection as connection_module
 from loadbalancer.frontends import http1 as server_module
+from loadbalancer.frontends import http1_input as input_module
 from loadbalancer.frontends import listener as listener_module
 from loadbalancer.frontends.listener import drain as drain_all
 from loadbalancer.policy.events import (
@@ -147,7 +148,7 @@
             await client.send(b"".join(request() for _ in range(100)))
             await here.proxy.until(lambda: here.proxy.open)
             (connection,) = here.connections()
-            assert len(connection.waiting) <= server_module.PIPELINE_MOST + 1
+            assert len(connection.waiting) <= input_module.PIPELINE_MOST + 1
             assert connection.closing  # later data is discarded
 
     run_with_timeout(scene)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -18,7 +18,7 @@
 )
 
 from benchmarks.crowds import play
-from loadbalancer.frontends import http1
+from loadbalancer.frontends import http1, http1_input
 from loadbalancer.frontends.connection import FrontConnection
 from loadbalancer.frontends.listener import SILENT_S
 from loadbalancer.frontends.memory_reclaimer import MIN_IDLE_S, MemoryReclaimer
@@ -95,7 +95,7 @@
         backend = ScriptedBackend("a", answering(OK))
         async with running_proxy(backend) as here:
             client = await here.connect()
-            lines = ["a:"] * http1.MAX_FIELDS
+            lines = ["a:"] * http1_input.MAX_FIELDS
             assert (await client.ask(request("safe", None, "4000m", *lines)))[0] == 431
             assert not backend.calls
 
