Tell closes, refusals and time-outs in the log, and make each request pay less for it all

The logs of the incident could not say why a connection was closed, a request refused or an attempt given up.

Short input is parsed without the loop of shares, a head under 1 KiB isn't added up, only ids that must not run twice get a number that other processes know, and the timer of a partial answer is made when one is there.

--- a/loadbalancer/frontends/fastcgi.py
+++ b/loadbalancer/frontends/fastcgi.py
@@ -261,7 +261,7 @@
         proxy = item.proxy
         if self.overflow:
             status, message = 503, "too many connections"
-        elif proxy.is_known(item.request):
+        elif proxy.is_known(item.request, item.cls):
             status, message = 409, "this X-Txn has been used"
         elif proxy.lacks_lease():
             status, message = 503, "this proxy is not of its fleet now"
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -174,7 +174,7 @@
                 self._finish_answer()
             elif self.overflow:
                 self._refuse_request(item, 503, b"too many connections\n")
-            elif item.proxy.is_known(item.request):
+            elif item.proxy.is_known(item.request, item.cls):
                 self._refuse_request(item, 409, b"this X-Txn has been used\n")
             elif item.proxy.lacks_lease():
                 lines = retry_after(item.proxy.retry_after_s)
@@ -182,6 +182,7 @@
             elif not item.proxy.has_room():
                 self._refuse_request(item, 503, b"this pool has all it can hold\n", False)
             elif self.listener.account.is_overdrawn:
+                self.listener.logger("refused for memory", f"a request of {self.peer}")
                 lines = retry_after(RETRY_AFTER_S)
                 self._refuse_request(item, 503, b"too much memory is in use\n", False, lines)
             elif not self.try_begin_request():
@@ -407,6 +408,7 @@
         if self.blocked_since and self.has_write_progress():
             self.blocked_since = now
         if self.blocked_since and now - self.blocked_since > READ_STALL_S:
+            self.listener.logger("closed", f"{self.peer} read nothing for {READ_STALL_S} s")
             self.record_malformed()
             self.abort()
         elif self.phase == LINGER:
@@ -469,6 +471,7 @@
         if self.request is not None:
             self.request.owner.upload_failed(self.request, 408)
             return
+        self.listener.logger("closed", f"a request of {self.peer} did not come to its end")
         self._reject(408, "the request did not come to its end")
         self._serve_waiting()
 
--- a/loadbalancer/frontends/http1_input.py
+++ b/loadbalancer/frontends/http1_input.py
@@ -28,6 +28,8 @@
 MAX_FIELDS = 256
 #: Bytes of input that a connection holds without a charge to the memory account: they count in the process's base.
 FREE_INPUT_BYTES = 4 << 10
+#: A head of so many bytes and fields at most is free, without a look at what it costs.
+SMALL_HEAD_BYTES, SMALL_HEAD_FIELDS = 1 << 10, 40
 #: Requests that may wait on one connection behind the one being served; guards against pipelining floods.
 PIPELINE_MOST = 16
 #: Bytes read and discarded on such a connection at most; guards against spending time on the rest of a rejected
@@ -102,24 +104,21 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
-        self.head.url += url
-        self._count_head_bytes(len(url))
+        head = self.head
+        head.url += url
+        head.size += len(url)
+        if head.size > HEAD_MOST:
+            raise RejectError(431, "head too large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are ignored."""
         head = self.head
         head.field_count += 1
-        if head.field_count > MAX_FIELDS:
-            raise RejectError(431, "too many header fields")
-        self._count_head_bytes(len(name) + len(value))
-        if self.phase != Phase.HEAD:  # trailers
-            return
-        head.add(name, value)
-
-    def _count_head_bytes(self, size: int) -> None:
-        self.head.size += size
-        if self.head.size > HEAD_MOST:
+        head.size += len(name) + len(value)
+        if head.size > HEAD_MOST or head.field_count > MAX_FIELDS:
             raise RejectError(431, "head too large")
+        if self.phase is Phase.HEAD:
+            head.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Choose the destination, and check the announced length against its limits."""
@@ -164,6 +163,7 @@
             self.body = bytearray()
         self.is_too_long_to_buffer = self.is_too_long_to_buffer or self.body_received > destination.body_most
         if not destination.budget.try_acquire_upload(len(data)):
+            self.listener.logger("refused for memory", f"a body after {len(self.body)} bytes, of {self.peer}")
             raise RejectError(503, "too much is being uploaded")
         self.body += data
 
@@ -222,13 +222,21 @@
             self._forward_body()
         if self.unparsed:
             self._set_reading(False)
-        self._charge_input()
+        if self.charged_input or self._may_need_charge():
+            self._charge_input()
         if self.listener.account.is_overdrawn and self._is_incomplete():
             self._refuse_for_memory()
         self._serve_waiting()
 
     # Memory.
 
+    def _may_need_charge(self) -> bool:
+        """Return whether more may be held than is free; cheap, since each request pays for it."""
+        head = self.head
+        if head.size > SMALL_HEAD_BYTES or head.field_count > SMALL_HEAD_FIELDS:
+            return True
+        return bool(self.unparsed or self.early_bytes) or len(self.waiting) > 1
+
     def _charge_input(self) -> None:
         """Charge what the connection holds of requests, beside the bodies, which their destinations charge."""
         held_bytes = self.head.held_bytes() + len(self.unparsed) + len(self.early_bytes)
@@ -252,6 +260,7 @@
         )
 
     def _refuse_for_memory(self) -> None:
+        self.listener.logger("refused for memory", f"a request that is not complete, of {self.peer}")
         self._reject(503, "too much memory is in use")
 
     def reclaimable_bytes(self) -> int:
@@ -285,6 +294,11 @@
             The rest of the input, if it has to wait: for a turn of its own, or for the requests before it.
         """
         self.part_count, size = 0, SLICE_BYTES
+        if len(data) <= size:
+            data = self._feed(data)
+            if data and self._awaits_switch():
+                self._buffer_early_bytes(data)
+                return b""
         while data and not self.closing:
             behind_request = self._feed(data[:size])
             data = behind_request + data[size:]
--- a/loadbalancer/frontends/platform_http.py
+++ b/loadbalancer/frontends/platform_http.py
@@ -142,9 +142,12 @@
         key = OBJECT_KEY.search(inspected[b"cookie"]) if b"cookie" in inspected else None
         estimate = inspected.get(b"x-estimate", b"")
         forwarded_head = encode_forwarded_head(head, body, head.method == b"POST")
+        # Only what must not run twice is known to other processes; the other number is cheaper.
+        number = hash if effect == Effect.SAFE else transaction_number
+        transaction = number(inspected[b"x-txn"])
         return RoutedRequest(
             self.proxy,
-            OpenRequest(client, transaction_number(inspected[b"x-txn"]), forwarded_head, body),
+            OpenRequest(client, transaction, forwarded_head, body),
             cls,
             time.monotonic() + remaining_s,
             tenant,
--- a/loadbalancer/kernel_buffers.py
+++ b/loadbalancer/kernel_buffers.py
@@ -46,8 +46,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_bytes)
         if sock.family == socket.AF_INET:
-            segment_bytes = self.receive_bytes // SEGMENTS_PER_BUFFER
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, self.receive_bytes // SEGMENTS_PER_BUFFER)
 
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -96,6 +96,10 @@
             return
         attempt.drop()  # first: a multiplexed connection still sends what it has buffered of the request
         written = attempt.is_written()
+        state = "no answer" if written else "not sent"
+        self._upstreams.logger(
+            "attempt timed out", f"{state} in {attempt.timeout:.2f} s at {attempt.endpoint}"
+        )
         if written:
             self._upstreams.close_idle_if_silent(attempt)
         self.finish(attempt, AttemptResult.TIMEOUT if written else AttemptResult.NO_CONNECTION)
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -127,10 +127,10 @@
     def _compose(self, timeout_status: int) -> None:
         self._clock = PolicyClock()
         self._lag = EventLoopLag(asyncio.get_running_loop(), self._report_lag)
-        safe_classes = frozenset(
+        self._safe_classes = frozenset(
             number for number, cls in enumerate(self.balancer.settings.classes) if cls.effect == Effect.SAFE
         )
-        self._table = RequestTable(self.metrics, self.budget, self.ids, safe_classes, self._on_overdue)
+        self._table = RequestTable(self.metrics, self.budget, self.ids, self._safe_classes, self._on_overdue)
         self._answers = AnswerWriter(self._table, self.budget, self.dialect, timeout_status)
         self._streams = ResponseStreams(self._table)
         self._attempts = AttemptRunner(
@@ -248,9 +248,9 @@
         """Return whether one more body may be streamed; each holds a connection for as long as its client sends."""
         return self.uploads < max(1, int(self.upstreams.sockets * UPLOAD_SHARE))
 
-    def is_known(self, request: OpenRequest) -> bool:
-        """Return whether a request with its transaction id is open or was unusable."""
-        return self.ids.is_known(request.transaction)
+    def is_known(self, request: OpenRequest, class_index: int) -> bool:
+        """Return whether a request with its transaction id is open, was unusable, or must not run again."""
+        return self.ids.is_known(request.transaction, class_index in self._safe_classes)
 
     # The policy.
 
--- a/loadbalancer/proxy/transaction_ids.py
+++ b/loadbalancer/proxy/transaction_ids.py
@@ -41,8 +41,8 @@
         return range(first + 1, first + WORDS_PER_BUCKET)
 
     def __contains__(self, number: int) -> bool:
-        words = self._words
-        return any(words[place] == number for place in self._places(number))
+        first = number % self._bucket_count * WORDS_PER_BUCKET
+        return number in self._words[first + 1 : first + WORDS_PER_BUCKET].tolist()
 
     def add(self, number: int) -> None:
         """Remember an id, in place of the oldest one of its bucket."""
@@ -78,11 +78,11 @@
         """Keep the ids of requests that may have run in memory that other processes of the same proxy use too."""
         self._recent = RecentIds(memory)
 
-    def is_known(self, number: int) -> bool:
-        """Return whether a request with this id is open, may have run, or was unusable."""
+    def is_known(self, number: int, is_safe: bool = False) -> bool:
+        """Return whether a request with this id is open or was unusable, or may have run and is not safe to repeat."""
         if number == NO_TRANSACTION:
             return False
-        return number in self.open or number in self.unusable or number in self._recent
+        return number in self.open or number in self.unusable or not is_safe and number in self._recent
 
     def opened(self, number: int, is_safe: bool) -> None:
         """Record that a request is open, before any attempt is sent; `is_safe`: it may be repeated at will."""
--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -32,7 +32,7 @@
         self.is_handed_over = False
         self.idle_since = 0.0
         self.received_at = 0.0  # monotonic, when bytes were last received
-        self.partial_answer = PartialAnswer(self)
+        self.partial_answer: PartialAnswer | None = None  # set once an answer without a length is incomplete
         pool.open += 1
         backend.open += 1
 
@@ -117,6 +117,18 @@
         """Record the time at which bytes were received from the backend."""
         self.received_at = self.endpoint.last_heard_at = time.monotonic()
 
+    def begin_partial_answer(self) -> PartialAnswer:
+        """Return the timer of the current answer, which has no stated length."""
+        if self.partial_answer is None:
+            self.partial_answer = PartialAnswer(self)
+        return self.partial_answer
+
+    def end_partial_answer(self) -> None:
+        """Remove the timer, if there is one: the answer is complete, or its attempt has ended."""
+        if self.partial_answer is not None:
+            self.partial_answer.cancel()
+            self.partial_answer = None
+
     def give_up_partial_answer(self, reason: str) -> None:
         """Fail the attempt, whose answer was passed on before its end and hardly arrives."""
         assert self.attempt is not None
@@ -170,7 +182,7 @@
             self.attempt = None
         if not self.closed:
             self.closed = True
-            self.partial_answer.cancel()
+            self.end_partial_answer()
             self._unwritten_body = None
             self.release()
             self.pool.forget(self)
--- a/loadbalancer/upstreams/fastcgi.py
+++ b/loadbalancer/upstreams/fastcgi.py
@@ -138,7 +138,7 @@
         except CgiError:
             return  # its end decides what it is
         if partial.head.length is None:
-            self.partial_answer.limit_hold_back()
+            self.begin_partial_answer().limit_hold_back()
         elif partial.head.length > self.dialect.body_most:
             self._stream(partial)
 
@@ -160,7 +160,9 @@
         except CgiError:
             return False
         body_bytes = len(self.side.stdout) - partial.body_offset
-        if partial.head.length is not None or self.partial_answer.find_problem(body_bytes, self.head_at):
+        if partial.head.length is not None or self.begin_partial_answer().find_problem(
+            body_bytes, self.head_at
+        ):
             return False
         self._stream(partial)
         return True
@@ -195,7 +197,7 @@
             return
         self.stream, self.head = stream, head
         if head.length is None:
-            self.partial_answer.watch(stream, attempt.answered_at, self.dialect.body_most)
+            self.begin_partial_answer().watch(stream, attempt.answered_at, self.dialect.body_most)
         del self.side.stdout[: partial.body_offset]
         self._forward(stream, None)
 
@@ -254,7 +256,7 @@
         """Finish the attempt, and keep the connection for the next one or close it."""
         attempt = self.attempt
         assert attempt is not None
-        self.partial_answer.cancel()
+        self.end_partial_answer()
         self.attempt = None
         attempt.detach()
         is_clean = not self.side.has_stray_records and not self.has_unsent_bytes()
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -170,10 +170,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header to forward, or one that frames or describes the answer."""
-        self._count_field()
-        if (
-            self.has_surplus or self.buffered_bytes or self.stream is not None
-        ):  # trailers, or an unsolicited answer
+        self.field_count += 1
+        if self._ignores_field():
             return
         value = value.strip(b" \t")  # the parser keeps trailing whitespace (RFC 9112, 5.1)
         key = name.lower()
@@ -196,10 +194,11 @@
         elif key == b"upgrade":
             self.upgrade_protocol = value.lower()
 
-    def _count_field(self) -> None:
-        self.field_count += 1
-        if self.field_count > MAX_FIELDS:
-            raise ValueError("too many header fields")
+    def _ignores_field(self) -> bool:
+        """Return whether a field is a trailer, of an unsolicited answer, or of an answer with too many of them."""
+        if self.has_surplus or self.buffered_bytes or self.stream is not None:
+            return True
+        return self.field_count > MAX_FIELDS
 
     def on_status(self, reason: bytes) -> None:
         """Append a part of the reason phrase."""
@@ -262,12 +261,15 @@
 
     def _receive(self, data: bytes) -> None:
         """Parse one share of the answer, and act on it; the rest waits for its turn."""
+        assert self.parser is not None
         try:
-            self.unparsed = self._parse(data)
+            if len(data) <= SLICE_BYTES:
+                self.parser.feed_data(data)
+            else:
+                self.unparsed = self._parse(data)
         except httptools.HttpParserUpgrade as offer:
-            rest = offer.args[0]
             if self.status == 101:
-                self._switch_protocol(rest)
+                self._switch_protocol(data[offer.args[0] :])
                 return
             self.has_surplus = True
         except httptools.HttpParserError as problem:
@@ -291,18 +293,18 @@
 
         Raises:
             httptools.HttpParserError: The bytes are not HTTP/1.1.
-            httptools.HttpParserUpgrade: What follows is in another protocol; the argument is the bytes of it.
+            httptools.HttpParserUpgrade: What follows is in another protocol; the argument is its offset.
         """
         assert self.parser is not None
-        self.part_count, size = 0, SLICE_BYTES
-        while data:
-            piece, data = data[:size], data[size:]
+        self.part_count, begin, size = 0, 0, SLICE_BYTES
+        while begin < len(data):
             try:
-                self.parser.feed_data(piece)
+                self.parser.feed_data(data[begin : begin + size])
             except httptools.HttpParserUpgrade as offer:
-                raise httptools.HttpParserUpgrade(piece[offer.args[0] :] + data) from None
+                raise httptools.HttpParserUpgrade(begin + offer.args[0]) from None
+            begin += size
             if self.part_count > MAX_PARTS:
-                return data
+                return data[begin:]
             size *= 2
         return b""
 
@@ -339,6 +341,9 @@
         if self.stream is not None:
             self._forward(self.stream)
             return
+        if self.field_count > MAX_FIELDS:
+            self._reject("too many header fields")
+            return
         if self._lacks_framing() and not self._may_end_with_connection():
             # A truncated answer would look complete.
             self._reject("the answer has neither a length nor chunked framing")
@@ -356,7 +361,7 @@
         elif self._is_to_be_streamed():
             self._begin_stream()
         elif self._has_unknown_end():
-            self.partial_answer.limit_hold_back()
+            self.begin_partial_answer().limit_hold_back()
 
     def _is_to_be_streamed(self) -> bool:
         """Return whether the incomplete answer is too long to be buffered, or memory too short to buffer it."""
@@ -380,7 +385,10 @@
             return False
         if not self._has_unknown_end() or not self._can_be_streamed():
             return False
-        if self.partial_answer.find_problem(self.buffered_bytes, self.attempt.answered_at) is not None:
+        if (
+            self.begin_partial_answer().find_problem(self.buffered_bytes, self.attempt.answered_at)
+            is not None
+        ):
             return False
         self._begin_stream()
         return True
@@ -405,7 +413,7 @@
             return
         self.stream = stream
         if self._has_unknown_end():
-            self.partial_answer.watch(stream, attempt.answered_at, dialect.body_most)
+            self.begin_partial_answer().watch(stream, attempt.answered_at, dialect.body_most)
         self._forward(stream)
 
     def _is_served(self) -> bool:
@@ -459,7 +467,7 @@
         """Finish the attempt with its complete answer, and keep or close the connection."""
         attempt = self.attempt
         assert attempt is not None
-        self.partial_answer.cancel()
+        self.end_partial_answer()
         result = self.dialect.result(self.status, self.refusal)
         report = self._read_load_report()
         answer, streamed = None, self.stream is not None
