Bound how many kinds of log lines are limited singly

Callers saw nothing yet; memory grew with ever new kinds of lines: one for each client address that sends no PROXY header, and one for each endpoint that writes to STDERR. Cause: the rate limit keeps a time for each kind, for ever. Now 1,000 kinds are kept at most.

Test: test_ever_new_kinds_of_lines_do_not_grow_the_log fails before.

--- a/loadbalancer/resource_limits.py
+++ b/loadbalancer/resource_limits.py
@@ -41,6 +41,8 @@
 """
 LOG_INTERVAL_S = 5.0
 """Interval in which at most one line of each event is written."""
+MAX_EVENTS = 1_000
+"""Maximum of events whose rate is limited singly; the one that is known longest is forgotten."""
 MAX_LOG_TEXT = 200
 """Maximum characters of a line's text."""
 LOG_TEXT_CODEC = codecs.lookup("unicode_escape").name
@@ -134,6 +136,8 @@
         if limit is not None and now - limit.written_at < LOG_INTERVAL_S:
             self._limits[kind] = _EventLimit(limit.written_at, limit.left_out + 1)
             return None
+        if limit is None and len(self._limits) >= MAX_EVENTS:
+            del self._limits[next(iter(self._limits))]
         self._limits[kind] = _EventLimit(now, 0)
         return limit.left_out if limit is not None else 0
 
--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -4,10 +4,11 @@
 
 import os
 import threading
+from typing import Any, cast
 
 from benchmarks.soak_unread_log import UnreadLog
 from loadbalancer.line_writer import MAX_QUEUED_LINES, DescriptorOutput, LineWriter
-from loadbalancer.resource_limits import RateLimitedLogger
+from loadbalancer.resource_limits import MAX_EVENTS, RateLimitedLogger
 
 LONG_TEXT = "x" * 200
 
@@ -69,3 +70,20 @@
     os.close(write_end)
     assert writer.lost == 1
     assert [writer.take_lost(), writer.take_lost()] == [1, 0]
+
+
+def test_ever_new_kinds_of_lines_do_not_grow_the_log() -> None:
+    logger = RateLimitedLogger(cast(Any, RecordingWriter()))
+    for number in range(3 * MAX_EVENTS):
+        logger(f"stderr of {number}", "text")
+    assert len(logger._limits) <= MAX_EVENTS
+
+
+class RecordingWriter:
+    """Takes lines and keeps none."""
+
+    def write_line(self, text: str) -> None:
+        """Ignore the line."""
+
+    def take_lost(self) -> int:
+        return 0
