--- a/loadbalancer/frontends/memory_reclaimer.py
+++ b/loadbalancer/frontends/memory_reclaimer.py
@@ -15,8 +15,8 @@
 
 RECLAIM_SHARE = 0.9
 """Share of the account to which connections are ended once it is full."""
-MIN_IDLE_S = 0.25
-"""A connection that moved within so many seconds is not ended."""
+MIN_IDLE_S = 0.6
+"""A connection that moved within so many seconds is not ended; progress is looked at every 0.25 s."""
 
 
 class MemoryReclaimer:
