Connect and listen where the system knows no option for the size of a buffer

Now a refused option leaves the system's own sizes.

Test: test_system_without_an_option_for_buffers_still_connects fails before.

--- a/loadbalancer/kernel_buffers.py
+++ b/loadbalancer/kernel_buffers.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 import termios
+from contextlib import suppress
 from typing import NamedTuple
 
 MIN_RECEIVE_BYTES = 4 << 10
@@ -42,11 +43,16 @@
         return self.receive_bytes * SEND_PER_RECEIVE
 
     def apply(self, sock: socket.socket) -> None:
-        """Set the sizes for a socket before it is connected, or for the connections that it will accept."""
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_bytes)
-        if sock.family == socket.AF_INET:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, self.receive_bytes // SEGMENTS_PER_BUFFER)
+        """Set the sizes for a socket before it is connected, or for the connections that it will accept.
+
+        A system that does not know an option keeps its own size: the connection works all the same.
+        """
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_bytes)
+            if sock.family == socket.AF_INET:
+                segment_bytes = self.receive_bytes // SEGMENTS_PER_BUFFER
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
 
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -180,6 +180,15 @@
     run_with_timeout(scene)
 
 
+def test_system_without_an_option_for_buffers_still_connects() -> None:
+    class RefusingSocket(socket.socket):
+        def setsockopt(self, *_arguments: object) -> None:
+            raise OSError(92, "Protocol not available")
+
+    with RefusingSocket() as sock:
+        KernelBuffers().apply(sock)
+
+
 def floods() -> Iterator[tuple[str, bytes, bytes]]:
     """Yield the name of a flood, the bytes with which it begins, and those that it repeats."""
     chunked = request_head("unsafe", "/api", "Transfer-Encoding: chunked") + b"\r\n"
