--- a/loadbalancer/frontends/connection.py
+++ b/loadbalancer/frontends/connection.py
@@ -8,7 +8,9 @@
 import asyncio
 import select
 import socket
+import struct
 import time
+from contextlib import suppress
 from enum import IntEnum
 from typing import TYPE_CHECKING, cast
 
@@ -24,6 +26,9 @@
 #: 3 s. The cost: a well-behaved client that is slower than this must send its request again.
 REQUEST_S = 2.5
 
+#: Value of SO_LINGER with which closing a socket resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class Phase(IntEnum):
     """States of reading from a client connection."""
@@ -125,6 +130,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection with a reset, so that the client sees that an answer is incomplete, however framed."""
+        with suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.abort()
+
     def write(self, data: bytes) -> None:
         """Write directly to the socket, or behind what waits in the transport's buffer.
 
@@ -188,7 +199,7 @@
     def evict_for_memory(self) -> str:
         """End the connection to free memory, and return what it was doing, for the log."""
         self.end_blocked()
-        self.abort()
+        self.reset()
         return "an answer that is not read"
 
     # Admission.
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -7,9 +7,7 @@
 
 import asyncio
 import socket
-import struct
 import time
-from contextlib import suppress
 from typing import Sequence, Union
 
 from loadbalancer.admission.rulings import RETRY_AFTER_S
@@ -272,10 +270,8 @@
     def abort_body(self) -> None:
         """Abort the answer with a reset, so that the client sees that it is incomplete whatever its framing."""
         self._end_stream(False)
-        with suppress(OSError):
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.closing = True
-        self.abort()
+        self.reset()
 
     def _end_stream(self, is_complete: bool) -> None:
         self.stream = self.request = None
@@ -410,7 +406,7 @@
         if self.blocked_since and now - self.blocked_since > READ_STALL_S:
             self.listener.logger("closed", f"{self.peer} read nothing for {READ_STALL_S} s")
             self.record_malformed()
-            self.abort()
+            self.reset()
         elif self.phase == LINGER:
             if waited > LINGER_S and not self.blocked_since:
                 self.abort()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -248,6 +248,24 @@
     run_with_timeout(scene)
 
 
+def test_answer_that_is_ended_for_memory_does_not_look_whole_to_an_http_1_0_client() -> None:
+    async def scene() -> None:
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+        async with running_proxy(ScriptedBackend("a", answering(head + bytes(8_000_000)))) as here:
+            client = await here.connect()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await client.send(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            connection = await only_connection(here)
+            while not connection.blocked_since:
+                await asyncio.sleep(0)
+            connection.evict_for_memory()
+            client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            with pytest.raises(ConnectionResetError):
+                await client.ended()
+
+    run_with_timeout(scene)
+
+
 def test_long_body_is_written_without_a_copy_of_the_whole() -> None:
     async def scene() -> None:
         goes_on = asyncio.Event()
