Ask an endpoint whether it has room before its client is read on

Cause: Upload.attach wrote all kept bytes, during which the transport reported that it was full, to a client that was paused anyway; then it resumed the client. The transport reports a change only once, so the body went on into its buffer without a bound.

Fix: whoever passes a body on asks the consumer whether it is full, at attach and after each part, rather than trusting one report.

--- a/loadbalancer/frontends/fastcgi.py
+++ b/loadbalancer/frontends/fastcgi.py
@@ -86,6 +86,10 @@
             self.connection.side.output += encode_stream(Type.STDOUT, self.number, data)
             self.connection.flush()
 
+    def is_full(self) -> bool:
+        """Return whether bytes wait on the connection that the web server has made no room for."""
+        return bool(self.connection.blocked_since)
+
     def receive_end(self) -> None:
         """Write the end of the streamed answer."""
         self._end_stream(True)
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -351,6 +351,10 @@
         if self.stream is not None:
             self.stream.set_full(True)
 
+    def is_full(self) -> bool:
+        """Return whether bytes wait here that the client has made no room for."""
+        return bool(self.blocked_since)
+
     def resume_writing(self) -> None:
         """Resume the source of what is written."""
         if self.tunnel is not None:
--- a/loadbalancer/proxy/idempotent_requests.py
+++ b/loadbalancer/proxy/idempotent_requests.py
@@ -274,6 +274,10 @@
         """Not called; see `begin_answer`."""
         raise AssertionError("answers to remembered keys are buffered, not streamed")
 
+    def is_full(self) -> bool:
+        """Not called; see `begin_answer`."""
+        raise AssertionError("answers to remembered keys are buffered, not streamed")
+
     def receive_end(self) -> None:
         """Not called; see `begin_answer`."""
         raise AssertionError("answers to remembered keys are buffered, not streamed")
--- a/loadbalancer/streaming/streams.py
+++ b/loadbalancer/streaming/streams.py
@@ -31,6 +31,12 @@
     def abort_body(self) -> None:
         """Abort the body before it is complete, in a way that the peer can detect."""
 
+    def is_full(self) -> bool:
+        """Return whether bytes wait here that the peer has made no room for.
+
+        `set_full` reports changes alone: whoever begins to send while it is full would not hear of it.
+        """
+
 
 class Stream:
     """One streamed body. Either side may end it; nothing is passed on after that."""
--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -152,6 +152,10 @@
         self.is_write_paused = False
         self._write_next_parts()
 
+    def is_full(self) -> bool:
+        """Return whether the write buffer holds data that the endpoint has made no room for."""
+        return self.is_write_paused
+
     # Ending.
 
     def fail(self, result: AttemptResult) -> None:
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -28,6 +28,9 @@
 #: Seconds that a regular client waits between two requests.
 REGULAR_INTERVAL_S = 0.02
 
+#: One part of a body that is sent in chunks.
+CHUNK = bytes(64 << 10)
+
 _numbers = count()
 
 
@@ -309,6 +312,23 @@
     return Answer(status, answered, first_byte_s, time.monotonic() - sent_at, is_own)
 
 
+async def send_chunked(address: Address, lane: str, target: str, size: int) -> None:
+    """Send one request whose body has no stated length, as fast as the connection takes it, and read its answer."""
+    head = request_head(lane, target, "Transfer-Encoding: chunked", txn=f"{lane}-{next(_numbers)}")
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(head + b"\r\n")
+        for _ in range(size // len(CHUNK)):
+            writer.write(b"%x\r\n%b\r\n" % (len(CHUNK), CHUNK))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await read_answer(reader)
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
+
+
 class Flood:
     """A client on a thread of its own that sends at full speed, on one connection at a time."""
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -22,6 +22,10 @@
 
     def __init__(self) -> None:
         self.told: list[object] = []
+        self.full = False
+
+    def is_full(self) -> bool:
+        return self.full
 
     def set_reading_paused(self, on: bool) -> None:
         self.told.append(on)
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -6,7 +6,7 @@
 import os
 import time
 from contextlib import asynccontextmanager
-from typing import AsyncIterator, Awaitable, Callable
+from typing import AsyncIterator, Awaitable, Callable, cast
 
 import pytest
 from peers import (
@@ -33,9 +33,9 @@
 from loadbalancer.proxy import response_streams
 from loadbalancer.resource_limits import MAX_HELD_BODY_BYTES, MAX_STREAMED_BODY_BYTES
 from loadbalancer.streaming.streams import STALL_S
-from loadbalancer.streaming.uploads import Upload
-from standins.crowds import fetch
-from standins.platform_run import PlatformRun
+from loadbalancer.streaming.uploads import PART_BYTES, Upload
+from standins.crowds import fetch, send_chunked
+from standins.platform_run import Limits, PlatformRun
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
@@ -81,6 +81,43 @@
     assert budget.held_bytes == 0 and client.told[-1] is False and first.told == [b"ab"]
 
 
+def test_kept_bytes_are_passed_only_while_the_member_has_room() -> None:
+    """Guards against a body that is read at full speed although its member has told that it is full."""
+    kept = bytes(3 * PART_BYTES)
+    client, budget, member = RecordingEnd(), BufferBudget(1 << 20), RecordingEnd()
+    assert budget.try_acquire_upload(len(kept))
+    body = Upload(client, None, bytearray(kept), budget, lambda: None)
+    member.full = True  # since before it was attached: it does not tell again
+    body.attach(member)
+    assert member.told == [] and client.told == [True]
+    member.full = False
+    body.set_full(False)
+    assert b"".join(cast(list[bytes], member.told)) == kept and client.told == [True, False]
+    member.full = True  # told while nobody listened
+    body.receive(b"a")
+    assert client.told == [True, False, True]
+    body.end()
+    assert member.told[-1] == "end"
+
+
+def test_end_of_a_body_follows_its_kept_bytes_and_goes_to_each_member() -> None:
+    """Guards against an end that is passed on before the bytes that wait for room."""
+    client, budget, first, second = RecordingEnd(), BufferBudget(1 << 20), RecordingEnd(), RecordingEnd()
+    body = Upload(client, None, bytearray(b"ab"), budget, lambda: None)
+    first.full = True
+    body.attach(first)
+    body.receive(b"c")
+    body.end()
+    assert first.told == []
+    first.full = False
+    body.set_full(False)
+    body.set_full(False)
+    assert first.told == [b"abc", "end"]
+    body.detach(first)
+    body.attach(second)
+    assert second.told == [b"abc", "end"]
+
+
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -503,3 +540,23 @@
             assert not run.members[0].effects
 
     run_with_timeout(scene)
+
+
+@pytest.mark.parametrize("lane", ["keyed", "unsafe"])
+@pytest.mark.parametrize("read_rate", [1, 3_000_000])
+def test_long_chunked_bodies_to_slow_members_stay_within_the_memory_limit(lane: str, read_rate: int) -> None:
+    """Guards against bodies that are held whole for members that read slowly, or not at all."""
+
+    async def scene() -> None:
+        limits = Limits(memory_mb=64)
+        async with PlatformRun(limits) as run:
+            target = f"/api?read_rate={read_rate}"
+            uploads = [
+                asyncio.ensure_future(send_chunked(run.address, lane, target, 20_000_000)) for _ in range(6)
+            ]
+            await asyncio.wait(uploads, timeout=2.0)
+            for upload in uploads:
+                upload.cancel()
+            assert run.is_running and run.peak_mb < limits.memory_mb
+
+    run_with_timeout(scene)
