Ask a consumer whether it is full as a stream or a tunnel begins

Callers would see the process go over its memory limit.

Fix: Stream and Tunnel ask the receiver after each part; both kinds of connections keep the state in a tunnel too. A client in a tunnel that does not read counts as such: its buffer is charged to the memory account, and it may be ended for memory. What its early input was charged for is given back as the tunnel begins.

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -128,9 +128,11 @@
         self.end_request(True)
         self.write(b"HTTP/1.1 101 %b\r\n%b\r\n" % (reason or b"Switching Protocols", b"".join(lines)))
         early_bytes, self.early_bytes, self.unparsed = self.early_bytes + self.unparsed, b"", b""
+        self._set_reading(True)  # before the bytes that may fill the endpoint, and so pause it again
         if early_bytes:
             tunnel.from_client(early_bytes)
-        self._set_reading(True)
+        if self.charged_input:
+            self._release_input()
 
     def send(self, data: bytes) -> None:
         """Write bytes of the tunnel."""
@@ -344,11 +346,10 @@
 
     def pause_writing(self) -> None:
         """Pause the source of what is written: a tunnel or a streamed answer."""
+        self.begin_blocked()
         if self.tunnel is not None:
             self.tunnel.set_full(False, True)
-            return
-        self.begin_blocked()
-        if self.stream is not None:
+        elif self.stream is not None:
             self.stream.set_full(True)
 
     def is_full(self) -> bool:
@@ -357,11 +358,10 @@
 
     def resume_writing(self) -> None:
         """Resume the source of what is written."""
+        self.end_blocked()
         if self.tunnel is not None:
             self.tunnel.set_full(False, False)
-            return
-        self.end_blocked()
-        if self.stream is not None:
+        elif self.stream is not None:
             self.stream.set_full(False)
         elif self.waiting or self.unparsed:
             asyncio.get_running_loop().call_soon(self._serve_waiting)
@@ -401,12 +401,12 @@
 
     def sweep(self, now: float) -> None:
         """Enforce timeouts; a tunnel has its own (tunnels.py)."""
+        if self.blocked_since and self.has_write_progress():
+            self.blocked_since = now
         if self.phase != TUNNEL:
             self._sweep_request(now, now - self.since)
 
     def _sweep_request(self, now: float, waited: float) -> None:
-        if self.blocked_since and self.has_write_progress():
-            self.blocked_since = now
         if self.blocked_since and now - self.blocked_since > READ_STALL_S:
             self.listener.logger("closed", f"{self.peer} read nothing for {READ_STALL_S} s")
             self.record_malformed()
--- a/loadbalancer/streaming/streams.py
+++ b/loadbalancer/streaming/streams.py
@@ -58,6 +58,8 @@
         self._has_moved = True
         self.passed_bytes += len(data)
         self.consumer.receive_data(data)
+        if not self._has_ended and self.consumer.is_full():  # it may have become so before the stream began
+            self._set_producer_paused(True)
 
     def end(self) -> None:
         """End the body, which the producer has sent completely."""
--- a/loadbalancer/streaming/tunnels.py
+++ b/loadbalancer/streaming/tunnels.py
@@ -36,6 +36,9 @@
     def set_reading_paused(self, on: bool) -> None:
         """Pause reading if `on`, else resume it."""
 
+    def is_full(self) -> bool:
+        """Return whether bytes wait here that the peer has made no room for."""
+
     def finish(self) -> None:
         """Half-close: the other end sends no more bytes."""
 
@@ -92,17 +95,20 @@
 
     def from_client(self, data: bytes) -> None:
         """Pass bytes from the client to the endpoint."""
-        self._pass(CLIENT, self.endpoint_end, data)
+        self._pass(CLIENT, self.client_end, self.endpoint_end, data)
 
     def from_endpoint(self, data: bytes) -> None:
         """Pass bytes from the endpoint to the client."""
-        self._pass(ENDPOINT, self.client_end, data)
+        self._pass(ENDPOINT, self.endpoint_end, self.client_end, data)
 
-    def _pass(self, side: int, receiver: TunnelEnd, data: bytes) -> None:
-        if not self._is_closed:
-            self.passed_bytes[side] += len(data)
-            self.moved_at = self._tunnels.clock()
-            receiver.send(data)
+    def _pass(self, side: int, sender: TunnelEnd, receiver: TunnelEnd, data: bytes) -> None:
+        if self._is_closed:
+            return
+        self.passed_bytes[side] += len(data)
+        self.moved_at = self._tunnels.clock()
+        receiver.send(data)
+        if receiver.is_full() and not self._is_closed:  # it may have become so before the tunnel began
+            sender.set_reading_paused(True)
 
     def set_full(self, is_endpoint: bool, on: bool) -> None:
         """Pause reading from the other end while the buffer of one end is full (`on`), else resume it."""
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -145,20 +145,18 @@
 
     def pause_writing(self) -> None:
         """Pause the source of what is written here: a tunnel or a streamed request body."""
+        super().pause_writing()
         if self.tunnel is not None:
             self.tunnel.set_full(True, True)
-            return
-        super().pause_writing()
-        if self.upload is not None:
+        elif self.upload is not None:
             self.upload.set_full(True)
 
     def resume_writing(self) -> None:
         """Resume the source of what is written here."""
+        super().resume_writing()
         if self.tunnel is not None:
             self.tunnel.set_full(True, False)
-            return
-        super().resume_writing()
-        if self.upload is not None:
+        elif self.upload is not None:
             self.upload.set_full(False)
 
     # Callbacks of the parser. They record what was parsed; _process_response acts on it after the parser has returned.
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -5,16 +5,18 @@
 import asyncio
 import random
 from pathlib import Path
-from typing import Any, Awaitable, Callable
+from typing import Any, Awaitable, Callable, cast
 
 import pytest
 from daemons import LISTENER, DaemonHarness, pool, requests_to, route, running_daemon
-from peers import Call, ScriptedBackend, answering, resetting, silent
+from peers import TIMEOUT_S, Call, ScriptedBackend, answering, resetting, silent
 from policy_scene import make_balancer
 from translated import connect_fcgi
 
 from loadbalancer.config.plan import load
 from loadbalancer.config.reader import ConfigError
+from loadbalancer.frontends.http1 import ClientConnection
+from loadbalancer.kernel_buffers import MIN_RECEIVE_BYTES, KernelBuffers
 from loadbalancer.policy.actions import (
     Reject,
     Send,
@@ -34,9 +36,12 @@
 )
 from loadbalancer.proxy.final_answers import FINAL_ANSWER_RULES, FRONTEND_ERRORS, PROXY_STATUS_NAME, document
 from loadbalancer.streaming.tunnels import TunnelLimits, Tunnels
+from loadbalancer.upstreams.base import SocketUpstream
 from standins.member import Member
 
 Scene = Callable[[], Awaitable[Any]]
+#: Bytes sent behind a request to switch, more than the kernel's buffers hold.
+EARLY_BYTES = 4 << 20
 
 
 def run(scene: Scene) -> Any:
@@ -526,6 +531,10 @@
 class FakeEnd:
     def __init__(self) -> None:
         self.calls: list[Any] = []
+        self.full = False
+
+    def is_full(self) -> bool:
+        return self.full
 
     def send(self, data: bytes) -> None:
         self.calls.append(data)
@@ -543,6 +552,49 @@
         self.calls.append("abort")
 
 
+def test_a_tunnel_pauses_the_sender_if_the_receiver_was_full_before_it_began() -> None:
+    """Guards against bytes that come with the 101, or before it, and fill a connection that nobody listens to yet."""
+    client, endpoint = FakeEnd(), FakeEnd()
+    tunnel = Tunnels(TunnelLimits(), lambda: 0.0).open_tunnel("e", client, endpoint)
+    endpoint.full = client.full = True
+    tunnel.from_client(b"early")
+    tunnel.from_endpoint(b"with the 101")
+    assert (client.calls, endpoint.calls) == ([True, b"with the 101"], [b"early", True])
+
+
+def test_early_bytes_of_a_tunnel_that_fill_the_endpoint_pause_the_client(tmp_path: Path) -> None:
+    """Guards against a client that is resumed as its tunnel begins, though its early bytes have filled the endpoint."""
+
+    async def scene() -> None:
+        async def switch(call: Call) -> None:
+            call.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await asyncio.wait_for(early_bytes_are_read.wait(), TIMEOUT_S)
+            call.writer.write(SWITCH)
+            await asyncio.Event().wait()
+
+        early_bytes_are_read = asyncio.Event()
+        member = ScriptedBackend("m", switch)
+        async with running_daemon(tmp_path, [member], lambda: text([member], keys=ALLOWED)) as here:
+            pools = here.daemon.pools["p"].proxy.upstreams
+            pools.kernel_buffers = KernelBuffers(MIN_RECEIVE_BYTES)
+            client = await here.connect()
+            sending = asyncio.ensure_future(client.send(UPGRADE + bytes(4 * EARLY_BYTES)))
+            await member.until_called()
+            (connection,) = cast(list[ClientConnection], list(here.daemon._client_connections()))
+            await here.until(lambda: connection.paused)
+            connection.early_bytes = bytes(EARLY_BYTES)
+            early_bytes_are_read.set()
+            await here.until(lambda: tunnels(here).open)
+            (tunnel,) = tunnels(here).open
+            endpoint = cast(SocketUpstream, tunnel.endpoint_end)
+            assert endpoint.is_full() and connection.paused
+            assert endpoint.transport is not None
+            assert endpoint.transport.get_write_buffer_size() <= EARLY_BYTES
+            sending.cancel()
+
+    run(scene)
+
+
 def test_a_tunnel_ends_after_its_lifetime_or_drain_timeout() -> None:
     now = [0.0]
     tunnels_ = Tunnels(
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -58,6 +58,20 @@
     assert consumer.told == [b"a", "end"] and stream.passed_bytes == 1
 
 
+def test_stream_that_begins_while_its_consumer_is_full_pauses_the_producer() -> None:
+    """Guards against an answer that is read at full speed for a client that has told earlier that it is full."""
+    producer, consumer = RecordingEnd(), RecordingEnd()
+    consumer.full = True
+    stream = Stream(producer, consumer)
+    stream.send(b"a")
+    stream.send(b"b")
+    assert producer.told == [True] and stream.is_full
+    consumer.full = False
+    stream.set_full(False)
+    stream.send(b"c")
+    assert producer.told == [True, False] and consumer.told == [b"a", b"b", b"c"]
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks", "connection"])
 def test_long_answer_is_streamed_before_it_is_complete(framing: str) -> None:
     async def scene() -> None:
