Count what waits in the write buffers of endpoints' connections in the memory account

Seen by callers: nothing before the kill.

Cause: the account counted clients' write buffers only. A connection to an endpoint had none by design, so an error there could be noticed by the platform alone.

Evidence: test_bytes_that_wait_for_a_member_are_charged_until_they_have_left failed before, in both forms: the account held the body's bytes, and none of the transport's.

--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -28,6 +28,7 @@
         self.is_write_paused = False
         self._unwritten_body: memoryview | None = None  # the part of a long body that was not written yet
         self.has_failed_write = False  # some bytes were neither sent nor buffered
+        self._charged_output_bytes = 0  # of the write buffer, charged to the memory account
         self.closed = False
         self.is_handed_over = False
         self.idle_since = 0.0
@@ -70,6 +71,7 @@
         assert self.transport is not None
         if self.secure or self.transport.get_write_buffer_size():
             self.transport.write(data)
+            self._charge_output()
             return
         try:
             sent = self.sock.send(data)
@@ -82,6 +84,16 @@
         if sent < len(data):
             self.transport.write(data[sent:])
             self.has_failed_write = self.transport.is_closing()  # it has discarded them
+            self._charge_output()
+
+    def _charge_output(self) -> None:
+        """Charge what the write buffer holds to the memory account; over TLS that is what the TLS layer was given."""
+        transport = self.transport
+        is_open = transport is not None and not transport.is_closing() and not self.closed
+        held_bytes = transport.get_write_buffer_size() if transport is not None and is_open else 0
+        if held_bytes != self._charged_output_bytes:
+            added, self._charged_output_bytes = held_bytes - self._charged_output_bytes, held_bytes
+            self.pool.budget.account.charge(added)
 
     def write_body(self, body: bytearray) -> None:
         """Write a body part by part, as the peer makes room for it, so that it is never copied as a whole."""
@@ -150,6 +162,7 @@
     def resume_writing(self) -> None:
         """Record that the write buffer is empty, and go on with a body; called by the transport."""
         self.is_write_paused = False
+        self._charge_output()
         self._write_next_parts()
 
     def is_full(self) -> bool:
@@ -188,6 +201,7 @@
             self.closed = True
             self.end_partial_answer()
             self._unwritten_body = None
+            self._charge_output()
             self.release()
             self.pool.forget(self)
             if self.transport is not None:
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -31,8 +31,6 @@
 MAX_FIELDS = 256
 #: Body of a request up to which it is copied behind its head, to be sent in one call.
 MAX_JOINED_BODY_BYTES = 16 << 10
-#: Bytes buffered for one end of a tunnel above which reading from the other end is paused.
-TUNNEL_BUFFER_BYTES = 64 << 10
 #: Seconds to flush the bytes buffered for an end of a tunnel, after both ends have sent all.
 TUNNEL_CLOSE_TIMEOUT_S = 5.0
 #: Statuses of answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
@@ -530,15 +528,13 @@
             self.drop()
             self.pool.owner.finish_attempt(attempt, AttemptResult.CANCELLED)
             return
-        assert self.transport is not None
-        self.transport.set_write_buffer_limits(high=TUNNEL_BUFFER_BYTES)
         if rest:
             self.tunnel.from_endpoint(rest)
 
     def send(self, data: bytes) -> None:
         """Write bytes of a tunnel."""
-        if self.transport is not None and not self.closed:
-            self.transport.write(data)
+        if not self.closed:
+            self.write(data)
 
     def finish(self) -> None:
         """Close the sending direction of a tunnel."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -295,6 +295,43 @@
     run_with_timeout(scene)
 
 
+@pytest.mark.parametrize("ends", ["answered", "client left"])
+def test_bytes_that_wait_for_a_member_are_charged_until_they_have_left(ends: str) -> None:
+    """Guards against write buffers of members that nobody counts, so that only the platform notices what they hold."""
+
+    async def scene() -> None:
+        goes_on = asyncio.Event()
+
+        class Member(ScriptedBackend):
+            async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+                await goes_on.wait()
+                writer.transport.resume_reading()  # type: ignore[attr-defined]
+                await super()._serve(reader, writer)
+
+        body = bytes(3_000_000)
+        async with running_proxy(Member("a", answering(OK))) as here:
+            client = await here.connect()
+            client.writer.write(request("unsafe", body))
+            await here.proxy.until(lambda: here.proxy.open)
+            (attempt,) = next(iter(here.proxy.open.values())).attempts
+            while attempt.connection is None:
+                await asyncio.sleep(0)
+            transport = cast(Http1UpstreamConnection, attempt.connection).transport
+            assert transport is not None
+            buffered_bytes = transport.get_write_buffer_size()
+            assert buffered_bytes and here.proxy.budget.account.held_bytes == len(body) + buffered_bytes
+            goes_on.set()
+            if ends == "answered":
+                assert (await client.read())[0] == 200
+            else:
+                client.writer.transport.abort()
+                await here.proxy.until(lambda: not here.proxy.open)
+            assert here.proxy.budget.account.held_bytes == 0
+
+    run_with_timeout(scene)
+
+
 def test_new_clients_find_slots_while_answered_ones_linger() -> None:
     async def scene() -> None:
         async with running_proxy(ScriptedBackend("a", answering(OK)), sockets=60) as here:
