Reset a connection to an endpoint that is dropped before all of its bytes have arrived

Seen by callers: a keyed request whose attempt had been given up in time came whole after its window, and took effect twice; the same after its client had left.

Cause: drop closed the socket in order unless the transport held bytes. The kernel keeps the send queue of such a socket and delivers it when the peer makes room, up to 128 KB and seconds later.

Fix: if bytes are not acknowledged as the connection is dropped, it is reset, so that the kernel discards its queue. What is told of the attempt stays: it may have run.

--- a/loadbalancer/frontends/connection.py
+++ b/loadbalancer/frontends/connection.py
@@ -8,14 +8,12 @@
 import asyncio
 import select
 import socket
-import struct
 import time
-from contextlib import suppress
 from enum import IntEnum
 from typing import TYPE_CHECKING, cast
 
 from loadbalancer.admission.pressure import UNUSED_AFTER_S
-from loadbalancer.kernel_buffers import unacknowledged_bytes
+from loadbalancer.kernel_buffers import reset_on_close, unacknowledged_bytes
 
 if TYPE_CHECKING:
     from loadbalancer.frontends.admission_gate import AdmittedConnection
@@ -26,9 +24,6 @@
 #: 3 s. The cost: a well-behaved client that is slower than this must send its request again.
 REQUEST_S = 2.5
 
-#: Value of SO_LINGER with which closing a socket resets its connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 
 class Phase(IntEnum):
     """States of reading from a client connection."""
@@ -132,8 +127,7 @@
 
     def reset(self) -> None:
         """Close the connection with a reset, so that the client sees that an answer is incomplete, however framed."""
-        with suppress(OSError):
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(self.sock)
         self.abort()
 
     def write(self, data: bytes) -> None:
--- a/loadbalancer/kernel_buffers.py
+++ b/loadbalancer/kernel_buffers.py
@@ -55,6 +55,16 @@
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
 
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Let the close of a socket reset its connection and discard the send queue, which it would deliver otherwise."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def unacknowledged_bytes(sock: socket.socket) -> int:
     """Return how many bytes of the send buffer the peer has not acknowledged; 0 if the kernel does not tell."""
     try:
--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 from typing import cast
 
+from loadbalancer.kernel_buffers import reset_on_close, unacknowledged_bytes
 from loadbalancer.policy.events import AttemptResult
 from loadbalancer.upstreams.connections import Attempt, Upstream, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.partial_answers import PartialAnswer
@@ -211,12 +212,19 @@
                 self.close_socket()
 
     def _discard_unsent_bytes(self, transport: asyncio.Transport) -> None:
-        """Ensure that nothing more of the write buffer leaves.
+        """Ensure that nothing more arrives of what the peer has not acknowledged yet.
 
-        uvloop's abort closes the socket in a later iteration of the event loop and sends what it can until then, which
-        would complete a request that was reported as unsent.
+        After an orderly close the kernel would deliver its send queue whenever the peer makes room. And uvloop's abort
+        closes the socket in a later iteration of the event loop, and sends what it can until then. Either would
+        complete a request that was given up.
         """
-        if not transport.is_closing() and transport.get_write_buffer_size():
+        if transport.is_closing():
+            return
+        has_buffered = transport.get_write_buffer_size() > 0
+        if not has_buffered and not unacknowledged_bytes(self.sock):
+            return
+        reset_on_close(self.sock)
+        if has_buffered or self.secure:
             with suppress(OSError):  # the peer has reset the connection
                 self.sock.shutdown(socket.SHUT_RDWR)
 
--- a/tests/test_request_written.py
+++ b/tests/test_request_written.py
@@ -29,6 +29,7 @@
 from test_uploads import LONG_BODY_BYTES, long_request_head
 
 from loadbalancer.fastcgi.records import Type, encode, encode_pairs
+from loadbalancer.kernel_buffers import unacknowledged_bytes
 from loadbalancer.memory_account import BufferBudget
 from loadbalancer.policy.events import NEVER_RAN, AttemptResult
 from loadbalancer.resource_limits import RateLimitedLogger
@@ -42,6 +43,8 @@
 
 HEAD = b"POST /api HTTP/1.1\r\nHost: a\r\n"
 BODY_BYTES = 300_000
+#: A body that the kernel takes whole although its peer has no room for it.
+KERNEL_BODY_BYTES = 40_000
 #: Size of the kernel's buffers on both sides where a test wants some of a request to stay in the process.
 SMALL_BUFFER_BYTES = 4096
 #: Bytes beyond what these buffers hold: a single read of the member makes room for them.
@@ -420,6 +423,47 @@
     run_with_timeout(scene)
 
 
+@pytest.mark.parametrize("secure", [False, True], ids=["plain", "tls"])
+@pytest.mark.parametrize("protocol", CONNECTIONS)
+def test_request_that_was_given_up_does_not_arrive_from_the_kernels_buffer(
+    protocol: str, secure: bool
+) -> None:
+    """Guards against a last byte that the proxy's own kernel delivers after the attempt has been given up."""
+
+    async def scene() -> None:
+        here = Scene(protocol, True)
+        reads, ended, received = asyncio.Event(), asyncio.Event(), 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal received
+            await reads.wait()
+            try:
+                while data := await reader.read(1 << 16):
+                    received += len(data)
+            except ConnectionError:
+                pass
+            ended.set()
+            writer.close()
+
+        options: dict[str, Any] = {"ssl": certs.member_side()} if secure else {}
+        server = await asyncio.start_server(serve, sock=here.member.listener, limit=1 << 10, **options)
+        here.pools.tls = certs.member_keys() if secure else None
+        here.member.sock = socket.socket()
+        attempt = await here.send(Request(KERNEL_BODY_BYTES))
+        sock = cast(Any, attempt.connection)
+        sock = getattr(sock, "connection", sock).sock  # a stream's, on a shared connection
+        assert attempt.is_written() and unacknowledged_bytes(sock) > REST_BYTES
+        attempt.drop()
+        reads.set()
+        await asyncio.wait_for(ended.wait(), TIMEOUT_S)
+        assert received < KERNEL_BODY_BYTES
+        assert attempt.is_written()  # nothing proves that it has not arrived
+        server.close()
+        here.member.close()
+
+    run_with_timeout(scene)
+
+
 BODIES = {
     "buffered": lambda: request("unsafe", bytes(BODY_BYTES)),
     "streamed": lambda: long_request_head() + bytes(LONG_BODY_BYTES),
