Take back an attempt that has not arrived when its right to be sent ends

Seen by callers: a keyed request of 1 MB took effect twice.

Cause: whether an attempt may be sent was asked when it was decided and when its connection was up, never while its last byte waited, in the process or in the kernel's send queue.

A drain does not end it: for drains a send counts from its first byte (PROTOCOL).

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -98,6 +98,8 @@
 
     def _continue_upload(self, upload: Upload) -> None:
         upload_parts, self.upload_parts = self.upload_parts, []
+        if not self.reading_upload and self.has_left():  # its last byte would begin the work for nobody
+            return
         if upload_parts:
             upload.receive(b"".join(upload_parts))
         if self.upload is upload and not self.reading_upload:  # not answered meanwhile, and complete
--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -180,6 +180,14 @@
             return False
         return self.retry_policy.may_still_be_sent(pending, attempt_number, now)
 
+    def may_complete_attempt(self, now: float, request: int, attempt_number: int) -> bool:
+        """Return whether an attempt that is being written may still reach its endpoint whole.
+
+        The state of its endpoint does not matter any more: for drains a send counts from its first byte.
+        """
+        pending = self.requests.get(request)
+        return pending is not None and self.retry_policy.may_still_be_sent(pending, attempt_number, now)
+
     # Endpoints.
 
     def _on_endpoint_list(self, event: EndpointList, now: float) -> None:
--- a/loadbalancer/policy/retry_policy.py
+++ b/loadbalancer/policy/retry_policy.py
@@ -79,7 +79,7 @@
         return idempotency.allowed_pool(pending.request_class, first, self._registry)
 
     def may_still_be_sent(self, pending: PendingRequest, attempt_number: int, now: float) -> bool:
-        """Return whether the other attempts of a request still permit one that has just connected."""
+        """Return whether the other attempts still permit one that has connected or is being written."""
         others = [attempt for number, attempt in enumerate(pending.attempts) if number != attempt_number]
         if not self._limits.hedging and any(attempt.is_open for attempt in others):
             return False
--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -14,6 +14,7 @@
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.response_streams import ResponseStreams
+from loadbalancer.proxy.send_monitor import SendMonitor
 from loadbalancer.proxy.transaction_ids import TransactionIds
 from loadbalancer.upstreams.connections import Attempt, UpstreamPools
 from loadbalancer.upstreams.interfaces import UpstreamResponse
@@ -47,6 +48,7 @@
         clock: PolicyClock,
         lag: EventLoopLag,
         post: Callable[[Event], None],
+        may_arrive: Callable[[Attempt, float], bool],
     ) -> None:
         self._table = table
         self._upstreams = upstreams
@@ -58,6 +60,7 @@
         self._lag = lag
         self._post = post
         self._loop = asyncio.get_running_loop()
+        self._sends = SendMonitor(may_arrive, self.revoke)
 
     def send(self, action: Send) -> None:
         """Start an attempt."""
@@ -73,6 +76,8 @@
         if request.is_complete:
             self._start_timer(attempt)
         self._upstreams.send(attempt)
+        if not attempt.ended:
+            self._sends.watch(attempt)
 
     def restart_clocks(self, request: OpenRequest) -> None:
         """Restart the timeouts of a request's open attempts: its last byte has been received."""
@@ -118,6 +123,18 @@
         attempt.drop()
         self.finish(attempt, AttemptResult.NOT_SENT if is_unsent else AttemptResult.CANCELLED)
 
+    def revoke(self, attempt: Attempt) -> None:
+        """End an attempt that must not reach its endpoint any more, and whose last byte has not arrived there."""
+        attempt.take_back()
+        written = attempt.is_written()
+        state = "its end had not arrived" if written else "not sent"
+        self._upstreams.logger("attempt revoked", f"{state} at {attempt.endpoint}")
+        self.finish(attempt, AttemptResult.CANCELLED if written else AttemptResult.NO_CONNECTION)
+
+    def close(self) -> None:
+        """End the attempts whose last byte has not arrived; nothing more of them leaves."""
+        self._sends.close()
+
     def cancel_all(self, request: OpenRequest) -> None:
         """Cancel all attempts of a request whose body stays incomplete, also those that the policy may not cancel."""
         for attempt in list(request.attempts):
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -143,6 +143,7 @@
             self._clock,
             self._lag,
             self.post,
+            self._may_arrive,
         )
         self._directory = EndpointDirectory(self.upstreams, self.tunnels, self.post)
         self._owner = PoolRequestOwner(self._table, self._attempts, self.post)
@@ -327,6 +328,22 @@
             return True
         return late and not self.balancer.may_send_attempt(self.now(), request.id, attempt.number)
 
+    def _may_arrive(self, attempt: Attempt, within_s: float) -> bool:
+        """Return whether an attempt that is being written may still reach its endpoint whole.
+
+        Args:
+            attempt: The attempt.
+            within_s: Seconds from now for which the answer has to hold.
+        """
+        request = cast(OpenRequest, attempt.request)
+        if request.done or request.client.has_left() or self.lacks_lease():
+            return False
+        if request.stream is not None:
+            return attempt.number == request.streaming_attempt
+        if attempt.answered_at:  # its endpoint does not wait for the rest
+            return True
+        return self.balancer.may_complete_attempt(self.now() + within_s, request.id, attempt.number)
+
     def finish_attempt(
         self,
         attempt: Attempt,
@@ -422,6 +439,7 @@
     def close(self) -> None:
         """Fail the requests that are still open, and release connections, timers and the source of endpoints."""
         self.end_all()
+        self._attempts.close()
         self.tunnels.close()
         self._sweep_timer.cancel()
         self._lag.close()
--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -152,6 +152,12 @@
         """Return whether enough of the request is still unsent that it cannot have run."""
         return self.has_unsent_bytes()
 
+    def has_arrived(self) -> bool:
+        """Return whether the endpoint's machine has acknowledged the last byte of the request."""
+        if self.closed:
+            return True  # nothing more of it arrives
+        return not self.has_unsent_bytes() and not unacknowledged_bytes(self.sock)
+
     def failure_result(self) -> AttemptResult:
         """Return the result of the attempt on this connection if the connection ends now."""
         return AttemptResult.NO_CONNECTION if self.is_unsent() else AttemptResult.RESET
--- a/loadbalancer/upstreams/connections.py
+++ b/loadbalancer/upstreams/connections.py
@@ -76,6 +76,10 @@
         """Return whether enough of the request is still unsent that it cannot have run."""
         raise NotImplementedError
 
+    def has_arrived(self) -> bool:
+        """Return whether the endpoint's machine has acknowledged the last byte of the request."""
+        raise NotImplementedError
+
     def is_alive(self) -> bool:
         """Return whether an idle connection can still be used."""
         raise NotImplementedError
@@ -92,6 +96,10 @@
         """Close at once, without reporting a result for the attempt."""
         raise NotImplementedError
 
+    def take_back(self) -> None:
+        """Drop the attempt so that nothing more of it arrives, whatever else the connection carries."""
+        self.drop()
+
 
 class ConnectionFactory(Protocol):
     """Creates the connection object of a protocol for a new socket."""
@@ -135,6 +143,10 @@
         """Return whether the last byte of the request was sent, so that it may have run."""
         return self._written if self.connection is None else not self.connection.is_unsent()
 
+    def has_arrived(self) -> bool:
+        """Return whether the last byte of the request is known to have arrived at its endpoint's machine."""
+        return self.connection is not None and self.connection.has_arrived()
+
     def pass_on_partial_answer(self) -> bool:
         """Stream the part of the answer that has arrived; see `Upstream.pass_on_partial_answer`."""
         return self.connection is not None and self.connection.pass_on_partial_answer()
@@ -156,6 +168,12 @@
         if self.connection is not None:
             self.connection.drop()
 
+    def take_back(self) -> None:
+        """Cancel the attempt so that nothing more of its request arrives, at the cost of others on its connection."""
+        if self.connection is not None:
+            self.connection.take_back()
+        self.drop()
+
 
 class UpstreamEndpoint:
     """The address and the connections of one backend."""
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -141,6 +141,10 @@
         """Return whether the last byte of the request is provably unsent."""
         return self.upload is not None or self.has_unsent_bytes()
 
+    def has_arrived(self) -> bool:
+        """Return whether the endpoint's machine has acknowledged the last byte of the request."""
+        return (self.upload is None or self.closed) and super().has_arrived()
+
     def pause_writing(self) -> None:
         """Pause the source of what is written here: a tunnel or a streamed request body."""
         super().pause_writing()
--- a/loadbalancer/upstreams/multiplex.py
+++ b/loadbalancer/upstreams/multiplex.py
@@ -21,9 +21,8 @@
     read_pairs,
 )
 from loadbalancer.fastcgi.webserver import REQUEST_ID_COUNT, End, Exchange
-from loadbalancer.policy.events import (
-    AttemptResult,
-)
+from loadbalancer.kernel_buffers import unacknowledged_bytes
+from loadbalancer.policy.events import AttemptResult
 from loadbalancer.upstreams.base import SocketUpstream
 from loadbalancer.upstreams.connections import Attempt, Upstream, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
@@ -51,6 +50,7 @@
         self.connection, self.attempt, self.exchange = connection, attempt, Exchange(number)
         # Bytes that the connection must have sent before the application can have begun.
         self.start_offset = 0
+        self.end_offset = 0  # bytes that it must have received when it has all of the request
         self.charged_bytes = 0  # bytes of STDOUT that are charged to the budget
         self.received_bytes = 0  # bytes of records
         # Aborted on a connection that goes on: what is buffered of the request will still be sent.
@@ -60,6 +60,10 @@
         """Return whether the end of the params is provably unsent and will not be sent."""
         return not self.stays_buffered and self.connection.sent_bytes() < self.start_offset
 
+    def has_arrived(self) -> bool:
+        """Return whether the application's machine has acknowledged the last byte of the request."""
+        return self.connection.acknowledged_bytes() >= self.end_offset
+
     def charge(self) -> None:
         """Charge what was received since the last call to the budget."""
         added = len(self.exchange.stdout) - self.charged_bytes
@@ -76,6 +80,13 @@
         """Abort this attempt; the other streams on the connection continue."""
         self.connection.abort_stream(self)
 
+    def take_back(self) -> None:
+        """Abort this attempt; if some of its request has not arrived, the connection and its other streams end too."""
+        if self.has_arrived():
+            self.drop()
+        else:
+            self.connection.take_back_stream(self)
+
 
 class MultiplexedConnection(SocketUpstream):
     """One connection to an application, and the streams on it."""
@@ -127,6 +138,7 @@
         data, start_bytes = request_records(self._last_id, attempt, self.dialect, self.application)
         prefix = b"" if self._written_bytes else CAPABILITY_QUERY
         stream.start_offset = self._written_bytes + len(prefix) + start_bytes
+        stream.end_offset = self._written_bytes + len(prefix) + len(data)
         self.write(prefix + data)
 
     def write(self, data: bytes) -> None:
@@ -144,6 +156,15 @@
             return self._written_bytes
         return self._written_bytes - self.transport.get_write_buffer_size()
 
+    def acknowledged_bytes(self) -> int:
+        """Return the number of bytes that the application's machine has acknowledged; over TLS, all or none."""
+        if self.closed or self.transport is None or self.transport.is_closing():
+            return self._written_bytes
+        unacknowledged = unacknowledged_bytes(self.sock)
+        if self.secure:
+            return 0 if unacknowledged or self.transport.get_write_buffer_size() else self._written_bytes
+        return self.sent_bytes() - unacknowledged
+
     # Receiving.
 
     def data_received(self, data: bytes) -> None:
@@ -255,6 +276,14 @@
             self.is_draining = True
             self._remove(stream)
 
+    def take_back_stream(self, stream: MultiplexedStream) -> None:
+        """Abort one stream and reset the connection, since the rest of its request would arrive otherwise."""
+        if self.streams.get(stream.exchange.number) is not stream:
+            return
+        del self.streams[stream.exchange.number]
+        stream.release()
+        self.fail(AttemptResult.RESET)
+
     def _remove(self, stream: MultiplexedStream) -> None:
         self.streams.pop(stream.exchange.number, None)
         stream.release()
--- a/tests/test_request_written.py
+++ b/tests/test_request_written.py
@@ -350,6 +350,49 @@
     run_with_timeout(scene)
 
 
+def test_attempt_that_is_taken_back_from_a_multiplexed_connection_does_not_arrive(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against records that leave behind those of others after their attempt's right to arrive has ended."""
+
+    async def scene() -> None:
+        here = Scene("multiplexed fastcgi", True)
+        set_up(monkeypatch, here, False)
+        first = await here.send(Request(BODY_BYTES))
+        here.member.sock.send(CAN_MULTIPLEX)
+        while not here.pools.endpoints["m"].shared:
+            await asyncio.sleep(0)
+        second = await here.send(Request(10))
+        assert not first.has_arrived() and not second.has_arrived() and here.pools.open == 1
+        second.take_back()
+        assert not second.is_written()
+        assert await here.result() == AttemptResult.RESET and here.pools.open == 0  # that of the first
+        await here.member.read_until(None)
+        assert here.member.received < here.written_bytes
+        here.member.close()
+
+    run_with_timeout(scene)
+
+
+def test_attempt_that_has_arrived_is_taken_back_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against other requests on a connection that end for one whose records have all arrived."""
+
+    async def scene() -> None:
+        here = Scene("multiplexed fastcgi", False)
+        first = await here.send(Request(10))
+        here.member.sock.send(CAN_MULTIPLEX)
+        while not here.pools.endpoints["m"].shared:
+            await asyncio.sleep(0)
+        second = await here.send(Request(10))
+        while not second.has_arrived():
+            await asyncio.sleep(0)
+        second.take_back()
+        assert here.pools.open == 1 and not here.owner.results and first.connection is not None
+        here.member.close()
+
+    run_with_timeout(scene)
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_request_that_counts_as_unsent_never_arrives_whole(
     seed: int, monkeypatch: pytest.MonkeyPatch
