Answer a long request in chunks in its time although its endpoint hangs

Cause: without a stated length the request's time began with the last byte that the proxy read, and it does not read while the endpoint makes no room; the rest stands in the client's send buffer, where it can't be seen.

Evidence: without the check test_long_body_in_chunks_behind_a_hung_member_is_answered_in_its_time fails in both forms (time-out).

Fix: LastByteEstimate keeps the earliest time at which the client may have written its last byte. If the endpoint has made no room for 0.25 s and the time counted from there is over, the request is refused: it has not run. Bodies that move are not cut.

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -15,6 +15,7 @@
 from loadbalancer.frontends.dialect import RejectError, Reply, RoutedRequest
 from loadbalancer.frontends.http1_answers import encode_answer, encode_stream_head, retry_after
 from loadbalancer.frontends.http1_input import Http1Input
+from loadbalancer.frontends.last_byte_estimate import CLIENT_SEND_BUFFER_BYTES, LastByteEstimate
 from loadbalancer.frontends.listener import Listener
 from loadbalancer.kernel_buffers import peek_unread
 from loadbalancer.proxy.final_answers import frontend_proxy_status
@@ -34,9 +35,8 @@
 LINGER_S = 1.0
 #: Longest time for which it is read, whatever comes.
 MAX_LINGER_S = 10.0
-
-#: Bytes of a body that a client may have written to its connection although they have not arrived.
-CLIENT_SEND_BUFFER_BYTES = 1 << 20
+#: Seconds without progress after which the member of a streamed body counts as one that hangs.
+MEMBER_HANG_S = 0.25
 #: The end of a body in chunks without trailers, behind its last part.
 LAST_CHUNK = b"\r\n0\r\n\r\n"
 
@@ -52,6 +52,7 @@
         self.is_http10 = False  # the request being served came in HTTP/1.0
         self.close_after = False  # the connection is closed after the answer to the request being served
         self.upload_paused_at = 0.0  # monotonic time at which `upload_paused` last changed
+        self.last_byte: LastByteEstimate | None = None  # of a streamed body in chunks
         self.stream: Stream | None = None  # the answer that is being streamed
         self.chunked = False  # the streamed answer uses chunked encoding
 
@@ -82,6 +83,7 @@
             self._reject(413, "body too large behind another request")
             return
         upload = Upload(self, self.length, body, destination.budget, self._upload_lost)
+        self.last_byte = LastByteEstimate(time.monotonic()) if self.length is None else None
         head.upload, self.upload, self.body = upload, upload, None
         self.reading_upload = True
         try:
@@ -102,6 +104,8 @@
         upload_parts, self.upload_parts = self.upload_parts, []
         if not self.reading_upload and self.has_left():  # its last byte would begin the work for nobody
             return
+        if self.last_byte is not None:
+            self.last_byte.record(self.body_received, time.monotonic(), self.upload_paused_at)
         if upload_parts:
             upload.receive(b"".join(upload_parts))
         if self.upload is upload and not self.reading_upload:  # not answered meanwhile, and complete
@@ -447,7 +451,7 @@
             self.body_received_at = now
             if self._may_have_sent_all():
                 self.request.owner.uploaded(self.request)
-            if now - self.upload_paused_at > STALL_S:
+            if now - self.upload_paused_at > STALL_S or self._is_over_behind_hung_member(now):
                 self.request.owner.upload_failed(self.request, 503)  # no member has all of it: it has not run
         elif now - self.since > REQUEST_S and not self._is_body_arriving(now, now - self.since):
             self._expire()
@@ -463,6 +467,13 @@
         rest = self.unparsed + (peek_unread(self.sock) if not self.secure else b"")
         return rest.endswith(LAST_CHUNK)
 
+    def _is_over_behind_hung_member(self, now: float) -> bool:
+        """Return whether the member hangs, and the request's time is over if its client has written all of it."""
+        if self.last_byte is None or self.request is None or self.request.is_complete:
+            return False
+        is_hung = now - self.upload_paused_at > MEMBER_HANG_S
+        return is_hung and now - self.last_byte.earliest > self.request.time_remaining
+
     def _is_body_arriving(self, now: float, waited: float) -> bool:
         """Return whether a body is still arriving, and at the least rate."""
         if self.phase != BODY or now - self.body_received_at > BODY_STALL_S:
