Reckon with 4 MiB in a client's send buffer, where a request's time may have begun

Seen by callers: an announced body of 6 MB to an endpoint that reads slowly was answered 200 after 9.47 s, where its time was 0.6 s.

Cause: the time of a body that is not read was begun when 1 MiB was missing, as much as was thought to fit a client's send buffer. Linux lets that grow to 4 MB (tcp_wmem); at the endpoint's 400 KB/s, 9.47 s are 3.8 MB.

Fix: LastByteEstimate serves announced bodies too. When the time is over, counted from 4 MiB before the end, and the last byte has not been read, the request is refused: it has not run. Its attempt's own time begins at the last MiB as before, so that endpoints that move are not cut earlier. For bodies in chunks the same buffer counts, and a hang is a second without progress.

--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -15,7 +15,7 @@
 from loadbalancer.frontends.dialect import RejectError, Reply, RoutedRequest
 from loadbalancer.frontends.http1_answers import encode_answer, encode_stream_head, retry_after
 from loadbalancer.frontends.http1_input import Http1Input
-from loadbalancer.frontends.last_byte_estimate import CLIENT_SEND_BUFFER_BYTES, LastByteEstimate
+from loadbalancer.frontends.last_byte_estimate import LastByteEstimate
 from loadbalancer.frontends.listener import Listener
 from loadbalancer.kernel_buffers import peek_unread
 from loadbalancer.proxy.final_answers import frontend_proxy_status
@@ -35,8 +35,11 @@
 LINGER_S = 1.0
 #: Longest time for which it is read, whatever comes.
 MAX_LINGER_S = 10.0
-#: Seconds without progress after which the member of a streamed body counts as one that hangs.
-MEMBER_HANG_S = 0.25
+
+#: Bytes of a body that a client has usually written when the rest of it stands unread.
+CLIENT_SEND_BUFFER_BYTES = 1 << 20
+#: Seconds without progress after which the member of a streamed body in chunks counts as one that hangs.
+MEMBER_HANG_S = 1.0
 #: The end of a body in chunks without trailers, behind its last part.
 LAST_CHUNK = b"\r\n0\r\n\r\n"
 
@@ -52,7 +55,7 @@
         self.is_http10 = False  # the request being served came in HTTP/1.0
         self.close_after = False  # the connection is closed after the answer to the request being served
         self.upload_paused_at = 0.0  # monotonic time at which `upload_paused` last changed
-        self.last_byte: LastByteEstimate | None = None  # of a streamed body in chunks
+        self.last_byte: LastByteEstimate | None = None  # of a streamed body
         self.stream: Stream | None = None  # the answer that is being streamed
         self.chunked = False  # the streamed answer uses chunked encoding
 
@@ -83,7 +86,7 @@
             self._reject(413, "body too large behind another request")
             return
         upload = Upload(self, self.length, body, destination.budget, self._upload_lost)
-        self.last_byte = LastByteEstimate(time.monotonic()) if self.length is None else None
+        self.last_byte = LastByteEstimate(self.length, time.monotonic())
         head.upload, self.upload, self.body = upload, upload, None
         self.reading_upload = True
         try:
@@ -451,7 +454,7 @@
             self.body_received_at = now
             if self._may_have_sent_all():
                 self.request.owner.uploaded(self.request)
-            if now - self.upload_paused_at > STALL_S or self._is_over_behind_hung_member(now):
+            if now - self.upload_paused_at > STALL_S or self._is_time_over_unread(now):
                 self.request.owner.upload_failed(self.request, 503)  # no member has all of it: it has not run
         elif now - self.since > REQUEST_S and not self._is_body_arriving(now, now - self.since):
             self._expire()
@@ -467,12 +470,16 @@
         rest = self.unparsed + (peek_unread(self.sock) if not self.secure else b"")
         return rest.endswith(LAST_CHUNK)
 
-    def _is_over_behind_hung_member(self, now: float) -> bool:
-        """Return whether the member hangs, and the request's time is over if its client has written all of it."""
+    def _is_time_over_unread(self, now: float) -> bool:
+        """Return whether the request's time may be over although the end of its body has not been read.
+
+        How much of a body in chunks is missing is not known, so that is judged only while the member hangs.
+        """
         if self.last_byte is None or self.request is None or self.request.is_complete:
             return False
-        is_hung = now - self.upload_paused_at > MEMBER_HANG_S
-        return is_hung and now - self.last_byte.earliest > self.request.time_remaining
+        remaining_s = self.request.time_remaining
+        is_hung = now - self.upload_paused_at > min(MEMBER_HANG_S, remaining_s)
+        return (is_hung or self.length is not None) and now - self.last_byte.earliest > remaining_s
 
     def _is_body_arriving(self, now: float, waited: float) -> bool:
         """Return whether a body is still arriving, and at the least rate."""
--- a/loadbalancer/frontends/last_byte_estimate.py
+++ b/loadbalancer/frontends/last_byte_estimate.py
@@ -1,4 +1,4 @@
-"""Estimates when a client may have written the last byte of a body in chunks, whose length nobody has told.
+"""Estimates when a client may have written the last byte of a long body.
 
 A request's time counts from its last byte. While its endpoint makes no room, the proxy does not read, and the rest of
 the body may wait in the client's own send buffer, where it can't be seen. No I/O, no clock.
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import NamedTuple
 
-CLIENT_SEND_BUFFER_BYTES = 1 << 20
-"""Bytes of a body that a client may have written to its connection although they have not arrived."""
+MAX_SEND_BUFFER_BYTES = 4 << 20
+"""Bytes of a body that a client may have written although they have not arrived: Linux's default for `tcp_wmem`."""
 MARK_BYTES = 128 << 10
 """Bytes between two times that are kept."""
 CAUGHT_UP_S = 0.02
@@ -27,15 +28,21 @@
 class LastByteEstimate:
     """Follows one body; all times are monotonic, in seconds."""
 
-    def __init__(self, now: float) -> None:
-        """Begin with the first byte of the body."""
+    def __init__(self, length: int | None, now: float) -> None:
+        """Begin with the first byte of the body; `length`: its bytes, None if it comes in chunks."""
+        self._length = length
         self._marks = deque([_Mark(0, now)])
         self._received_at = now
+        self._received_bytes = 0
 
     @property
     def earliest(self) -> float:
-        """Return the earliest time at which the client may have written its last byte, if it has written it."""
-        return self._marks[0].at
+        """Return the earliest time at which the client may have written its last byte; infinite if it can't have."""
+        return self._marks[0].at if self._received_bytes >= self._visible_bytes() else math.inf
+
+    def _visible_bytes(self) -> int:
+        """Return how many bytes must have been read before the rest can stand in the client's send buffer."""
+        return (self._received_bytes if self._length is None else self._length) - MAX_SEND_BUFFER_BYTES
 
     def record(self, received_bytes: int, now: float, resumed_at: float) -> None:
         """Record that input has been read.
@@ -47,11 +54,8 @@
         """
         if now - max(self._received_at, resumed_at) > CAUGHT_UP_S:
             self._marks.clear()
-        self._received_at = now
+        self._received_at, self._received_bytes = now, received_bytes
         if not self._marks or received_bytes - self._marks[-1].received_bytes >= MARK_BYTES:
             self._marks.append(_Mark(received_bytes, now))
-        while (
-            len(self._marks) > 1
-            and received_bytes - self._marks[1].received_bytes >= CLIENT_SEND_BUFFER_BYTES
-        ):
+        while len(self._marks) > 1 and self._marks[1].received_bytes <= self._visible_bytes():
             self._marks.popleft()
