Say at once why a process of the stand-ins has ended as it started

Cause: PlatformRun waited for its process to accept until its time was over, also if the process had ended, and told nothing of its log. A test that ended after 35 s, once, could not be traced.

Change: it raises with the process's log as soon as the process has ended.

--- a/standins/platform_run.py
+++ b/standins/platform_run.py
@@ -97,6 +97,8 @@
         self._process = await self._start()
         async with asyncio.timeout(START_TIMEOUT_S):
             while not await _accepts(self.address):
+                if not self.is_running:
+                    raise RuntimeError(f"the process ended as it started: {self.log}")
                 await asyncio.sleep(0.02)
         self.base_mb = self.peak_mb = resident_mb(self._process.pid)
         self._sampling = asyncio.ensure_future(self._sample())
