Start the new process of an upgrade with the endpoint list of the old one

Cause: processes of one proxy shared overrides, ids and claims of descriptors in $TMPDIR, but not the endpoint list; the new one served by that of its configuration, which may be old.

Evidence: test_new_process_does_not_send_to_an_endpoint_that_the_old_one_was_told_drains[1000] fails if the file is not read.

Fix: each process writes its list, in the service's format, to a file within 0.1 s of a change; a new one starts with it if its version is later than its configuration's.

--- a/loadbalancer/discovery/watch.py
+++ b/loadbalancer/discovery/watch.py
@@ -10,6 +10,7 @@
 from loadbalancer.deployment import Deployment
 from loadbalancer.discovery.endpoint_source import Address, EndpointListener
 from loadbalancer.discovery.errors import ListError
+from loadbalancer.discovery.list_copy import ListCopy
 from loadbalancer.discovery.list_decoding import read_list
 from loadbalancer.discovery.start_times import StartTimes
 from loadbalancer.discovery.watch_connection import WatchConnection
@@ -54,6 +55,7 @@
         self.logger = logger
         self.pushed = not deployment.settings.list_on_request
         self.version: int | None = None  # of the current list
+        self.copy: ListCopy | None = None  # set if other processes may want the list
         self.current: WatchConnection | None = None
         self.wanted = False
         self.heard_at = -math.inf  # when the service last sent anything, on the clock of the event loop
@@ -75,20 +77,30 @@
             held: Maximum seconds that the first watch waits for `release`. This applies if lists are pushed; otherwise
                 the policy requests the watch.
         """
-        try:
-            update = read_list(known, self.deployment, self.logger)
-        except ListError as problem:
-            self.logger("no list from before", problem)
+        if not self.adopt(known):
             self.proxy.take_list([], whole=True, stale=True)
-        else:
-            self.version = update.version
-            entries = self._start_times.bound(update.entries, True, math.inf)
-            self.proxy.take_list(entries, whole=True, stale=True)
         if self.pushed and held:
             self._first_watch_timer = self._loop.call_later(held, self.release)
         elif self.pushed:
             self.watch(True)
 
+    def adopt(self, known: object) -> bool:
+        """Use a stored list until the service sends one; return whether it is a list.
+
+        Args:
+            known: The list in the service's format.
+        """
+        try:
+            update = read_list(known, self.deployment, self.logger)
+        except ListError as problem:
+            self.logger("no list from before", problem)
+            return False
+        self.version = update.version
+        self._copy_list(known, update.version, full=True)  # the service may send only the changes to it
+        entries = self._start_times.bound(update.entries, True, math.inf)
+        self.proxy.take_list(entries, whole=True, stale=True)
+        return True
+
     def release(self, after: float = 0.0) -> None:
         """Open the first watch, now or after this many seconds."""
         if self._first_watch_timer is None:
@@ -198,5 +210,10 @@
             return
         self.version = update.version
         self.last_list_at = self._loop.time()
+        self._copy_list(value, update.version, update.full)
         gap_s, self._gap_s = self._gap_s, 0.0
         self.proxy.take_list(self._start_times.bound(update.entries, update.full, gap_s), update.full)
+
+    def _copy_list(self, value: object, version: int, full: bool) -> None:
+        if self.copy is not None and isinstance(value, dict):
+            self.copy.apply(value, version, full)
--- a/loadbalancer/platform/main.py
+++ b/loadbalancer/platform/main.py
@@ -49,10 +49,11 @@
 
         upgrade = PlatformUpgrade(node, os.environ)
     node.handle_signals(ConfigurationReloader(path, configuration, node.discovery, logger))
-    node.discovery.start(configuration.known)
     if upgrade is None:
+        node.discovery.start(configuration.known)
         node.accept()
     else:
+        node.discovery.start(upgrade.latest_list(configuration.known))
         upgrade.start()
     _tune_garbage_collection()
     await node.stopping.wait()
--- a/loadbalancer/platform/upgrade.py
+++ b/loadbalancer/platform/upgrade.py
@@ -8,13 +8,15 @@
 import asyncio
 import time
 from pathlib import Path
-from typing import Mapping
+from typing import Any, Mapping
 
+from loadbalancer.discovery.list_copy import ListCopy
 from loadbalancer.discovery.platform_overrides import PlatformOverrides
 from loadbalancer.hot_restart.override_writer import OverrideWriter
 from loadbalancer.hot_restart.phases import ACCEPTING, Observation, Phase, phase, share
 from loadbalancer.hot_restart.shared_files import OverridesFile, ProcessFile
 from loadbalancer.hot_restart.shared_ids import map_shared_ids
+from loadbalancer.hot_restart.shared_list import EndpointListFile
 from loadbalancer.management import platform_names as names
 from loadbalancer.management.calls import ManagementSession
 from loadbalancer.management.server import ManagementServer
@@ -46,6 +48,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._overrides_file: OverridesFile | None = None
         self._process_file: ProcessFile | None = None
+        self._list_file: EndpointListFile | None = None
+        self._shared_version: int | None = None  # of the list that was last written to the file
         self._elders: frozenset[str] = frozenset()  # file names of older processes that still run
         self._open_folder(environment.get(names.FOLDER_VARIABLE), configuration.accept_fd is not None)
         self._writer: OverrideWriter | None = None
@@ -64,6 +68,8 @@
                 self._process_file = ProcessFile(Path(folder))
                 self._elders = frozenset(self._process_file.others())
                 self._node.proxy.ids.share(map_shared_ids(Path(folder), RECENT_IDS_BYTES))
+                self._list_file = EndpointListFile(Path(folder), self._logger)
+                self._node.discovery.copy = ListCopy()
             except (OSError, ValueError) as problem:
                 self._logger("no upgrade can be seen", problem)
 
@@ -88,6 +94,49 @@
         server.listen(configuration.management)
         return server
 
+    # The endpoint list.
+
+    def latest_list(self, known: object) -> object:
+        """Return the list that this process starts with.
+
+        Args:
+            known: The list of the configuration, which may be old, in the service's format.
+
+        Returns:
+            The list of another process, if that is a later version, else `known`.
+        """
+        shared = self._read_shared_list()
+        if shared is None:
+            return known
+        version = known.get("version") if isinstance(known, dict) else None
+        if isinstance(version, int) and version > shared["version"]:
+            return known
+        self._logger("endpoint list of another process", f"version {shared['version']}")
+        return shared
+
+    def _read_shared_list(self) -> dict[str, Any] | None:
+        if self._list_file is None or not self._list_file.is_changed():
+            return None
+        return self._list_file.read(self._service())
+
+    def _service(self) -> str:
+        """Return the address of the discovery service, within which versions are valid."""
+        return "{}:{}".format(*self._node.discovery.address)
+
+    def _share_list(self) -> None:
+        """Write a new list to the file; or, without one of its own yet, adopt what another process has written."""
+        discovery = self._node.discovery
+        copy = discovery.copy
+        if self._list_file is None or copy is None:
+            return
+        if self._node.proxy.has_fresh_list and copy.version is not None:
+            if copy.version != self._shared_version and self._list_file.write(self._service(), copy.value()):
+                self._shared_version = copy.version
+        elif discovery.pushed:
+            shared = self._read_shared_list()
+            if shared is not None and shared["version"] > (discovery.version or 0):
+                discovery.adopt(shared)
+
     def start(self) -> None:
         """Accept clients, if the phase allows it, and start polling; OSError if the address can't be bound."""
         self._poll()
@@ -127,6 +176,7 @@
             overrides = self._overrides_file.changed()
             if overrides is not None:
                 self.overrides.follow(overrides)
+        self._share_list()
         self._poll()
 
     def _poll(self) -> None:
