Keep the ports of the stand-ins' processes from others until they listen

Cause: PlatformRun looked a free port up and closed it, and the kernel gave it to another process before its own had bound it. A test of long bodies failed so twice, once after 35 s without its output kept, once with "can't listen: Address already in use", in 1 of 10 runs of eight tests.

Change: the port stays bound by a socket that does not listen, as in tests/ports.py.

--- a/standins/platform_run.py
+++ b/standins/platform_run.py
@@ -49,12 +49,15 @@
     sockets: int = 1024
 
 
-def free_address() -> Address:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        host, port = sock.getsockname()
-        return host, port
+def reserve_address() -> socket.socket:
+    """Return a socket that keeps a loopback port from other processes, and does not listen.
+
+    A listener that sets SO_REUSEADDR, as those of the proxy do, can bind its address all the same.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    return sock
 
 
 def resident_mb(pid: int) -> float:
@@ -80,8 +83,8 @@
     def __init__(
         self, limits: Limits = Limits(), members: int = 4, settings: dict[str, Any] | None = None
     ) -> None:
-        self.address = free_address()
-        self.management = free_address()
+        self._reserved = [reserve_address(), reserve_address()]
+        self.address, self.management = (_address_of(sock) for sock in self._reserved)
         self.members: Sequence[SlowMember] = [SlowMember(f"m{number}") for number in range(members)]
         self.base_mb = 0.0
         self.peak_mb = 0.0
@@ -113,6 +116,8 @@
             await self._process.wait()
         for member in self.members:
             await member.stop()
+        for sock in self._reserved:
+            sock.close()
         self._folder.cleanup()
 
     @property
@@ -169,6 +174,11 @@
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
 
+def _address_of(sock: socket.socket) -> Address:
+    host, port = sock.getsockname()
+    return host, port
+
+
 async def _accepts(address: Address) -> bool:
     try:
         _, writer = await asyncio.open_connection(*address)
