Leave attempts that wait for a connection to the check that is made when it is up

Cause: SendMonitor asked after attempts whose connection was still being opened too, and gave them up as NO_CONNECTION if their request had ended, which counts against the endpoint. Found by reading.

Change: only attempts that have begun are given up by it. One whose request has ended is reported as cancelled, as other attempts are then.

--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -124,12 +124,16 @@
         self.finish(attempt, AttemptResult.NOT_SENT if is_unsent else AttemptResult.CANCELLED)
 
     def revoke(self, attempt: Attempt) -> None:
-        """End an attempt that must not reach its endpoint any more, and whose last byte has not arrived there."""
+        """End an attempt that must not reach its endpoint any more, and whose last byte has not arrived there.
+
+        If its request still waits for an answer, its endpoint has held it back; otherwise that says nothing of it.
+        """
         attempt.take_back()
         written = attempt.is_written()
         state = "its end had not arrived" if written else "not sent"
         self._upstreams.logger("attempt revoked", f"{state} at {attempt.endpoint}")
-        self.finish(attempt, AttemptResult.CANCELLED if written else AttemptResult.NO_CONNECTION)
+        is_cancelled = written or cast(OpenRequest, attempt.request).done
+        self.finish(attempt, AttemptResult.CANCELLED if is_cancelled else AttemptResult.NO_CONNECTION)
 
     def close(self) -> None:
         """End the attempts whose last byte has not arrived; nothing more of them leaves."""
--- a/loadbalancer/proxy/send_monitor.py
+++ b/loadbalancer/proxy/send_monitor.py
@@ -46,8 +46,9 @@
         for attempt in attempts:
             if attempt.ended or attempt.has_arrived():
                 continue
-            # Until the next check, so that none arrives between its end of validity and that check.
-            if self._may_arrive(attempt, CHECK_INTERVAL_S):
+            # One that waits for its connection is asked when that is up. For the others the answer has to hold until
+            # the next check, so that none arrives between the end of its right and that check.
+            if not attempt.has_started() or self._may_arrive(attempt, CHECK_INTERVAL_S):
                 self.watch(attempt)
             elif not attempt.ended:
                 self._give_up(attempt)
@@ -59,5 +60,5 @@
             self._timer = None
         attempts, self._attempts = self._attempts, []
         for attempt in attempts:
-            if not attempt.ended and not attempt.has_arrived():
+            if not attempt.ended and attempt.has_started() and not attempt.has_arrived():
                 self._give_up(attempt)
--- a/tests/test_send_monitor.py
+++ b/tests/test_send_monitor.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 import socket
-from typing import Any, Callable
+from typing import Any, Callable, cast
 
 import pytest
 from peers import (
@@ -22,7 +22,7 @@
 
 from loadbalancer.policy import hedging
 from loadbalancer.policy.events import AttemptResult
-from loadbalancer.proxy.send_monitor import CHECK_INTERVAL_S
+from loadbalancer.proxy.send_monitor import CHECK_INTERVAL_S, SendMonitor
 
 WINDOW_S = 0.4
 #: Time of requests that is not over before a test is.
@@ -185,6 +185,37 @@
     run_with_timeout(scene)
 
 
+class ScriptedAttempt:
+    """An attempt in a state that the test sets."""
+
+    def __init__(self, is_started: bool, is_arrived: bool = False) -> None:
+        self.is_started, self.is_arrived, self.ended = is_started, is_arrived, False
+
+    def has_started(self) -> bool:
+        return self.is_started
+
+    def has_arrived(self) -> bool:
+        return self.is_arrived
+
+
+def test_attempt_that_waits_for_its_connection_is_not_revoked() -> None:
+    """Guards against endpoints that count as failing since their connections were given up before they were up."""
+
+    async def scene() -> None:
+        revoked: list[Any] = []
+        monitor = SendMonitor(lambda attempt, _: cast(Any, attempt) is not held, revoked.append)
+        waiting, held, arrived = ScriptedAttempt(False), ScriptedAttempt(True), ScriptedAttempt(True, True)
+        for attempt in (waiting, held, arrived):
+            monitor.watch(cast(Any, attempt))
+        await until(lambda: revoked)
+        held.ended = True
+        assert revoked == [held]
+        monitor.close()
+        assert revoked == [held]
+
+    run_with_timeout(scene)
+
+
 def test_long_body_is_not_completed_for_a_client_that_left_behind_its_last_byte() -> None:
     """Guards against a long request that begins at its member although its client closed while it was not read."""
 
