Let the endpoint's side of a tunnel stand apart from HTTP/1.1 connections

Two tests had the same member twice.

Change: upstreams/tunnel_end.py has what a connection does once it has switched; no behaviour changes. The tests share HeldMember, their checks are as they were.

--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 import time
 from typing import Mapping, cast
@@ -12,13 +11,12 @@
 from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES
 from loadbalancer.policy.events import AttemptResult
 from loadbalancer.streaming.streams import Stream
-from loadbalancer.streaming.tunnels import Tunnel
 from loadbalancer.streaming.uploads import Upload
-from loadbalancer.upstreams.base import SocketUpstream
 from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
 from loadbalancer.upstreams.interfaces import TunnelOwner, UpstreamResponse
 from loadbalancer.upstreams.report import read_report
+from loadbalancer.upstreams.tunnel_end import UpstreamTunnelEnd
 
 #: Bytes that may be received for one request beyond the body of its answer: head, interim answers, framing of chunks.
 #: With the limit on the body it guards memory and CPU against an endless answer, whatever length that states.
@@ -31,13 +29,11 @@
 MAX_FIELDS = 256
 #: Body of a request up to which it is copied behind its head, to be sent in one call.
 MAX_JOINED_BODY_BYTES = 16 << 10
-#: Seconds to flush the bytes buffered for an end of a tunnel, after both ends have sent all.
-TUNNEL_CLOSE_TIMEOUT_S = 5.0
 #: Statuses of answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
 BODILESS = frozenset((204, 304))
 
 
-class Http1UpstreamConnection(SocketUpstream):
+class Http1UpstreamConnection(UpstreamTunnelEnd):
     """One HTTP/1.1 connection to a backend, which carries one attempt at a time."""
 
     takes_uploads = True  # request bodies can be streamed
@@ -55,7 +51,6 @@
         self.dialect, self.not_passed = dialect, not_passed
         self.buffered_bytes = 0  # bytes of the body, charged to the budget
         self.stream: Stream | None = None  # receives the body of a streamed answer
-        self.tunnel: Tunnel | None = None  # set after the upgrade to another protocol
         self.upload: Upload | None = None  # the streamed request body, until it has ended
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.unparsed = b""  # input that waits for its turn
@@ -148,17 +143,13 @@
     def pause_writing(self) -> None:
         """Pause the source of what is written here: a tunnel or a streamed request body."""
         super().pause_writing()
-        if self.tunnel is not None:
-            self.tunnel.set_full(True, True)
-        elif self.upload is not None:
+        if self.upload is not None:
             self.upload.set_full(True)
 
     def resume_writing(self) -> None:
         """Resume the source of what is written here."""
         super().resume_writing()
-        if self.tunnel is not None:
-            self.tunnel.set_full(True, False)
-        elif self.upload is not None:
+        if self.upload is not None:
             self.upload.set_full(False)
 
     # Callbacks of the parser. They record what was parsed; _process_response acts on it after the parser has returned.
@@ -535,26 +526,6 @@
         if rest:
             self.tunnel.from_endpoint(rest)
 
-    def send(self, data: bytes) -> None:
-        """Write bytes of a tunnel."""
-        if not self.closed:
-            self.write(data)
-
-    def finish(self) -> None:
-        """Close the sending direction of a tunnel."""
-        if self.transport is not None and not self.closed and self.transport.can_write_eof():
-            self.transport.write_eof()
-
-    def shut(self) -> None:
-        """Close a tunnel once what is buffered has been written."""
-        if self.transport is not None and not self.closed:
-            self.transport.close()
-            asyncio.get_running_loop().call_later(TUNNEL_CLOSE_TIMEOUT_S, self.drop)
-
-    def abort(self) -> None:
-        """Close a tunnel at once."""
-        self.drop()
-
     # Ending.
 
     def _may_end_with_connection(self) -> bool:
@@ -593,12 +564,6 @@
         self.fail(self.failure_result())
         return None
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Finish the attempt or the tunnel, and release the connection."""
-        super().connection_lost(exc)
-        if self.tunnel is not None:
-            self.tunnel.lost()
-
     def release(self) -> None:
         """Release the body, the streamed request body and the parser."""
         self._release_body()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -10,6 +10,7 @@
     OK,
     Call,
     RunningProxy,
+    Script,
     ScriptedBackend,
     answering,
     request,
@@ -266,18 +267,23 @@
     run_with_timeout(scene)
 
 
-def test_long_body_is_written_without_a_copy_of_the_whole() -> None:
-    async def scene() -> None:
-        goes_on = asyncio.Event()
+class HeldMember(ScriptedBackend):
+    """A member that reads nothing until `goes_on` is set."""
+
+    def __init__(self, name: str, script: Script) -> None:
+        super().__init__(name, script)
+        self.goes_on = asyncio.Event()
 
-        class Member(ScriptedBackend):
-            async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-                writer.transport.pause_reading()  # type: ignore[attr-defined]
-                await goes_on.wait()
-                writer.transport.resume_reading()  # type: ignore[attr-defined]
-                await super()._serve(reader, writer)
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await self.goes_on.wait()
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        await super()._serve(reader, writer)
 
-        member, size = Member("a", answering(OK)), 3_000_000
+
+def test_long_body_is_written_without_a_copy_of_the_whole() -> None:
+    async def scene() -> None:
+        member, size = HeldMember("a", answering(OK)), 3_000_000
         async with running_proxy(member) as here:
             client = await here.connect()
             client.writer.write(request("unsafe", bytes(size)))
@@ -288,7 +294,7 @@
             connection = cast(Http1UpstreamConnection, attempt.connection)
             assert connection.transport is not None and connection.is_unsent()
             assert connection.transport.get_write_buffer_size() <= BODY_PART_BYTES
-            goes_on.set()
+            member.goes_on.set()
             assert (await client.read())[0] == 200
             assert len(member.calls[0].body) == size
 
@@ -300,17 +306,9 @@
     """Guards against write buffers of members that nobody counts, so that only the platform notices what they hold."""
 
     async def scene() -> None:
-        goes_on = asyncio.Event()
-
-        class Member(ScriptedBackend):
-            async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-                writer.transport.pause_reading()  # type: ignore[attr-defined]
-                await goes_on.wait()
-                writer.transport.resume_reading()  # type: ignore[attr-defined]
-                await super()._serve(reader, writer)
-
         body = bytes(3_000_000)
-        async with running_proxy(Member("a", answering(OK))) as here:
+        member = HeldMember("a", answering(OK))
+        async with running_proxy(member) as here:
             client = await here.connect()
             client.writer.write(request("unsafe", body))
             await here.proxy.until(lambda: here.proxy.open)
@@ -321,7 +319,7 @@
             assert transport is not None
             buffered_bytes = transport.get_write_buffer_size()
             assert buffered_bytes and here.proxy.budget.account.held_bytes == len(body) + buffered_bytes
-            goes_on.set()
+            member.goes_on.set()
             if ends == "answered":
                 assert (await client.read())[0] == 200
             else:
