Keep the shared list of one discovery service apart from that of the next

Cause: versions are only valid within one service. After a configuration that moves discovery, the list of the old service could be written under the new one's address, and a list of the new one with the same version was not written. Found by reading.

Change: the copy is cleared as discovery moves; what was written is remembered with its service.

--- a/loadbalancer/discovery/list_copy.py
+++ b/loadbalancer/discovery/list_copy.py
@@ -39,6 +39,11 @@
             else:
                 self._servers[server["id"]] = server
 
+    def clear(self) -> None:
+        """Forget the list: another service will send its own."""
+        self.version = None
+        self._servers.clear()
+
     def value(self) -> dict[str, Any]:
         """Return the whole list in the service's format."""
         return {"version": self.version, "full": True, "servers": list(self._servers.values())}
--- a/loadbalancer/discovery/watch.py
+++ b/loadbalancer/discovery/watch.py
@@ -136,6 +136,8 @@
             return
         self.address = address
         self.version = None
+        if self.copy is not None:
+            self.copy.clear()
         self.close()
         self.wanted = True
         if self.pushed:
--- a/loadbalancer/platform/upgrade.py
+++ b/loadbalancer/platform/upgrade.py
@@ -49,7 +49,9 @@
         self._overrides_file: OverridesFile | None = None
         self._process_file: ProcessFile | None = None
         self._list_file: EndpointListFile | None = None
-        self._shared_version: int | None = None  # of the list that was last written to the file
+        self._shared_list: tuple[str, int] | None = (
+            None  # service and version of what was last written to the file
+        )
         self._elders: frozenset[str] = frozenset()  # file names of older processes that still run
         self._open_folder(environment.get(names.FOLDER_VARIABLE), configuration.accept_fd is not None)
         self._writer: OverrideWriter | None = None
@@ -130,8 +132,9 @@
         if self._list_file is None or copy is None:
             return
         if self._node.proxy.has_fresh_list and copy.version is not None:
-            if copy.version != self._shared_version and self._list_file.write(self._service(), copy.value()):
-                self._shared_version = copy.version
+            latest = self._service(), copy.version
+            if latest != self._shared_list and self._list_file.write(self._service(), copy.value()):
+                self._shared_list = latest
         elif discovery.pushed:
             shared = self._read_shared_list()
             if shared is not None and shared["version"] > (discovery.version or 0):
--- a/tests/test_shared_list.py
+++ b/tests/test_shared_list.py
@@ -37,6 +37,10 @@
     assert copy.value() == message(3, server("a"), server("b", "DRAINING"), server("d"), full=True)
     copy.apply(message(4, server("e")), 4, True)
     assert copy.value() == message(4, server("e"), full=True)
+    copy.clear()
+    assert copy.version is None
+    copy.apply(message(1, server("f")), 1, True)
+    assert copy.value() == message(1, server("f"), full=True)
 
 
 def test_file_keeps_the_latest_version_of_one_service(tmp_path: Path) -> None:
