Ask a closed socket for nothing, so that the check of other attempts goes on

Seen by callers: nothing yet; found by reading. Over TLS a socket is closed before its connection is told. Asked in that moment, it raised ValueError, which is no OSError: the check of all attempts would have ended there, and the others would not have been given up in time.

Evidence: test_closed_socket_holds_nothing_unacknowledged failed before, with ValueError.

Fix: unacknowledged_bytes returns 0 for a closed socket: what it held is gone.

Measured: tests of the monitor and of requests written pass.

--- a/loadbalancer/kernel_buffers.py
+++ b/loadbalancer/kernel_buffers.py
@@ -66,7 +66,13 @@
 
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Return how many bytes of the send buffer the peer has not acknowledged; 0 if the kernel does not tell."""
+    """Return how many bytes of the send buffer the peer has not acknowledged.
+
+    Returns:
+        0 if the kernel does not tell, or if the socket is closed.
+    """
+    if sock.fileno() < 0:
+        return 0
     try:
         return int(struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))[0])
     except OSError:
--- a/tests/test_send_monitor.py
+++ b/tests/test_send_monitor.py
@@ -20,6 +20,7 @@
 )
 from test_uploads import LONG_BODY_BYTES, long_request_head
 
+from loadbalancer.kernel_buffers import unacknowledged_bytes
 from loadbalancer.policy import hedging
 from loadbalancer.policy.events import AttemptResult
 from loadbalancer.proxy.send_monitor import CHECK_INTERVAL_S, SendMonitor
@@ -216,6 +217,13 @@
     run_with_timeout(scene)
 
 
+def test_closed_socket_holds_nothing_unacknowledged() -> None:
+    """Guards against a check of all attempts that ends at one whose socket was closed a moment before."""
+    sock = socket.socket()
+    sock.close()
+    assert unacknowledged_bytes(sock) == 0
+
+
 def test_long_body_is_not_completed_for_a_client_that_left_behind_its_last_byte() -> None:
     """Guards against a long request that begins at its member although its client closed while it was not read."""
 
