Ask every condition on a send in one place, the lease among them

What was seen: test_attempt_whose_right_has_ended_does_not_arrive[in the process-lease_ends] failed in 5 of 20 runs on x86-64 before this commit. The lease ends, the attempt at one endpoint is taken back as not sent, and the next attempt begins at the other one, which reads and runs all of it within the 50 ms to the next check.

Cause: three places asked different conditions. SendGuard, which a fleet's daemon sets, asks the lease and the overrides before each send; must_not_leave, asked at the same moment, knew the client, the request and the window; the check of attempts that wait asked the lease as well. On a daemon of a fleet the start of the second attempt passes UpstreamPools._is_blocked, which asked SendGuard first, on all three paths (send, connect, waiting), so there it was blocked; the test sets the lease alone, without the guard. So no caller of a real fleet met it, but only because two places happened to be wired together.

Change: SendPermission has all conditions, with a table; the pool asks it at the decision, once the connection is up, and until the last byte has arrived.

--- a/loadbalancer/daemon/fleet.py
+++ b/loadbalancer/daemon/fleet.py
@@ -179,8 +179,8 @@
         replication.metadata.update_configuration_digest(plan.path)
         for name, pool in self._daemon.pools.items():
             sticky = plan.pools[name].table.sticky_while_draining
-            pool.proxy.upstreams.send_guard = replication.send_guard.for_pool(name, sticky)
-            pool.proxy.may_act = replication.lease.may_act
+            pool.proxy.permission.guard = replication.send_guard.for_pool(name, sticky)
+            pool.proxy.permission.may_act = replication.lease.may_act
             if pool.proxy.trace is not None:
                 pool.proxy.trace.version = lambda: replication.state.version
 
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -33,6 +33,7 @@
 from loadbalancer.proxy.request_owner import BAD_GATEWAY, PoolRequestOwner
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.response_streams import ResponseStreams
+from loadbalancer.proxy.send_permission import SendPermission
 from loadbalancer.proxy.transaction_ids import TransactionIds
 from loadbalancer.resource_limits import MAX_STREAMED_BODY_BYTES, PoolLimits, RateLimitedLogger
 from loadbalancer.streaming.streams import Stream, StreamProducer
@@ -91,7 +92,6 @@
         self.logger = logger
         self.name = ""  # unique among the pools of the process
         self.fair_share: ProcessorShare | None = None  # None if this pool has the processor to itself
-        self.may_act: Callable[[], bool] | None = None  # in a fleet: whether this instance holds a lease
         self.retry_after_s = DEFAULT_RETRY_AFTER_S
         self.closed = False
         self.takes_uploads: bool = getattr(connect, "takes_uploads", False)
@@ -126,6 +126,7 @@
 
     def _compose(self, timeout_status: int) -> None:
         self._clock = PolicyClock()
+        self.permission = SendPermission(self.balancer, self._clock.now)
         self._lag = EventLoopLag(asyncio.get_running_loop(), self._report_lag)
         self._safe_classes = frozenset(
             number for number, cls in enumerate(self.balancer.settings.classes) if cls.effect == Effect.SAFE
@@ -143,7 +144,7 @@
             self._clock,
             self._lag,
             self.post,
-            self._may_arrive,
+            self.permission.may_arrive,
         )
         self._directory = EndpointDirectory(self.upstreams, self.tunnels, self.post)
         self._owner = PoolRequestOwner(self._table, self._attempts, self.post)
@@ -233,7 +234,7 @@
 
     def lacks_lease(self) -> bool:
         """Return whether this instance has no lease; clients are then told to retry."""
-        return self.may_act is not None and not self.may_act()
+        return self.permission.lacks_lease()
 
     def has_room(self) -> bool:
         """Return whether one more request may be opened.
@@ -321,28 +322,9 @@
 
     # Called by upstream connections.
 
-    def must_not_leave(self, attempt: Attempt, late: bool) -> bool:
-        """Return whether an attempt must not be sent any more; see `AttemptOwner`."""
-        request = cast(OpenRequest, attempt.request)
-        if request.done or request.client.has_left():
-            return True
-        return late and not self.balancer.may_send_attempt(self.now(), request.id, attempt.number)
-
-    def _may_arrive(self, attempt: Attempt, within_s: float) -> bool:
-        """Return whether an attempt that is being written may still reach its endpoint whole.
-
-        Args:
-            attempt: The attempt.
-            within_s: Seconds from now for which the answer has to hold.
-        """
-        request = cast(OpenRequest, attempt.request)
-        if request.done or request.client.has_left() or self.lacks_lease():
-            return False
-        if request.stream is not None:
-            return attempt.number == request.streaming_attempt
-        if attempt.answered_at:  # its endpoint does not wait for the rest
-            return True
-        return self.balancer.may_complete_attempt(self.now() + within_s, request.id, attempt.number)
+    def find_obstacle(self, attempt: Attempt, late: bool) -> AttemptResult | None:
+        """Return the result of an attempt that must not be sent any more; see `AttemptOwner`."""
+        return self.permission.find_obstacle(attempt, late)
 
     def finish_attempt(
         self,
--- a/loadbalancer/upstreams/connections.py
+++ b/loadbalancer/upstreams/connections.py
@@ -12,7 +12,7 @@
 import time
 from collections import deque
 from functools import partial
-from typing import TYPE_CHECKING, Callable, Protocol
+from typing import Callable, Protocol
 
 from loadbalancer.input_turns import InputTurns
 from loadbalancer.kernel_buffers import KernelBuffers
@@ -23,9 +23,6 @@
 from loadbalancer.upstreams.interfaces import AttemptOwner, TlsConnector, UpstreamRequest
 from loadbalancer.upstreams.pacing import Pacer
 
-if TYPE_CHECKING:
-    pass
-
 #: Idle connections kept to one backend. It holds some twenty for all proxies, and a full connection table costs it.
 MAX_IDLE_CONNECTIONS = 6
 #: An idle connection is closed at this share of the backend's idle timeout. Backends close early, and a request that
@@ -251,8 +248,6 @@
         self.kernel_buffers = KernelBuffers()
         self.input_turns = InputTurns()
         self.pacer: Pacer | None = None  # set while many proxies restart at once
-        # Returns the result of an attempt to an endpoint that must not be sent now, or None if it may.
-        self.send_guard: Callable[[str], AttemptResult | None] | None = None
 
     def resize(self, sockets: int) -> None:
         """Set the maximum of descriptors, and close idle connections beyond it."""
@@ -288,14 +283,12 @@
 
         Called right before a request is written, on every path. Guards against attempts whose reason no longer holds
         once their connection is up: the request has its answer, its client has disconnected, its member drains or was
-        removed, or the deduplication window is over. The send guard also enforces what a fleet has agreed on, against
-        a process that was stopped between its decision and its send. Nothing is lost, since the request has not run.
+        removed, the deduplication window is over, or the lease has ended. Nothing is lost, since the request has not
+        run.
 
         `late`: time has passed since the attempt was decided.
         """
-        result = self.send_guard(attempt.endpoint) if self.send_guard is not None else None
-        if result is None and self.owner.must_not_leave(attempt, late):
-            result = AttemptResult.NOT_SENT
+        result = self.owner.find_obstacle(attempt, late)
         if result is not None:
             self.owner.finish_attempt(attempt, result)
         return result is not None
--- a/loadbalancer/upstreams/interfaces.py
+++ b/loadbalancer/upstreams/interfaces.py
@@ -40,8 +40,8 @@
 class AttemptOwner(Protocol):
     """Receives the results of attempts."""
 
-    def must_not_leave(self, attempt: Attempt, late: bool) -> bool:
-        """Return whether the attempt must not be sent; called right before it is written.
+    def find_obstacle(self, attempt: Attempt, late: bool) -> AttemptResult | None:
+        """Return the result of an attempt that must not be sent, or None if it may; called right before it is written.
 
         `late`: time has passed since it was decided.
         """
--- a/tests/fleet/test_comeback.py
+++ b/tests/fleet/test_comeback.py
@@ -57,8 +57,8 @@
         attempt.ended = True
         self.results.append(result)
 
-    def must_not_leave(self, attempt: Attempt, late: bool) -> bool:
-        return False
+    def find_obstacle(self, attempt: Attempt, late: bool) -> AttemptResult | None:
+        return None
 
     def begin_answer(self, attempt: Attempt, answer: Any, giver: Any) -> None:
         raise AssertionError("expected no answer: there is no server")
--- a/tests/test_request_written.py
+++ b/tests/test_request_written.py
@@ -82,8 +82,8 @@
         self.results: list[AttemptResult] = []
         self.ended = asyncio.Event()
 
-    def must_not_leave(self, attempt: Attempt, late: bool) -> bool:
-        return False
+    def find_obstacle(self, attempt: Attempt, late: bool) -> AttemptResult | None:
+        return None
 
     def finish_attempt(self, attempt: Attempt, result: AttemptResult, *more: object) -> None:
         attempt.ended = True
