Decide on an unfinished answer when its client's time is over, by what came lately

Cause: PartialAnswer.find_problem gave its verdict once, at the end of the attempt's time, from the rate since the head (under 16 KiB a second: never ends). Nothing was due then: the client waited on, and a final answer counts until half a second after its time.

Change: an attempt whose answer has begun waits for its client's time, unless another attempt would follow; then it is passed on if it is arriving, and fails honestly 0.35 s later if not. Once its head is out only silence, or ten seconds without becoming long, end it.

Tests changed: five in tests/test_partial_answers.py waited until an answer was passed on before its member wrote on, which no longer happens for one burst and silence; they wait until the attempt's time is over, and ask the same (whole, one call). The one for a stop behind the head writes until it is passed on. No check is weaker.

--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -55,6 +55,8 @@
 from loadbalancer.policy.slow_start import SlowStart
 
 MIN_ATTEMPT_TIMEOUT_S = 0.001
+MIN_RETRY_TIME_S = 0.01
+"""Seconds that another attempt needs at least to be of use."""
 NO_ATTEMPT = -1
 
 
@@ -188,6 +190,16 @@
         pending = self.requests.get(request)
         return pending is not None and self.retry_policy.may_still_be_sent(pending, attempt_number, now)
 
+    def would_retry(self, now: float, request: int) -> bool:
+        """Return whether another attempt would follow, in time to be answered, if the open one timed out."""
+        pending = self.requests.get(request)
+        if pending is None or pending.streaming or not self.retry_policy.has_budget():
+            return False
+        if sum(attempt.is_open for attempt in pending.attempts) > 1:
+            return False
+        answered_at = now + max(MIN_RETRY_TIME_S, self.typical_latency[pending.class_index])
+        return answered_at < pending.useful_until and self._would_follow_cancel(pending, now)
+
     # Endpoints.
 
     def _on_endpoint_list(self, event: EndpointList, now: float) -> None:
--- a/loadbalancer/proxy/attempt_runner.py
+++ b/loadbalancer/proxy/attempt_runner.py
@@ -11,11 +11,13 @@
 from loadbalancer.policy.actions import Send
 from loadbalancer.policy.events import NEVER_RAN, AttemptResult, Event, Outcome
 from loadbalancer.proxy.answer_writer import AnswerWriter
+from loadbalancer.proxy.late_answers import LateAnswers, Verdict
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.response_streams import ResponseStreams
 from loadbalancer.proxy.send_monitor import SendMonitor
 from loadbalancer.proxy.transaction_ids import TransactionIds
+from loadbalancer.read_first_timer import ReadFirstTimer
 from loadbalancer.upstreams.connections import Attempt, UpstreamPools
 from loadbalancer.upstreams.interfaces import UpstreamResponse
 
@@ -49,6 +51,7 @@
         lag: EventLoopLag,
         post: Callable[[Event], None],
         may_arrive: Callable[[Attempt, float], bool],
+        late_answers: LateAnswers,
     ) -> None:
         self._table = table
         self._upstreams = upstreams
@@ -59,6 +62,7 @@
         self._clock = clock
         self._lag = lag
         self._post = post
+        self._late_answers = late_answers
         self._loop = asyncio.get_running_loop()
         self._sends = SendMonitor(may_arrive, self.revoke)
 
@@ -90,15 +94,26 @@
         attempt.timer = self._loop.call_later(attempt.timeout, self.time_out, attempt)
 
     def time_out(self, attempt: Attempt) -> None:
-        """End an attempt that has timed out, unless its answer is arriving and can be streamed from now on.
+        """End an attempt that has timed out, unless its answer has begun and can be streamed from now on or later.
 
         A long answer would otherwise be cut off only because its length is not stated. If the request was not written
         completely, the endpoint has not run it, and the timeout indicates a problem of the connection rather than of
         the endpoint's load.
         """
         attempt.timer = None
-        if attempt.pass_on_partial_answer():
-            return
+        attempt.timed_out_at = attempt.timed_out_at or time.monotonic()
+        verdict = self._late_answers.judge(attempt)
+        if verdict == Verdict.WAIT:
+            self._wait_longer(attempt)
+        elif verdict == Verdict.END or not attempt.pass_on_partial_answer():
+            self._end_timed_out(attempt)
+
+    def _wait_longer(self, attempt: Attempt) -> None:
+        delay_s = self._late_answers.next_check_s(attempt)
+        attempt.timer = ReadFirstTimer(self._loop, delay_s, self.time_out, attempt)
+        self._table.extend_clock(cast(OpenRequest, attempt.request), self._late_answers.time_left_s(attempt))
+
+    def _end_timed_out(self, attempt: Attempt) -> None:
         attempt.drop()  # first: a multiplexed connection still sends what it has buffered of the request
         written = attempt.is_written()
         state = "no answer" if written else "not sent"
@@ -110,15 +125,15 @@
         self.finish(attempt, AttemptResult.TIMEOUT if written else AttemptResult.NO_CONNECTION)
 
     def cancel(self, attempt: Attempt) -> None:
-        """Cancel an attempt whose answer is no longer needed, unless it is arriving for a request that has none yet.
+        """Cancel an attempt whose answer is no longer needed, unless it has begun for a request that has none yet.
 
         If its request is still open and the attempt still waits for a connection, it counts as not sent.
         """
         if attempt.ended:
             return
         request = cast(OpenRequest, attempt.request)
-        if not request.done and request.stream is None and attempt.pass_on_partial_answer():
-            return
+        if not request.done and request.stream is None and attempt.find_partial_answer() is not None:
+            return  # what becomes of it is decided when its time is over
         is_unsent = not request.done and not attempt.has_started()
         attempt.drop()
         self.finish(attempt, AttemptResult.NOT_SENT if is_unsent else AttemptResult.CANCELLED)
--- a/loadbalancer/proxy/open_requests.py
+++ b/loadbalancer/proxy/open_requests.py
@@ -77,6 +77,7 @@
 class OpenRequest:
     """A request, from its submission to a pool until it is answered and all its attempts have ended."""
 
+    owner: RequestOwner  # set when it is submitted
     __slots__ = (
         "answered_by_endpoint",
         "attempts",
@@ -84,6 +85,7 @@
         "body",
         "class_index",
         "client",
+        "deadline_at",
         "done",
         "edit_headers",
         "head",
@@ -126,7 +128,6 @@
         self.head = head
         self.body = body
         self.bodiless = bodiless
-        self.owner: RequestOwner
         # Set by the front end, from the route.
         self.max_attempts = 0  # 0: the limit of the pool
         self.retry_on: frozenset[AttemptResult] | None = None  # None: the results configured for the pool
@@ -139,6 +140,7 @@
         self.class_index = 0
         self.is_complete = True  # its last byte has been received
         self.time_remaining = 0.0  # seconds from then until the client gives up
+        self.deadline_at = 0.0  # monotonic, when the client gives up; 0: its last byte has not been received
         self.timer: asyncio.TimerHandle | None = None
         # Progress.
         self.attempts: list[Attempt] = []
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -28,6 +28,7 @@
 from loadbalancer.proxy.attempt_runner import AttemptRunner, PolicyClock
 from loadbalancer.proxy.endpoint_directory import EndpointDirectory
 from loadbalancer.proxy.interfaces import ProcessorShare, TunnelClient
+from loadbalancer.proxy.late_answers import DECISION_GRACE_S, LateAnswers
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.proxy.policy_driver import PolicyDriver
 from loadbalancer.proxy.request_owner import BAD_GATEWAY, PoolRequestOwner
@@ -145,6 +146,7 @@
             self._lag,
             self.post,
             self.permission.may_arrive,
+            LateAnswers(self._would_retry, self.dialect.late_answer_grace_s),
         )
         self._directory = EndpointDirectory(self.upstreams, self.tunnels, self.post)
         self._owner = PoolRequestOwner(self._table, self._attempts, self.post)
@@ -315,6 +317,10 @@
         self.drop(request)
         self.metrics.count(cls, result_of_status(status))
 
+    def _would_retry(self, attempt: Attempt) -> bool:
+        request = cast(OpenRequest, attempt.request)
+        return self.balancer.would_retry(self.now(), request.id)
+
     def _on_overdue(self, request: OpenRequest) -> None:
         """Fail a request that the policy has not answered in time; the policy's own timers expire earlier."""
         self.logger("overdue request failed", request.id)
@@ -437,5 +443,6 @@
     return Dialect(
         report_fields=deployment.settings.report_fields,
         stream_most=MAX_STREAMED_BODY_BYTES,
+        late_answer_grace_s=DECISION_GRACE_S,
         close_delimited=True,
     )
--- a/loadbalancer/proxy/request_table.py
+++ b/loadbalancer/proxy/request_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Callable
 
 from loadbalancer.memory_account import BufferBudget
@@ -64,7 +65,17 @@
     def start_clock(self, request: OpenRequest) -> None:
         """Count a request as open and start its timeout: its last byte has been received."""
         self._metrics.open += 1
-        request.timer = self._loop.call_later(request.time_remaining + OVERDUE_S, self._overdue, request)
+        request.deadline_at = time.monotonic() + request.time_remaining
+        self._set_timer(request, request.time_remaining)
+
+    def extend_clock(self, request: OpenRequest, time_left_s: float) -> None:
+        """Let a request stay open for so many seconds more, since the answer that has begun may still come."""
+        if request.timer is not None:
+            request.timer.cancel()
+        self._set_timer(request, time_left_s)
+
+    def _set_timer(self, request: OpenRequest, delay_s: float) -> None:
+        request.timer = self._loop.call_later(delay_s + OVERDUE_S, self._overdue, request)
 
     def _overdue(self, request: OpenRequest) -> None:
         request.timer = None
--- a/loadbalancer/upstreams/base.py
+++ b/loadbalancer/upstreams/base.py
@@ -130,20 +130,20 @@
         """Record the time at which bytes were received from the backend."""
         self.received_at = self.endpoint.last_heard_at = time.monotonic()
 
-    def begin_partial_answer(self) -> PartialAnswer:
-        """Return the timer of the current answer, which has no stated length."""
+    def begin_partial_answer(self, long_from: int) -> PartialAnswer:
+        """Return the progress of the current answer, which has no stated length; see `PartialAnswer`."""
         if self.partial_answer is None:
-            self.partial_answer = PartialAnswer(self)
+            self.partial_answer = PartialAnswer(self, long_from)
         return self.partial_answer
 
     def end_partial_answer(self) -> None:
-        """Remove the timer, if there is one: the answer is complete, or its attempt has ended."""
+        """Forget the progress of the answer, if there is one: it is complete, or its attempt has ended."""
         if self.partial_answer is not None:
             self.partial_answer.cancel()
             self.partial_answer = None
 
     def give_up_partial_answer(self, reason: str) -> None:
-        """Fail the attempt, whose answer was passed on before its end and hardly arrives."""
+        """Fail the attempt, whose answer was passed on before its end and has stopped."""
         assert self.attempt is not None
         self.pool.logger("answer given up", f"{reason}, from {self.attempt.endpoint}")
         self.fail(AttemptResult.RESET)
--- a/loadbalancer/upstreams/connections.py
+++ b/loadbalancer/upstreams/connections.py
@@ -22,6 +22,7 @@
 from loadbalancer.resource_limits import RateLimitedLogger
 from loadbalancer.upstreams.interfaces import AttemptOwner, TlsConnector, UpstreamRequest
 from loadbalancer.upstreams.pacing import Pacer
+from loadbalancer.upstreams.partial_answers import PartialAnswer
 
 #: Idle connections kept to one backend. It holds some twenty for all proxies, and a full connection table costs it.
 MAX_IDLE_CONNECTIONS = 6
@@ -81,8 +82,12 @@
         """Return whether an idle connection can still be used."""
         raise NotImplementedError
 
+    def find_partial_answer(self) -> PartialAnswer | None:
+        """Return the progress of an answer that has begun, whose end is not known, and that may be streamed."""
+        return None
+
     def pass_on_partial_answer(self) -> bool:
-        """Stream the answer whose end is not known yet, if it is arriving and may be streamed.
+        """Stream the answer that `find_partial_answer` returns, if it returns one.
 
         Returns:
             Whether the attempt now streams its answer, or has ended; otherwise nothing has changed.
@@ -113,6 +118,7 @@
         "number",
         "endpoint",
         "began_at",
+        "timed_out_at",
         "timeout",
         "timer",
         "connection",
@@ -128,11 +134,12 @@
     ) -> None:
         self.request, self.number, self.endpoint = request, number, server
         self.began_at, self.timeout = began, timeout
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | ReadFirstTimer | None = None
         self.connection: Upstream | None = None
         self.opening: asyncio.Task[None] | None = None
         self.ended = False
         self.written_at = 0.0  # monotonic
+        self.timed_out_at = 0.0  # monotonic, when its timeout expired; 0: not yet
         self.answered_at = 0.0  # monotonic, when the head of its answer was complete; 0: not yet
         self._written = False  # value of is_written() when the connection was detached
 
@@ -144,6 +151,10 @@
         """Return whether the last byte of the request is known to have arrived at its endpoint's machine."""
         return self.connection is not None and self.connection.has_arrived()
 
+    def find_partial_answer(self) -> PartialAnswer | None:
+        """Return the progress of an answer that is not complete; see `Upstream.find_partial_answer`."""
+        return self.connection.find_partial_answer() if self.connection is not None else None
+
     def pass_on_partial_answer(self) -> bool:
         """Stream the part of the answer that has arrived; see `Upstream.pass_on_partial_answer`."""
         return self.connection is not None and self.connection.pass_on_partial_answer()
--- a/loadbalancer/upstreams/dialect.py
+++ b/loadbalancer/upstreams/dialect.py
@@ -36,6 +36,7 @@
     body_most: int = MAX_JUDGED_BODY_BYTES
     stream_most: int = 0  # bytes of a streamed body; 0: a body longer than body_most is invalid
     platform: bool = True  # only 200 is SERVED; a 4xx means that no member can use the request
+    late_answer_grace_s: float = 0.0  # past a client's deadline, in which its final answer still counts
     close_delimited: bool = False  # an answer that ends with its connection counts as complete
     repeat_statuses: frozenset[int] | None = None  # 5xx after which another member may be tried; None: all
     repeat_header: bytes | None = None  # a member sets it to request a retry of a request that failed
--- a/loadbalancer/upstreams/fastcgi.py
+++ b/loadbalancer/upstreams/fastcgi.py
@@ -37,6 +37,7 @@
 from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
 from loadbalancer.upstreams.interfaces import UpstreamResponse
+from loadbalancer.upstreams.partial_answers import PartialAnswer
 from loadbalancer.upstreams.report import read_report
 
 #: Statuses whose answers have no body.
@@ -74,6 +75,7 @@
         self.stream: Stream | None = None  # receives the body of a streamed answer
         self.head: CgiHead | None = None  # the head of the streamed answer
         self.head_at = 0.0  # monotonic, when the head of an incomplete answer was complete; 0: not yet
+        self.body_offset = 0  # of a partial answer without a stated length, in what STDOUT holds
         # Bytes of the request after its params; unsent ones don't prove that it has not run.
         self.bytes_after_params = 0
 
@@ -128,6 +130,8 @@
         elif self.dialect.stream_most and not self.head_at and find_end(self.side.stdout):
             self.head_at = time.monotonic()
             self._examine_partial_answer()
+        elif self.partial_answer is not None:
+            self.partial_answer.record(len(self.side.stdout) - self.body_offset)
 
     # Streamed answers.
 
@@ -138,7 +142,9 @@
         except CgiError:
             return  # its end decides what it is
         if partial.head.length is None:
-            self.begin_partial_answer().limit_hold_back()
+            self.body_offset = partial.body_offset
+            progress = self.begin_partial_answer(self.dialect.body_most)
+            progress.record(len(self.side.stdout) - self.body_offset)
         elif partial.head.length > self.dialect.body_most:
             self._stream(partial)
 
@@ -151,20 +157,17 @@
             return
         self._stream(partial)
 
+    def find_partial_answer(self) -> PartialAnswer | None:
+        """Return the progress of an answer without a stated length that may be streamed; see `Upstream`."""
+        if self.attempt is None or self.closed or self.stream is not None:
+            return None
+        return self.partial_answer
+
     def pass_on_partial_answer(self) -> bool:
-        """Stream an answer without a stated length that is arriving; see `Upstream`."""
-        if self.attempt is None or self.closed or self.stream is not None or not self.dialect.stream_most:
+        """Stream an answer without a stated length; see `Upstream`."""
+        if self.find_partial_answer() is None:
             return False
-        try:
-            partial = self._read_streamable_answer()
-        except CgiError:
-            return False
-        body_bytes = len(self.side.stdout) - partial.body_offset
-        if partial.head.length is not None or self.begin_partial_answer().find_problem(
-            body_bytes, self.head_at
-        ):
-            return False
-        self._stream(partial)
+        self._begin_stream()
         return True
 
     def _read_streamable_answer(self) -> _PartialAnswer:
@@ -197,7 +200,7 @@
             return
         self.stream, self.head = stream, head
         if head.length is None:
-            self.begin_partial_answer().watch(stream, attempt.answered_at, self.dialect.body_most)
+            self.begin_partial_answer(self.dialect.body_most).watch(stream)
         del self.side.stdout[: partial.body_offset]
         self._forward(stream, None)
 
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -15,6 +15,7 @@
 from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
 from loadbalancer.upstreams.interfaces import TunnelOwner, UpstreamResponse
+from loadbalancer.upstreams.partial_answers import PartialAnswer
 from loadbalancer.upstreams.report import read_report
 from loadbalancer.upstreams.tunnel_end import UpstreamTunnelEnd
 
@@ -352,7 +353,7 @@
         elif self._is_to_be_streamed():
             self._begin_stream()
         elif self._has_unknown_end():
-            self.begin_partial_answer().limit_hold_back()
+            self.begin_partial_answer(dialect.body_most).record(self.buffered_bytes)
 
     def _is_to_be_streamed(self) -> bool:
         """Return whether the incomplete answer is too long to be buffered, or memory too short to buffer it."""
@@ -370,16 +371,15 @@
         """Return whether a part of a body has arrived that is not complete and whose length is not stated."""
         return self.status >= 200 and self.length is None and not self.is_complete
 
-    def pass_on_partial_answer(self) -> bool:
-        """Stream an answer without a stated length that is arriving; see `Upstream`."""
+    def find_partial_answer(self) -> PartialAnswer | None:
+        """Return the progress of an answer without a stated length that may be streamed; see `Upstream`."""
         if self.attempt is None or self.closed or self.stream is not None or self.upload is not None:
-            return False
-        if not self._has_unknown_end() or not self._can_be_streamed():
-            return False
-        if (
-            self.begin_partial_answer().find_problem(self.buffered_bytes, self.attempt.answered_at)
-            is not None
-        ):
+            return None
+        return self.partial_answer if self._has_unknown_end() and self._can_be_streamed() else None
+
+    def pass_on_partial_answer(self) -> bool:
+        """Stream an answer without a stated length; see `Upstream`."""
+        if self.find_partial_answer() is None:
             return False
         self._begin_stream()
         return True
@@ -404,7 +404,7 @@
             return
         self.stream = stream
         if self._has_unknown_end():
-            self.begin_partial_answer().watch(stream, attempt.answered_at, dialect.body_most)
+            self.begin_partial_answer(dialect.body_most).watch(stream)
         self._forward(stream)
 
     def _is_served(self) -> bool:
--- a/loadbalancer/upstreams/partial_answers.py
+++ b/loadbalancer/upstreams/partial_answers.py
@@ -1,32 +1,43 @@
-"""Timers of one answer whose length is not stated: when it is passed on before its end, and when it is given up."""
+"""Answers whose length is not stated: how they arrive, when they are passed on unfinished, when they are given up.
+
+Nobody can tell a short answer of this kind from a long one before its end. A short one has to come whole in its
+request's time; a long one only has to begin in it, and must not be cut off while its endpoint is giving it. So the
+verdict is put off for as long as the client may wait, and then rests on what has arrived lately; see
+docs/operating/answers.md.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import time
-from functools import partial
 from typing import Callable, Protocol
 
-from loadbalancer.streaming.streams import Stream
+from loadbalancer.read_first_timer import ReadFirstTimer
+from loadbalancer.streaming.streams import STALL_S, Stream
 
 MAX_HOLD_BACK_S = 1.5
-"""Seconds after the first byte at which a partial answer is passed on; from 2 s on it would count as held back."""
-STILL_ARRIVING_S = 2.0
-"""Seconds for which an answer counts as arriving after its latest byte."""
+"""Seconds for which a part of the body is held; from 2 s on the rest of a long answer would count as held back."""
 CHECK_INTERVAL_S = 0.1
-"""Interval in seconds between two checks of an answer that is passed on."""
-MIN_RATE = 16 << 10
-"""Bytes a second that an answer needs to count as arriving: 64 KiB in 4 s."""
+"""Interval in seconds between two checks of an answer."""
+STEADY_INTERVAL_S = 0.25
+"""Seconds after its latest byte in which an answer counts as arriving steadily."""
+MIN_STEADY_S = 0.1
+"""Seconds between its first byte and its latest one from which on it can count as steady: one burst may be all."""
+STEADY_RATE = 16 << 10
+"""Bytes of the body a second, since its first one, that an answer has to bring to count as arriving steadily."""
 MIN_RATED_S = 0.4
-"""Seconds after the head from which on the rate is checked."""
+"""Seconds from the first byte on over which that rate is taken at least."""
+ARRIVING_S = 0.8
+"""Seconds after its latest byte in which an answer counts as arriving."""
+MAX_SILENCE_S = 3.0
+"""Seconds without a byte after which an answer that was passed on has stopped: the longest deadline that counts."""
+LONG_WITHIN_S = STALL_S
+"""Seconds in which an answer has to become long, at its pace, to be passed on although its request's time is over."""
 
 
 class PartialAnswerOwner(Protocol):
     """The connection that receives the answer."""
 
-    received_at: float
-    """Monotonic time at which bytes were last received."""
-
     def pass_on_partial_answer(self) -> bool:
         """Stream the partial answer; see `Upstream.pass_on_partial_answer`."""
 
@@ -35,57 +46,97 @@
 
 
 class PartialAnswer:
-    """The timer of one connection; at most one is set, and `cancel` removes it."""
+    """One answer without a stated length, from its head to its end, and its timer.
+
+    Times are monotonic. The owner calls `cancel` when the answer is complete or its attempt has ended.
+    """
 
-    __slots__ = ("_began_at", "_owner", "_timer")
+    __slots__ = ("_body_bytes", "_first_byte_at", "_last_byte_at", "_long_from", "_owner", "_timer")
 
-    def __init__(self, owner: PartialAnswerOwner) -> None:
-        """Create it without a timer."""
+    def __init__(self, owner: PartialAnswerOwner, long_from: int) -> None:
+        """Create it when its head is complete; it is long once its body has more than `long_from` bytes."""
         self._owner = owner
-        self._timer: asyncio.TimerHandle | None = None
+        self._long_from = long_from
+        self._body_bytes = 0
+        self._first_byte_at = self._last_byte_at = time.monotonic()
+        self._timer: ReadFirstTimer | None = None
 
-    def limit_hold_back(self) -> None:
-        """Pass the answer on MAX_HOLD_BACK_S after the first call, unless `cancel` is called before."""
-        if self._timer is None:
-            self._set_timer(MAX_HOLD_BACK_S, self._owner.pass_on_partial_answer)
+    # How it arrives.
 
-    def find_problem(self, body_bytes: int, began_at: float) -> str | None:
-        """Return why the answer does not count as arriving, or None if it does.
+    def record(self, body_bytes: int) -> None:
+        """Record how many bytes of the body have arrived so far."""
+        if body_bytes <= self._body_bytes:
+            return
+        now = time.monotonic()
+        if not self._body_bytes:
+            self._first_byte_at = now
+            self._set_timer(MAX_HOLD_BACK_S, self._limit_hold_back)
+        self._body_bytes, self._last_byte_at = body_bytes, now
+
+    def is_steady(self) -> bool:
+        """Return whether its body is arriving at a rate that makes it a long answer soon."""
+        now = time.monotonic()
+        rated_s = max(MIN_RATED_S, now - self._first_byte_at)
+        if (
+            now - self._last_byte_at > STEADY_INTERVAL_S
+            or self._last_byte_at - self._first_byte_at < MIN_STEADY_S
+        ):
+            return False
+        return self._body_bytes >= STEADY_RATE * rated_s
+
+    def may_become_long(self, max_silence_s: float) -> bool:
+        """Return whether its body is still arriving, and has not come so slowly that it can only be a short answer.
 
         Args:
-            body_bytes: Bytes of its body that have arrived.
-            began_at: Monotonic time at which its head was complete.
+            max_silence_s: Seconds after its latest byte in which it counts as arriving.
         """
         now = time.monotonic()
-        silent_s, elapsed_s = now - self._owner.received_at, now - began_at
-        if silent_s > STILL_ARRIVING_S:
-            return f"nothing came for {silent_s:.1f} s of an answer without a length"
-        if elapsed_s >= MIN_RATED_S and body_bytes < MIN_RATE * elapsed_s:
-            return f"{body_bytes} bytes in {elapsed_s:.1f} s of an answer without a length"
-        return None
+        if not self._body_bytes or now - self._last_byte_at > max_silence_s:
+            return False
+        return self._body_bytes * LONG_WITHIN_S >= self._long_from * (now - self._first_byte_at)
 
-    def watch(self, stream: Stream, began_at: float, long_from: int) -> None:
-        """Give the answer up if it hardly arrives, until it is known to be a long one.
+    def _limit_hold_back(self) -> None:
+        """Pass the body on once a part of it has been held for long, as soon as it may become long."""
+        if self.may_become_long(ARRIVING_S) and self._owner.pass_on_partial_answer():
+            return
+        self._set_timer(CHECK_INTERVAL_S, self._limit_hold_back)
 
-        Guards against answers that never end: until it is long, a client waits for the end of an answer.
+    # Once it is passed on.
 
-        Args:
-            stream: Passes the body on.
-            began_at: Monotonic time at which the head was complete.
-            long_from: Bytes of the body from which on the answer is long.
+    def watch(self, stream: Stream) -> None:
+        """Give the answer up once it has stopped, until it is known to be long; `stream` passes its body on.
+
+        Guards against answers that never end: until it is long, a client waits for the end of an answer.
         """
-        self.cancel()
-        self._set_timer(CHECK_INTERVAL_S, partial(self._check, stream, began_at, long_from))
+        self._last_byte_at = time.monotonic()
+        watched_until = self._last_byte_at + LONG_WITHIN_S
+        self._set_timer(CHECK_INTERVAL_S, lambda: self._check(stream, watched_until))
 
-    def _check(self, stream: Stream, began_at: float, long_from: int) -> None:
-        if stream.passed_bytes > long_from or stream.has_ended:
+    def _check(self, stream: Stream, watched_until: float) -> None:
+        if stream.passed_bytes > self._long_from or stream.has_ended:
             return
-        problem = None if stream.is_full else self.find_problem(stream.passed_bytes, began_at)
+        now = time.monotonic()
+        if stream.is_full:  # its client makes no room: nothing is read from the endpoint
+            watched_until += now - self._last_byte_at
+            self._last_byte_at = now
+        elif stream.passed_bytes > self._body_bytes:
+            self._body_bytes, self._last_byte_at = stream.passed_bytes, now
+        problem = self._find_problem(now, watched_until)
         if problem is None:
-            self._set_timer(CHECK_INTERVAL_S, partial(self._check, stream, began_at, long_from))
+            self._set_timer(CHECK_INTERVAL_S, lambda: self._check(stream, watched_until))
         else:
             self._owner.give_up_partial_answer(problem)
 
+    def _find_problem(self, now: float, watched_until: float) -> str | None:
+        silent_s = now - self._last_byte_at
+        if silent_s > MAX_SILENCE_S:
+            return f"nothing came for {silent_s:.1f} s behind {self._body_bytes} bytes of an answer without a length"
+        if now > watched_until:
+            return f"{self._body_bytes} bytes of an answer without a length, and no end"
+        return None
+
+    # The timer.
+
     def cancel(self) -> None:
         """Remove the timer: the answer is complete or known to be long, or its attempt has ended."""
         if self._timer is not None:
@@ -93,8 +144,5 @@
             self._timer = None
 
     def _set_timer(self, delay_s: float, callback: Callable[[], object]) -> None:
-        def fire() -> None:
-            self._timer = None
-            callback()
-
-        self._timer = asyncio.get_running_loop().call_later(delay_s, fire)
+        self.cancel()
+        self._timer = ReadFirstTimer(asyncio.get_running_loop(), delay_s, callback)
--- a/standins/slow_member.py
+++ b/standins/slow_member.py
@@ -35,7 +35,10 @@
         read_rate: Bytes of the request's body that are read in a second; 0 for no limit.
         rest: Seconds before any of the request's body is read.
         breaks_after: Bytes of the request's body after which the first attempt is reset; 0 for never.
-        stalls_after: Bytes of the body after which the member writes no more; 0 for never.
+        stalls_after: Bytes of the body after which the member writes no more; 0 for never, -1 for none at all.
+        first: Bytes of the body that are written with the head, before `pause`.
+        pause: Seconds between these and the rest of the body, which is written over `seconds`.
+        parts: Number of parts in which the rest is written; 0 leaves that to `form`.
     """
 
     size: int = 2
@@ -47,6 +50,9 @@
     rest: float = 0.0
     breaks_after: int = 0
     stalls_after: int = 0
+    first: int = 0
+    pause: float = 0.0
+    parts: int = 0
 
     @classmethod
     def from_target(cls, target: str) -> AnswerPlan:
@@ -63,6 +69,9 @@
             float(query.get("rest", default.rest)),
             int(query.get("breaks_after", default.breaks_after)),
             int(query.get("stalls_after", default.stalls_after)),
+            int(query.get("first", default.first)),
+            float(query.get("pause", default.pause)),
+            int(query.get("parts", default.parts)),
         )
 
 
@@ -172,9 +181,13 @@
     }[plan.framing]
     writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % framing)
     written = 0
+    await writer.drain()
     for piece, pause in _pieces(body, plan):
         if plan.stalls_after and written >= plan.stalls_after:
             await asyncio.Event().wait()
+        if not piece:
+            await asyncio.sleep(pause)
+            continue
         writer.write(b"%x\r\n%b\r\n" % (len(piece), piece) if plan.framing == "chunked" else piece)
         written += len(piece)
         await writer.drain()
@@ -185,11 +198,12 @@
 
 
 def _pieces(body: bytes, plan: AnswerPlan) -> list[tuple[bytes, float]]:
-    """Return the pieces of a body, each with the seconds to wait after it."""
+    """Return the pieces of a body, each with the seconds to wait after it; an empty piece only waits."""
     if plan.form == "bytes":
         return [(body[at : at + 1], 0.0) for at in range(len(body))]
     interval = LUMP_INTERVAL_S if plan.form == "lumps" else PIECE_INTERVAL_S
-    count = max(1, round(plan.seconds / interval))
-    size = max(1, -(-len(body) // count))
-    pause = plan.seconds / count
-    return [(body[at : at + size], pause) for at in range(0, len(body), size)]
+    count = plan.parts or max(1, round(plan.seconds / interval))
+    first, rest = body[: plan.first], body[plan.first :]
+    size = max(1, -(-len(rest) // count))
+    pieces = [(first, plan.pause)] if first or plan.pause else []
+    return pieces + [(rest[at : at + size], plan.seconds / count) for at in range(0, len(rest), size)]
--- a/tests/policy/test_hedging.py
+++ b/tests/policy/test_hedging.py
@@ -115,3 +115,15 @@
     balancer = make_balancer(*make_entries(3), limits=PolicyLimits(hedging=False))
     actions = run_hedge_check(balancer, sticky_endpoint="s1", sticky_required=True)
     assert not any(isinstance(a, (Cancel, Reject)) for a in actions)
+
+
+def test_another_attempt_would_follow_only_with_time_left_and_no_other_one_open() -> None:
+    """Guards against an unfinished answer that is given up for an attempt which nobody makes."""
+    balancer = make_balancer(*make_entries(3))
+    timer = next(a for a in send_request(balancer, 100.0, 1) if isinstance(a, SetTimer))
+    assert balancer.would_retry(100.1, 1)
+    assert not balancer.would_retry(100.98, 1) and not balancer.would_retry(100.1, 2)
+    balancer.handle(100.0 + timer.delay, [TimerFired(timer.token)])
+    assert not balancer.would_retry(100.0 + timer.delay, 1)
+    send_request(balancer, 101.0, 3, class_index=2)
+    assert not balancer.would_retry(101.1, 3)
--- a/tests/test_partial_answers.py
+++ b/tests/test_partial_answers.py
@@ -12,6 +12,7 @@
     OK,
     SETTINGS,
     Call,
+    RunningProxy,
     ScriptedBackend,
     answering,
     request,
@@ -19,6 +20,7 @@
     running_proxy,
     silent,
 )
+from test_send_monitor import until
 from translated import FcgiCall
 
 from loadbalancer.fastcgi.records import Type, encode_end, encode_stream
@@ -44,8 +46,14 @@
     return settings
 
 
+def has_timed_out(here: RunningProxy) -> bool:
+    """Return whether the time of an open attempt is over."""
+    attempts = [attempt for each in here.proxy.open.values() for attempt in each.attempts]
+    return any(attempt.timed_out_at and not attempt.ended for attempt in attempts)
+
+
 class SteadyAnswer:
-    """Writes an answer piece by piece, each when the test asks for it."""
+    """Writes the first piece of an answer, and the others when the test asks for them."""
 
     def __init__(self, framing: str) -> None:
         self.framing = framing
@@ -78,7 +86,7 @@
             client = await here.connect()
             await client.send(request(cls))
             await answer.head_was_written.wait()
-            await here.proxy.until(lambda: here.proxy.streams)  # the attempt's time is over
+            await until(lambda: has_timed_out(here))
             answer.goes_on.set()
             status, _, body = await client.read()
             assert (status, body) == (200, PIECE * PIECES)
@@ -95,7 +103,7 @@
         async with running_proxy(ScriptedBackend("a", answer), settings=with_aim(0.3)) as here:
             client = await here.connect()
             await client.send(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
-            await here.proxy.until(lambda: here.proxy.streams)
+            await until(lambda: has_timed_out(here))
             answer.goes_on.set()
             received = await client.ended()
             assert received.startswith(b"HTTP/1.1 200") and received.endswith(PIECE * PIECES)
@@ -120,9 +128,7 @@
 
 
 @pytest.mark.parametrize("begin", [HEAD["chunked"], HEAD["close"], HEAD["close"] + b"a"])
-def test_answer_that_hardly_arrives_fails_in_time(begin: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(partial_answers, "MIN_RATED_S", 0.0)
-
+def test_answer_that_hardly_arrives_fails_in_time(begin: bytes) -> None:
     async def scene() -> None:
         async def script(call: Call) -> None:
             await call.say(begin)
@@ -130,19 +136,26 @@
 
         async with running_proxy(ScriptedBackend("a", script), settings=with_aim(0.3)) as here:
             client = await here.connect()
-            assert (await client.ask(request("unsafe")))[0] == 502
+            assert (await client.ask(request("unsafe", None, "400m")))[0] == 502
             assert here.proxy.outcomes()[0].result == AttemptResult.TIMEOUT
 
     run_with_timeout(scene)
 
 
 def test_answer_that_stops_after_it_was_passed_on_is_reset_soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(partial_answers, "STILL_ARRIVING_S", 0.5)
+    monkeypatch.setattr(partial_answers, "MAX_SILENCE_S", 0.5)
     messages: list[str] = []
 
     async def scene() -> None:
-        answer = SteadyAnswer("chunked")
-        async with running_proxy(ScriptedBackend("a", answer), settings=with_aim(0.3)) as here:
+        async def stop_once_passed_on(call: Call) -> None:
+            await call.say(HEAD["chunked"])
+            while not here.proxy.streams:
+                await call.say(b"800\r\n%b\r\n" % bytes(0x800))
+                await asyncio.sleep(partial_answers.MIN_STEADY_S / 2)
+            await call.left()
+
+        member = ScriptedBackend("a", stop_once_passed_on)
+        async with running_proxy(member, settings=with_aim(0.3)) as here:
             here.proxy.upstreams.logger = lambda kind, text="": messages.append(f"{kind}: {text}")  # type: ignore
             client = await here.connect()
             await client.send(request())
@@ -185,7 +198,7 @@
         async with running_proxy(backend, settings=with_aim(0.3)) as here:
             client = await here.connect()
             await client.send(request("unsafe"))
-            await here.proxy.until(lambda: here.proxy.streams)
+            await until(lambda: has_timed_out(here) or here.proxy.streams)
             goes_on.set()
             status, _, body = await client.read()
             assert (status, body) == (200, PIECE * PIECES)
