Read requests and answers by one grammar of HTTP on both fronts and in both directions

Cause: what is sound was what the parser library lets pass, and each front end had checks of its own beside it.

Change: http_grammar.py has one rule a function; message_splitter.py follows the framing of chunks beside the library, which looks at no extension; response_parser.py and request_parser.py use it. Refusals: 400, 501 for an unknown coding, 505 for a version.

--- a/loadbalancer/frontends/http1_answers.py
+++ b/loadbalancer/frontends/http1_answers.py
@@ -9,6 +9,7 @@
     409: b"Conflict", 413: b"Content Too Large", 421: b"Misdirected Request",
     431: b"Request Header Fields Too Large", 501: b"Not Implemented", 502: b"Bad Gateway",
     503: b"Service Unavailable", 504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
 }  # fmt: skip
 #: Answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
 BODILESS = frozenset((204, 304))
--- a/loadbalancer/frontends/http1_input.py
+++ b/loadbalancer/frontends/http1_input.py
@@ -17,6 +17,7 @@
 from loadbalancer.frontends.dialect import RejectError, Reply, RoutedRequest
 from loadbalancer.frontends.linger import SHARE_BYTES
 from loadbalancer.frontends.listener import Listener
+from loadbalancer.http_grammar import VERSIONS, MessageError, ends_chunked, is_chunked_alone
 from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.request_parser import RequestParser
@@ -125,7 +126,9 @@
         head = self.head
         assert self.parser is not None
         head.method = self.parser.get_method()
-        head.is_http10 = self.parser.get_http_version() != "1.1"
+        version = self.parser.get_http_version()
+        head.is_http10 = version == "1.0"
+        _check_version_and_coding(version, head.inspected.get(b"transfer-encoding"))
         head.close = head.is_http10 or head.method == b"CONNECT" or not self.parser.should_keep_alive()
         head.may_switch_protocol = not head.is_http10 and self.parser.may_switch_protocol()
         destination = head.destination = head.reader.find_destination(head)
@@ -372,6 +375,8 @@
         cause = problem.__context__
         if isinstance(cause, RejectError):
             self._reject(cause.status, cause.message)
+        elif isinstance(cause, MessageError):
+            self._reject(400, str(cause))
         elif isinstance(problem, httptools.HttpParserCallbackError) and cause is not None:
             raise cause from None  # a defect in this program
         else:
@@ -423,3 +428,16 @@
     def has_waiting_requests(self) -> bool:
         """Return whether a complete request waits behind the one being served."""
         return bool(self.waiting)
+
+
+def _check_version_and_coding(version: str, transfer_encoding: bytes | None) -> None:
+    if version not in VERSIONS:
+        raise RejectError(505, "HTTP/1.1 and HTTP/1.0 are served")
+    if transfer_encoding is None:
+        return
+    if version == "1.0":
+        raise RejectError(400, "Transfer-Encoding in HTTP/1.0")
+    if not ends_chunked(transfer_encoding):
+        raise RejectError(400, "a body whose end can't be told")
+    if not is_chunked_alone(transfer_encoding):
+        raise RejectError(501, "no transfer coding but chunked is understood")
--- a/loadbalancer/frontends/platform_http.py
+++ b/loadbalancer/frontends/platform_http.py
@@ -17,6 +17,7 @@
     Reply,
     RoutedRequest,
 )
+from loadbalancer.http_grammar import is_host, is_origin_form
 from loadbalancer.policy.settings import (
     Effect,
 )
@@ -26,6 +27,7 @@
 from loadbalancer.resource_limits import MAX_HELD_BODY_BYTES, MAX_STREAMED_BODY_BYTES
 
 REMAINING = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
+READY_PATH = b"/ready"
 UNITS = {b"m": 1e-3, b"u": 1e-6}
 OBJECT_KEY = re.compile(rb"(?:^|;)\s*obj=([^;]*)")
 
@@ -100,20 +102,31 @@
         """Return False: the platform has no forwarding headers."""
         return False
 
-    def find_destination(self, head: Head) -> PlatformReader:  # noqa: ARG002
-        """Return this reader: all requests go to its pool."""
+    def find_destination(self, head: Head) -> PlatformReader:
+        """Return this reader: all requests go to its pool.
+
+        Raises:
+            RejectError: The target or the host is invalid.
+        """
+        if head.url == READY_PATH:
+            return self
+        host = head.inspected.get(b"host")
+        if host is None and not head.is_http10:
+            raise RejectError(400, "no Host")
+        if host is not None and not is_host(host):
+            raise RejectError(400, "the host is no name or address with a port")
+        if not is_origin_form(head.url):
+            raise RejectError(400, "the target is no path with a query")
         return self
 
     def read(self, head: Head, body: bytearray | None, client: Client) -> RoutedRequest | Reply:
         """Interpret the request, or answer a call for readiness."""
-        method, url, inspected = head.method, head.url, head.inspected
-        if url == b"/ready" and method == b"GET":
+        method, url = head.method, head.url
+        if url == READY_PATH and method == b"GET":
             ready = self.ready()
             return Reply(200 if ready else 503, "ready" if ready else "not ready", head.close)
         if method not in (b"GET", b"POST"):
             raise RejectError(400, "the method is neither GET nor POST")
-        if not url.startswith(b"/") or (b"host" not in inspected and not head.is_http10):
-            raise RejectError(400, "no path or no host")
         return self.read_platform(head, body, client)
 
     def read_platform(self, head: Head, body: bytearray | None, client: Client) -> RoutedRequest:
--- a/loadbalancer/proxy/final_answers.py
+++ b/loadbalancer/proxy/final_answers.py
@@ -144,6 +144,7 @@
     431: "http_request_error",
     501: "http_request_error",
     503: "connection_limit_reached",
+    505: "http_request_error",
 }
 """Errors in Proxy-Status, by status, of answers that a front end gives before a pool has the request."""
 
--- a/loadbalancer/request_parser.py
+++ b/loadbalancer/request_parser.py
@@ -11,6 +11,9 @@
 
 import httptools
 
+from loadbalancer.http_grammar import MessageError
+from loadbalancer.message_splitter import MessageSplitter
+
 
 class RequestHandler(Protocol):
     """Receives the parts of each request, in order. What it raises ends `feed_data` as an HttpParserCallbackError."""
@@ -36,7 +39,7 @@
     def framing_headers(self) -> bytes:
         """Return the header lines of the current head that frame its body; empty if it announces none.
 
-        Called behind the head of a request that offers another protocol, before `on_headers_complete`.
+        Called before `on_headers_complete`.
         """
 
 
@@ -54,13 +57,14 @@
 class RequestParser:
     """The parser of one connection; `close` it with the connection."""
 
-    __slots__ = ("_framing", "_handler", "_is_restarting", "_parser")
+    __slots__ = ("_framing", "_handler", "_is_restarting", "_parser", "_splitter")
 
     def __init__(self, handler: RequestHandler) -> None:
         """Create a parser that expects a request."""
         self._handler = handler
         self._framing = b""  # framing headers of a request whose body is left to another protocol
         self._is_restarting = False  # the parser is inside the head that it was restarted with
+        self._splitter = MessageSplitter()
         self._parser = httptools.HttpRequestParser(self._callbacks())
 
     def _callbacks(self) -> _Callbacks:
@@ -85,18 +89,23 @@
             httptools.HttpParserError: The bytes are not HTTP/1.1, or a callback has raised.
         """
         while data:
+            part, data = self._split(data)
             try:
-                self._parser.feed_data(data)
+                self._parser.feed_data(part)
             except httptools.HttpParserUpgrade as offer:
-                data = data[offer.args[0] :]
+                data = part[offer.args[0] :] + data
                 if not self._framing:
                     self._parser = httptools.HttpRequestParser(self._callbacks())
                     return data
                 self._restart_in_body()
-            else:
-                break
         return b""
 
+    def _split(self, data: bytes) -> tuple[bytes, bytes]:
+        try:
+            return self._splitter.split(data)
+        except MessageError as problem:
+            raise httptools.HttpParserError(str(problem)) from problem
+
     def _restart_in_body(self) -> None:
         """Let a new parser continue with the body of the current request.
 
@@ -128,9 +137,12 @@
     def _on_headers_complete(self) -> None:
         if self._is_restarting:
             return
+        framing = self._handler.framing_headers()
         if self._parser.should_upgrade() and not self._is_connect():
-            self._framing = self._handler.framing_headers()
+            self._framing = framing
         self._handler.on_headers_complete()
+        if framing:
+            self._splitter.begin_body(_body_length(framing))
 
     def _on_message_complete(self) -> None:
         if not self._framing:  # otherwise its body follows
@@ -163,3 +175,10 @@
         """Break the reference cycle with the handler, which would keep both until garbage collection."""
         self._parser = None  # type: ignore[assignment]
         self._handler = None  # type: ignore[assignment]
+
+
+def _body_length(framing: bytes) -> int | None:
+    """Return the bytes of a body by the header lines that frame it; None if it is chunked."""
+    if b"transfer-encoding:" in framing.lower():
+        return None
+    return int(framing.partition(b":")[2])
--- a/loadbalancer/routing/targets.py
+++ b/loadbalancer/routing/targets.py
@@ -9,14 +9,11 @@
 import re
 from typing import NamedTuple
 
+from loadbalancer.http_grammar import is_host, is_path, is_query
+
 #: Unreserved characters (RFC 3986, 2.3): they mean the same percent-encoded and plain.
 UNRESERVED = frozenset("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
-#: Characters allowed in a path (RFC 3986, 3.3), and those that screens in use were seen to send unencoded.
-PATH = re.compile(r"[A-Za-z0-9\-._~!$&'()*+,;=:@%/|\[\]{}^\"<>`]*")
-QUERY = re.compile(r"[\x21-\x7e\x80-\xff]*")
 PERCENT_ESCAPE = re.compile(r"%([0-9A-Fa-f]{2})?")
-#: A registered name, an IPv4 address or an IPv6 literal, and a port (RFC 9110, 7.2).
-AUTHORITY = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9\-._~]+)(?::(\d{0,5}))?")
 ABSOLUTE_FORM = re.compile(r"(?i)https?://([^/?#]*)([^#]*)")
 #: Matches only paths that are already in normal form, as most are; a fast path of `normal_path`.
 ALREADY_NORMAL_PATH = re.compile(r"(?:/[A-Za-z0-9_~\-][A-Za-z0-9_~.\-]*)+/?|/")
@@ -49,10 +46,12 @@
 
 def read_authority(text: str) -> tuple[str, str]:
     """Return the host in lower case without port, and `text` itself; raise TargetError if it is no authority."""
-    match = AUTHORITY.fullmatch(text)
-    if match is None or int(match[2] or 0) > 65535:
+    host, _, port = text.rpartition(":")
+    if not host or port.endswith("]"):  # no port, or a colon inside an IPv6 address
+        host = text
+    if not host or not is_host(text.encode("latin-1", "replace")):
         raise TargetError("the host is no name or address with a port")
-    return match[1].lower().rstrip("."), text
+    return host.lower().rstrip("."), text
 
 
 def _decode(match: re.Match[str]) -> str:
@@ -76,7 +75,7 @@
     """
     if ALREADY_NORMAL_PATH.fullmatch(path) and path.count("/") <= MAX_SEGMENTS:
         return path
-    if not path.startswith("/") or not PATH.fullmatch(path):
+    if not path.startswith("/") or not is_path(path.encode("latin-1", "replace")):
         raise TargetError("the path holds a character that it may not")
     if path.count("/") > MAX_SEGMENTS:
         raise TargetError(f"the path has more than {MAX_SEGMENTS} segments")
@@ -118,6 +117,6 @@
         raise TargetError("no host")
     name, authority = read_authority(host)
     path, question_mark, query = url.partition("?")
-    if not QUERY.fullmatch(query) or "#" in query:
+    if not is_query(query.encode("latin-1", "replace")):
         raise TargetError("the query holds a character that it may not")
     return Target(name, authority, normal_path(path, keep_encoded_slashes), question_mark + query)
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -8,8 +8,10 @@
 
 import httptools
 
+from loadbalancer.http_grammar import VERSIONS, MessageError, is_chunked_alone, is_reason_phrase
 from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES
 from loadbalancer.policy.events import AttemptResult
+from loadbalancer.response_parser import UNBOUNDED, ResponseParser
 from loadbalancer.streaming.streams import Stream
 from loadbalancer.streaming.uploads import Upload
 from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
@@ -53,7 +55,7 @@
         self.buffered_bytes = 0  # bytes of the body, charged to the budget
         self.stream: Stream | None = None  # receives the body of a streamed answer
         self.upload: Upload | None = None  # the streamed request body, until it has ended
-        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self.parser: ResponseParser | None = ResponseParser(self)
         self.unparsed = b""  # input that waits for its turn
         self.is_queued = False  # for a turn
         self.is_consumer_full = False  # the client's buffer is full
@@ -77,8 +79,7 @@
         self.field_count = 0
         self.lines: list[bytes] = []
         self.length: int | None = None
-        # Has a length of its own or is chunked; has a Transfer-Encoding.
-        self.is_self_delimited = self.has_transfer_coding = False
+        self.transfer_codings = b""  # values of the Transfer-Encoding headers
         self.refusal: bytes | None = None
         self.retry_value: bytes | None = None  # value of the header that requests a retry
         self.load_report = b""
@@ -177,10 +178,8 @@
             self.retry_value = value
         elif key == b"content-length":
             self.length = int(value)
-            self.is_self_delimited = True
         elif key == b"transfer-encoding":
-            self.has_transfer_coding = True
-            self.is_self_delimited = value.lower().rpartition(b",")[2].strip() == b"chunked"
+            self.transfer_codings += b"," + value if self.transfer_codings else value
         elif key == b"connection":
             self.connection_options += b"," + value.lower()
         elif key == b"upgrade":
@@ -201,7 +200,10 @@
         if self.has_surplus or self.parser is None or self.is_complete:
             return
         self.status = self.parser.get_status_code()
+        self._check_head()
         attempt = self.attempt
+        if self.status != 101:
+            self.parser.begin_body(self._body_length())
         if attempt is None or self.status < 200:
             return
         attempt.answered_at = time.monotonic()
@@ -211,6 +213,25 @@
             self.keep_alive = self.parser.should_keep_alive()
             self.length_only = self.is_parser_stale = True
 
+    def _check_head(self) -> None:
+        """Raise MessageError for a head that the parser lets pass although it violates HTTP."""
+        assert self.parser is not None
+        version = self.parser.get_http_version()
+        if version not in VERSIONS:
+            raise MessageError(f"HTTP/{version} in the status line")
+        if not is_reason_phrase(self.reason):
+            raise MessageError("a control character in the reason phrase")
+        if self.transfer_codings and (version == "1.0" or not is_chunked_alone(self.transfer_codings)):
+            raise MessageError(f"Transfer-Encoding {self.transfer_codings!r} in HTTP/{version}")
+
+    def _body_length(self) -> int | None:
+        """Return the bytes of the body behind the head that is complete; see `ResponseParser.begin_body`."""
+        if self.status < 200 or self.status in BODILESS:
+            return 0
+        if self.transfer_codings:
+            return None
+        return UNBOUNDED if self.length is None else self.length
+
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body, charged to the budget."""
         self.part_count += 1
@@ -387,7 +408,11 @@
     def _lacks_framing(self) -> bool:
         """Return whether the head is complete and states no end of the body that it announces."""
         has_body = self.status > 0 and self.status not in BODILESS and not self.length_only
-        return has_body and not self.is_self_delimited
+        return has_body and not self._is_self_delimited()
+
+    def _is_self_delimited(self) -> bool:
+        """Return whether the answer has a length of its own or is chunked."""
+        return self.length is not None or bool(self.transfer_codings)
 
     def _is_no_refusal(self) -> bool:
         return self.dialect.result(self.status, self.refusal) != AttemptResult.FULL
@@ -421,7 +446,7 @@
         stream.send(data)
         if self.is_complete and not self.closed:
             self._finish()
-        elif self.length is not None and not self.has_transfer_coding:
+        elif self.length is not None and not self.transfer_codings:
             self.raw_body_bytes = self.length - stream.passed_bytes
         elif self.received_bytes > MAX_OVERHEAD_PER_BODY_BYTE * stream.passed_bytes + MAX_OVERHEAD_BYTES:
             self._reject(f"{self.received_bytes} bytes received, with {stream.passed_bytes} of the body")
@@ -473,7 +498,7 @@
             self.endpoint.record_surplus()
         if self.keep_alive and not self.has_surplus and not self.is_unsent() and not self.closed:
             if self.is_parser_stale:
-                self.parser = httptools.HttpResponseParser(self)
+                self.parser = ResponseParser(self)
             self._reset()
             self.pool.keep_idle(self)
         else:
@@ -547,7 +572,7 @@
             self.dialect.close_delimited
             and self.attempt is not None
             and self.status >= 200
-            and not self.is_self_delimited
+            and not self._is_self_delimited()
             and not self.is_unsent()
             and (self.stream is not None or self.buffered_bytes <= self.dialect.body_most)
         )
