Keep ids of requests that may have run for their time, and refuse when no place is left

Cause: the table of ids held some 7,000 and dropped the oldest, so the promise ended by count.

Change: each id is one word with its second, kept for the longest give-up-s plus 6 s in 1 MiB (131,072 ids), in the emptier of two buckets; an older one stays until its place is needed; one without a place is refused with 503, logged and counted (refused_for_ids in /admin/stats). The file is a new one; beside a process of the version before, its file is used too. What a request is refused for before its pool is in one function now.

--- a/loadbalancer/frontends/fastcgi.py
+++ b/loadbalancer/frontends/fastcgi.py
@@ -269,6 +269,8 @@
             status, message = 409, "this X-Txn has been used"
         elif proxy.lacks_lease():
             status, message = 503, "this proxy is not of its fleet now"
+        elif not proxy.can_remember(item.request, item.cls):
+            status, message = 503, "too many requests that must not run twice"
         elif not proxy.has_room():
             status, message = 503, "this pool has all it can hold"
         elif not self.try_begin_request():
--- a/loadbalancer/frontends/http1.py
+++ b/loadbalancer/frontends/http1.py
@@ -8,7 +8,7 @@
 import asyncio
 import socket
 import time
-from typing import Sequence, Union
+from typing import NamedTuple, Sequence, Union
 
 from loadbalancer.admission.rulings import RETRY_AFTER_S
 from loadbalancer.frontends.connection import REQUEST_S, Phase
@@ -46,6 +46,17 @@
 IDLE, HEAD, BODY, WHOLE, LINGER, TUNNEL = Phase
 
 
+class Refusal(NamedTuple):
+    """The answer to a request that does not reach its pool."""
+
+    status: int
+    message: bytes
+    close: bool = True
+    """Whether the connection ends with it."""
+    lines: Sequence[bytes] = ()
+    """Header lines."""
+
+
 class ClientConnection(Http1Input):
     """One HTTP/1.1 client connection, on which one request at a time is served."""
 
@@ -183,24 +194,8 @@
                     item.status, self._proxy_status(item.status), item.message.encode() + b"\n", served=False
                 )
                 self._finish_answer()
-            elif self.overflow:
-                self._refuse_request(item, 503, b"too many connections\n")
-            elif item.proxy.is_known(item.request, item.cls):
-                self._refuse_request(item, 409, b"this X-Txn has been used\n")
-            elif item.proxy.lacks_lease():
-                lines = retry_after(item.proxy.retry_after_s)
-                self._refuse_request(item, 503, b"this proxy is not of its fleet now\n", False, lines)
-            elif not item.proxy.has_room():
-                self._refuse_request(item, 503, b"this pool has all it can hold\n", False)
-            elif self.listener.account.is_overdrawn:
-                self.listener.logger("refused for memory", f"a request of {self.peer}")
-                lines = retry_after(RETRY_AFTER_S)
-                self._refuse_request(item, 503, b"too much memory is in use\n", False, lines)
-            elif not self.try_begin_request():
-                lines = retry_after(RETRY_AFTER_S)
-                self._refuse_request(
-                    item, 503, b"too many requests at once from this address\n", False, lines
-                )
+            elif (refusal := self._find_refusal(item)) is not None:
+                self._refuse_request(item, refusal)
             else:
                 self.request = item.request
                 self.bodiless, self.is_http10 = item.request.bodiless, item.is_http10
@@ -208,26 +203,43 @@
         if not self.closing:
             self._set_reading(not self.waiting and not self.upload_paused)
 
+    def _find_refusal(self, item: RoutedRequest) -> Refusal | None:
+        """Return how a request is refused that may not be submitted to its pool now; None if it may."""
+        proxy = item.proxy
+        if self.overflow:
+            return Refusal(503, b"too many connections\n")
+        if proxy.is_known(item.request, item.cls):
+            return Refusal(409, b"this X-Txn has been used\n")
+        if proxy.lacks_lease():
+            lines = retry_after(proxy.retry_after_s)
+            return Refusal(503, b"this proxy is not of its fleet now\n", False, lines)
+        if not proxy.can_remember(item.request, item.cls):
+            lines = retry_after(RETRY_AFTER_S)
+            return Refusal(503, b"too many requests that must not run twice\n", False, lines)
+        if not proxy.has_room():
+            return Refusal(503, b"this pool has all it can hold\n", False)
+        if self.listener.account.is_overdrawn:
+            self.listener.logger("refused for memory", f"a request of {self.peer}")
+            return Refusal(503, b"too much memory is in use\n", False, retry_after(RETRY_AFTER_S))
+        if not self.try_begin_request():
+            lines = retry_after(RETRY_AFTER_S)
+            return Refusal(503, b"too many requests at once from this address\n", False, lines)
+        return None
+
     def _proxy_status(self, status: int) -> list[bytes]:
         """Return the Proxy-Status header that marks an answer as made by the proxy, if the dialect adds it."""
         return frontend_proxy_status(status) if self.listener.reader.adds_proxy_status else []
 
-    def _refuse_request(
-        self,
-        item: RoutedRequest,
-        status: int,
-        message: bytes,
-        close: bool = True,
-        lines: Sequence[bytes] = (),
-    ) -> None:
+    def _refuse_request(self, item: RoutedRequest, refusal: Refusal) -> None:
         """Answer a request before it reaches its pool; it has not run."""
-        item.proxy.count_rejected(item.request, item.cls, status)
-        self.close_after = self.close_after or close or self.upload is not None
+        item.proxy.count_rejected(item.request, item.cls, refusal.status)
+        self.close_after = self.close_after or refusal.close or self.upload is not None
         if self.upload is not None:
             self.upload.close()
             self.upload = None
         self.bodiless = item.request.bodiless
-        self._write(status, [*lines, *self._proxy_status(status)], message)
+        lines = [*refusal.lines, *self._proxy_status(refusal.status)]
+        self._write(refusal.status, lines, refusal.message)
         self._finish_answer()
 
     # Answering.
--- a/loadbalancer/platform/operations.py
+++ b/loadbalancer/platform/operations.py
@@ -38,6 +38,7 @@
     memory_held_bytes: int
     memory_peak_bytes: int
     memory_max_bytes: int
+    refused_for_ids: int
 
 
 def counts_of(proxy: Proxy, classes: Mapping[str, int]) -> Counts:
@@ -60,6 +61,7 @@
         "memory_held_bytes": account.held_bytes,
         "memory_peak_bytes": account.peak_bytes,
         "memory_max_bytes": account.max_bytes,
+        "refused_for_ids": proxy.ids.refused,
     }
 
 
--- a/loadbalancer/platform/upgrade.py
+++ b/loadbalancer/platform/upgrade.py
@@ -15,14 +15,14 @@
 from loadbalancer.hot_restart.override_writer import OverrideWriter
 from loadbalancer.hot_restart.phases import ACCEPTING, Observation, Phase, phase, share
 from loadbalancer.hot_restart.shared_files import OverridesFile, ProcessFile
-from loadbalancer.hot_restart.shared_ids import map_shared_ids
+from loadbalancer.hot_restart.shared_ids import map_earlier_ids, map_shared_ids
 from loadbalancer.hot_restart.shared_list import EndpointListFile
 from loadbalancer.management import platform_names as names
 from loadbalancer.management.calls import ManagementSession
 from loadbalancer.management.server import ManagementServer
 from loadbalancer.platform.node import Node
 from loadbalancer.platform.operations import PATHS, PlatformOperations
-from loadbalancer.proxy.transaction_ids import RECENT_IDS_BYTES
+from loadbalancer.proxy.recent_ids import EARLIER_IDS_BYTES, RECENT_IDS_BYTES
 from loadbalancer.resource_limits import ResourceLimits
 
 #: Interval at which the shared folder is polled: what another process writes takes effect within it.
@@ -69,7 +69,8 @@
             try:
                 self._process_file = ProcessFile(Path(folder))
                 self._elders = frozenset(self._process_file.others())
-                self._node.proxy.ids.share(map_shared_ids(Path(folder), RECENT_IDS_BYTES))
+                recent_ids = map_shared_ids(Path(folder), RECENT_IDS_BYTES)
+                self._node.proxy.ids.share(recent_ids, map_earlier_ids(Path(folder), EARLIER_IDS_BYTES))
                 self._list_file = EndpointListFile(Path(folder), self._logger)
                 self._node.discovery.copy = ListCopy()
             except (OSError, ValueError) as problem:
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -35,7 +35,7 @@
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.response_streams import ResponseStreams
 from loadbalancer.proxy.send_permission import SendPermission
-from loadbalancer.proxy.transaction_ids import TransactionIds
+from loadbalancer.proxy.transaction_ids import TransactionIds, kept_s
 from loadbalancer.resource_limits import MAX_STREAMED_BODY_BYTES, PoolLimits, RateLimitedLogger
 from loadbalancer.streaming.streams import Stream, StreamProducer
 from loadbalancer.streaming.tunnels import Tunnel, TunnelEnd, TunnelLimits, Tunnels
@@ -101,7 +101,7 @@
         self.budget = BufferBudget(limits.buffered, account)
         self.metrics = PoolMetrics(len(deployment.settings.classes))
         self.tunnels = Tunnels(tunnels or TunnelLimits(), time.monotonic)
-        self.ids = ids or TransactionIds()
+        self.ids = ids or TransactionIds(kept_s(deployment.settings.classes))
         self.dialect = dialect or _platform_dialect(deployment)
         self.upstreams = self._make_upstreams(deployment, limits, connect)
         self._compose(timeout_status)
@@ -256,6 +256,13 @@
         """Return whether a request with its transaction id is open, was unusable, or must not run again."""
         return self.ids.is_known(request.transaction, class_index in self._safe_classes)
 
+    def can_remember(self, request: OpenRequest, class_index: int) -> bool:
+        """Return whether the request's transaction id can be kept, so that it does not run twice; log it if not."""
+        if self.ids.can_remember(request.transaction, class_index in self._safe_classes):
+            return True
+        self.logger("refused", "no place is left for the ids of requests that may have run")
+        return False
+
     # The policy.
 
     def post(self, event: Event) -> None:
--- a/loadbalancer/proxy/transaction_ids.py
+++ b/loadbalancer/proxy/transaction_ids.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import zlib
-from typing import Union
+from typing import Iterable
+
+from loadbalancer.policy.settings import RequestClass
+from loadbalancer.proxy.recent_ids import RECENT_IDS_BYTES, EarlierIds, IdSet, Memory, RecentIds
 
 MAX_UNUSABLE_IDS = 2000
-"""Limit on the remembered ids of unusable requests; the oldest ids are evicted."""
+"""Limit on the remembered ids of unusable requests; the oldest ids are evicted. Such a request has no effect."""
 NO_TRANSACTION = 0
 """Number of a request without a transaction id."""
-RECENT_IDS_BYTES = 64 << 10
-"""Memory for the ids of requests that may have run: some 7,000 of them."""
-WORDS_PER_BUCKET = 8
-"""Words of 8 bytes in each part of this memory; the first one counts, the others hold ids."""
-EMPTY = 0
 BITS_OF_HALF = 32
+RESENT_WITHIN_S = 6.0
+"""Seconds past its client's time in which a request may come again: the longest that news takes on the platform."""
+DEFAULT_KEPT_S = 60.0
+"""Seconds for which ids are kept if the classes are not known."""
 
 
 def transaction_number(transaction_id: bytes) -> int:
@@ -23,41 +25,9 @@
     return half << BITS_OF_HALF | other_half or 1
 
 
-class RecentIds:
-    """Remembers the ids of the latest requests, in memory that several processes may share.
-
-    The memory is divided into buckets: the number of ids that were written to the bucket, and places for them, which
-    are written in turn. Each word is written at once, so no lock is needed; of two ids that two processes write to the
-    same place at the same time one is lost.
-    """
-
-    def __init__(self, memory: Union[bytearray, memoryview]) -> None:
-        """Use `RECENT_IDS_BYTES` of memory, with the ids that are in it."""
-        self._words = memoryview(memory).cast("Q")
-        self._bucket_count = len(self._words) // WORDS_PER_BUCKET
-
-    def _places(self, number: int) -> range:
-        first = number % self._bucket_count * WORDS_PER_BUCKET
-        return range(first + 1, first + WORDS_PER_BUCKET)
-
-    def __contains__(self, number: int) -> bool:
-        first = number % self._bucket_count * WORDS_PER_BUCKET
-        return number in self._words[first + 1 : first + WORDS_PER_BUCKET].tolist()
-
-    def add(self, number: int) -> None:
-        """Remember an id, in place of the oldest one of its bucket."""
-        if number in self:
-            return
-        places = self._places(number)
-        count_at = places[0] - 1
-        self._words[places[self._words[count_at] % len(places)]] = number
-        self._words[count_at] += 1
-
-    def discard(self, number: int) -> None:
-        """Forget an id."""
-        for place in self._places(number):
-            if self._words[place] == number:
-                self._words[place] = EMPTY
+def kept_s(classes: Iterable[RequestClass]) -> float:
+    """Return for how many seconds an id is kept: as long as a client waits in all, and its request may come again."""
+    return max((each.client_timeout for each in classes), default=0.0) + RESENT_WITHIN_S
 
 
 class TransactionIds:
@@ -68,34 +38,53 @@
     safe to repeat are not remembered. `NO_TRANSACTION` is not tracked.
     """
 
-    def __init__(self) -> None:
-        """Start without ids."""
+    def __init__(self, kept_s: float = DEFAULT_KEPT_S) -> None:
+        """Start without ids; `kept_s`: seconds for which the id of a request that may have run is kept."""
         self.open: set[int] = set()
         self.unusable: dict[int, None] = {}  # the oldest first; used as an ordered set
-        self._recent = RecentIds(bytearray(RECENT_IDS_BYTES))
+        self.refused = 0  # requests that were refused since there was no place for their ids
+        self._kept_s = kept_s
+        self._recent = RecentIds(bytearray(RECENT_IDS_BYTES), kept_s)
+        self._all_recent: tuple[IdSet, ...] = (self._recent,)
 
-    def share(self, memory: memoryview) -> None:
-        """Keep the ids of requests that may have run in memory that other processes of the same proxy use too."""
-        self._recent = RecentIds(memory)
+    def share(self, memory: Memory, earlier: Memory | None = None) -> None:
+        """Keep the ids of requests that may have run in memory that other processes of the same proxy use too.
+
+        Args:
+            memory: The memory, of `RECENT_IDS_BYTES`.
+            earlier: Memory of a process of an earlier version that still runs, if there is one.
+        """
+        self._recent = RecentIds(memory, self._kept_s)
+        self._all_recent = (self._recent,) if earlier is None else (self._recent, EarlierIds(earlier))
 
     def is_known(self, number: int, is_safe: bool = False) -> bool:
         """Return whether a request with this id is open or was unusable, or may have run and is not safe to repeat."""
         if number == NO_TRANSACTION:
             return False
-        return number in self.open or number in self.unusable or not is_safe and number in self._recent
+        if number in self.open or number in self.unusable:
+            return True
+        return not is_safe and any(number in ids for ids in self._all_recent)
+
+    def can_remember(self, number: int, is_safe: bool) -> bool:
+        """Return whether the id of a request can be kept for its time; if not, the request counts as refused."""
+        if number == NO_TRANSACTION or is_safe or self._recent.has_room(number):
+            return True
+        self.refused += 1
+        return False
 
     def opened(self, number: int, is_safe: bool) -> None:
         """Record that a request is open, before any attempt is sent; `is_safe`: it may be repeated at will."""
         if number != NO_TRANSACTION:
             self.open.add(number)
-            if not is_safe:
-                self._recent.add(number)
+            for ids in () if is_safe else self._all_recent:
+                ids.add(number)
 
     def ended(self, number: int, may_have_run: bool) -> None:
         """Record that a request has ended, and forget it if it never ran."""
         self.open.discard(number)
         if number != NO_TRANSACTION and not may_have_run:
-            self._recent.discard(number)
+            for ids in self._all_recent:
+                ids.discard(number)
 
     def found_unusable(self, number: int) -> None:
         """Record that an endpoint could not use a request."""
