--- a/standins/slow_member.py
+++ b/standins/slow_member.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
+from loadbalancer.kernel_buffers import reset_on_close
+
 #: Size of the receive buffers in the kernel, so that a member that reads slowly is noticed early.
 RECEIVE_BUFFER_BYTES = 16 << 10
 #: Seconds between two pieces of an answer that is written steadily.
@@ -39,6 +41,9 @@
         first: Bytes of the body that are written with the head, before `pause`.
         pause: Seconds between these and the rest of the body, which is written over `seconds`.
         parts: Number of parts in which the rest is written; 0 leaves that to `form`.
+        curve: Seconds from the request's last byte and bytes of each part of the answer; the first one has the head. It
+            takes the place of `size`, `seconds`, `form` and `delay`.
+        end: How the curve ends: "whole", "reset" or "never".
     """
 
     size: int = 2
@@ -53,6 +58,8 @@
     first: int = 0
     pause: float = 0.0
     parts: int = 0
+    curve: tuple[tuple[float, int], ...] = ()
+    end: str = "whole"
 
     @classmethod
     def from_target(cls, target: str) -> AnswerPlan:
@@ -72,9 +79,17 @@
             int(query.get("first", default.first)),
             float(query.get("pause", default.pause)),
             int(query.get("parts", default.parts)),
+            _read_curve(query.get("curve", "")),
+            query.get("end", default.end),
         )
 
 
+def _read_curve(text: str) -> tuple[tuple[float, int], ...]:
+    """Read a curve such as `0.1-0,0.9-18000`."""
+    points = (point.split("-") for point in text.split(",") if point)
+    return tuple((float(at), int(size)) for at, size in points)
+
+
 def answer_body(txn: str, size: int) -> bytes:
     """Return the body that answers a request: its id, again and again."""
     unit = txn.encode() + b"."
@@ -128,8 +143,11 @@
                 await asyncio.sleep(plan.rest)
                 await self._read_body(reader, head, plan.read_rate)
                 self.effects[txn] += 1
-                await asyncio.sleep(plan.delay)
-                await write_answer(writer, answer_body(txn, plan.size), plan)
+                if plan.curve:
+                    await write_curve(writer, txn, plan)
+                else:
+                    await asyncio.sleep(plan.delay)
+                    await write_answer(writer, answer_body(txn, plan.size), plan)
                 if plan.framing == "close":
                     writer.close()
                     return
@@ -172,14 +190,40 @@
                 await asyncio.sleep(READ_INTERVAL_S)
 
 
-async def write_answer(writer: asyncio.StreamWriter, body: bytes, plan: AnswerPlan) -> None:
-    """Write an answer with this body as a plan describes it; a stalled one is never completed."""
-    framing = {
-        "length": b"Content-Length: %d\r\n" % len(body),
+async def write_curve(writer: asyncio.StreamWriter, txn: str, plan: AnswerPlan) -> None:
+    """Write an answer as its curve describes it; raise ConnectionError for one that ends with a reset."""
+    received_at = asyncio.get_running_loop().time()
+    body = memoryview(answer_body(txn, sum(size for _, size in plan.curve)))
+    for number, (at, size) in enumerate(plan.curve):
+        await asyncio.sleep(received_at + at - asyncio.get_running_loop().time())
+        if number == 0:
+            stated = len(body) + (0 if plan.end == "whole" else 1)  # its last byte never comes
+            writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % _framing_line(plan.framing, stated))
+        part, body = bytes(body[:size]), body[size:]
+        if part:
+            writer.write(b"%x\r\n%b\r\n" % (size, part) if plan.framing == "chunked" else part)
+        await writer.drain()
+    if plan.end == "never":
+        await asyncio.Event().wait()
+    if plan.end == "reset":
+        reset_on_close(writer.get_extra_info("socket"))
+        raise ConnectionResetError
+    if plan.framing == "chunked":
+        writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
+def _framing_line(framing: str, size: int) -> bytes:
+    return {
+        "length": b"Content-Length: %d\r\n" % size,
         "chunked": b"Transfer-Encoding: chunked\r\n",
         "close": b"Connection: close\r\n",
-    }[plan.framing]
-    writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % framing)
+    }[framing]
+
+
+async def write_answer(writer: asyncio.StreamWriter, body: bytes, plan: AnswerPlan) -> None:
+    """Write an answer with this body as a plan describes it; a stalled one is never completed."""
+    writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % _framing_line(plan.framing, len(body)))
     written = 0
     await writer.drain()
     for piece, pause in _pieces(body, plan):
