Soak: clients whose answers come late, rest, or never end

What holds whatever happens to members and processes is judged: own bytes, no whole answer from one that was not, one effect.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -38,6 +38,7 @@
 from benchmarks.soak_crowds import SoakCrowds
 from benchmarks.soak_evidence import UsageRecord, describe_sockets, describe_threads, read_usage
 from benchmarks.soak_hold_ups import HoldUps
+from benchmarks.soak_paces import SoakPaces
 from benchmarks.soak_peers import STALL_S, Address, Journal, SoakClient, SoakDiscovery, SoakMember
 from benchmarks.soak_unread_log import UnreadLog
 
@@ -123,12 +124,14 @@
         hangs_at_end: Whether all members hang during each shutdown.
         log_is_unread: Whether nobody reads what the process writes to its standard error.
         has_crowds: Whether crowds come with each process.
+        has_late_bodies: Whether some answers come late, rest, or never end.
     """
 
     hold_up_s: float = 0.0
     hangs_at_end: bool = False
     log_is_unread: bool = False
     has_crowds: bool = False
+    has_late_bodies: bool = False
 
 
 #: The default, used in CI.
@@ -187,6 +190,7 @@
         self._hangs_at_end = disturbances.hangs_at_end
         self._log_is_unread = disturbances.log_is_unread
         self._has_crowds = disturbances.has_crowds
+        self._has_late_bodies = disturbances.has_late_bodies
         self._unread_log: UnreadLog | None = None
         self._hold_ups = HoldUps(disturbances.hold_up_s, schedule.seed, DEADLINE_S, self.journal)
         self._current = 0
@@ -319,8 +323,9 @@
         tasks = [asyncio.ensure_future(client.run()) for client in clients]
         await self._open_idle_connections(address)
         crowds = self._make_crowds(process.pid, number, address)
+        paces = self._make_paces(number, address)
         await asyncio.sleep(max(1.0, duration_s))
-        if number == 0 and not self.schedule.has_idle_clients and crowds is None:
+        if number == 0 and not self.schedule.has_idle_clients and crowds is None and paces is None:
             tasks = await self._check_descriptors(process, descriptors, clients, tasks)
         if process.returncode is not None:
             self.journal.record_violation("crash", f"life {number} ended with {process.returncode}")
@@ -330,6 +335,8 @@
         await self._hold_ups.close()
         if crowds is not None:
             await crowds.close()
+        if paces is not None:
+            await paces.stop()
         self._set_hanging(False)
         for client in clients:
             client.stopped = True
@@ -355,6 +362,17 @@
         crowds.start()
         return crowds
 
+    def _make_paces(self, number: int, address: Address) -> SoakPaces | None:
+        """Return the clients of answers that come late, rest, or never end, if the soak has them."""
+        if not self._has_late_bodies:
+            return None
+        paces = SoakPaces(self.schedule.seed * 10 + number, address, self.journal, self._count_effects)
+        paces.start()
+        return paces
+
+    def _count_effects(self, txn: str) -> int:
+        return sum(len(member.executions[txn]) for member in self._members if txn in member.executions)
+
     async def _open_idle_connections(self, address: Address) -> None:
         for _ in range(IDLE_CLIENTS if self.schedule.has_idle_clients else 0):
             with suppress(OSError):
@@ -550,8 +568,11 @@
     parser.add_argument("--hang-at-end", action="store_true")
     parser.add_argument("--unread-log", action="store_true")
     parser.add_argument("--crowds", action="store_true")
+    parser.add_argument("--late-bodies", action="store_true")
     options = parser.parse_args()
-    disturbances = Disturbances(options.hold_up, options.hang_at_end, options.unread_log, options.crowds)
+    disturbances = Disturbances(
+        options.hold_up, options.hang_at_end, options.unread_log, options.crowds, options.late_bodies
+    )
     seeds = range(options.first, options.first + options.seeds)
     return 1 if asyncio.run(_run_all(seeds, options.seconds, options.side_by_side, disturbances)) else 0
 
--- a/benchmarks/soak_peers.py
+++ b/benchmarks/soak_peers.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Callable, Iterator
 
-from standins.slow_member import AnswerPlan, answer_body, write_answer
+from standins.slow_member import AnswerPlan, answer_body, write_answer, write_curve
 
 Address = tuple[str, int]
 
@@ -95,7 +95,10 @@
                 await asyncio.sleep(0.2 if self.fault == "slow" else 0.003)
                 if b"?" in head.split(b" ", 2)[1]:
                     plan = AnswerPlan.from_target(head.split(b" ", 2)[1].decode())
-                    await write_answer(writer, answer_body(txn, plan.size), plan)
+                    if plan.curve:
+                        await write_curve(writer, txn, plan)
+                    else:
+                        await write_answer(writer, answer_body(txn, plan.size), plan)
                     if plan.framing == "close":
                         break
                     continue
--- a/standins/paces.py
+++ b/standins/paces.py
@@ -135,7 +135,7 @@
 
 async def play(address: Address, exchange: Exchange) -> tuple[str, Heard]:
     """Play an exchange on a connection of its own; return the request's id, and what the client heard."""
-    txn = f"pace-{exchange.lane}-{next(_numbers)}"
+    txn = f"{exchange.lane}-pace-{next(_numbers)}"
     size = sum(part for _, part in exchange.upload)
     lines = [] if exchange.lane == "safe" else [f"Content-Length: {size}"]
     reader, writer = await asyncio.open_connection(*address)
@@ -194,12 +194,9 @@
 def find_broken_rule(exchange: Exchange, heard: Heard) -> str | None:
     """Return the sentence that an exchange has broken, or None."""
     last_moment_s = exchange.time_s + GRACE_S + SLACK_S
-    if exchange.lane == "unsafe" and heard.effects > 1:
-        return "no effect twice"
-    if not heard.is_own:
-        return "an answer made for its request, unchanged"
-    if heard.status == 200 and heard.is_whole and exchange.end != "whole":
-        return "a reset is no end, and neither is silence"
+    safety_rule = find_broken_safety_rule(exchange, heard)
+    if safety_rule is not None:
+        return safety_rule
     if heard.first_byte_s > last_moment_s:
         return "a final answer, or its first byte, within half a second after its client's time"
     if heard.end_s >= END_S:
@@ -215,6 +212,17 @@
     return None
 
 
+def find_broken_safety_rule(exchange: Exchange, heard: Heard) -> str | None:
+    """Return the sentence that an exchange has broken whatever happens to endpoints and processes, or None."""
+    if exchange.lane == "unsafe" and heard.effects > 1:
+        return "no effect twice"
+    if not heard.is_own:
+        return "an answer made for its request, unchanged"
+    if heard.status == 200 and heard.is_whole and exchange.end != "whole":
+        return "a reset is no end, and neither is silence"
+    return None
+
+
 def _is_owed_whole(exchange: Exchange) -> bool:
     """Return whether an answer has to come whole."""
     if exchange.end != "whole" or exchange.curve[0][0] > AIM_S - SLACK_S:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,6 +56,17 @@
     )
 
 
+# Guards against answers that come late, rest or never end, beside signals, drains and members that hang.
+@pytest.mark.parametrize("seed", [pytest.param(9001, id="run"), pytest.param(9004, id="serve")])
+def test_no_rule_is_broken_beside_late_bodies(seed: int) -> None:
+    soak = asyncio.run(run_soak(seed, SHORT_RUN_S, Disturbances(has_late_bodies=True)))
+
+    assert soak.counts["200"] > 100
+    assert not soak.journal.violations, "\n".join(
+        (soak.journal.violations[0], *soak.journal.preceding_events)
+    )
+
+
 # Guards against an event loop that blocks until its log is read, which would delay every client as long.
 @pytest.mark.parametrize(
     ("seed", "seconds"),
