Let a member that has written all of an answer read its next request at once

Cause: the curve of an answer with a stated length went on with empty parts after its last byte. The proxy had the whole answer and kept the connection, and the member slept through its curve before it read the next request: a fault of the stand-in. A curve has no empty parts now.

--- a/standins/paces.py
+++ b/standins/paces.py
@@ -120,7 +120,8 @@
     interval = source.choice((0.05, 0.5, 2.0, 4.0, 6.0)) / parts
     for number in range(parts):
         part = left if number == parts - 1 else min(left, round(size / parts * source.uniform(0.5, 1.5)))
-        points.append((at, part))
+        if part:  # a member that has written all reads the next request at once
+            points.append((at, part))
         left -= part
         at += interval * source.uniform(0.5, 1.5)
     return tuple(points)
