Close the idle connections of a silent endpoint for an overdue request too

A request that fails as overdue before its attempt times out (the process was held up as it began) left the idle connections of its silent endpoint open, for the next requests to lose their time on.

Cause: AttemptRunner.time_out closes them, Proxy._on_overdue ended the attempt without. Evidence: the new test with the request's timer first, 1 connection left before and 0 now.

--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -331,6 +331,9 @@
     def _on_overdue(self, request: OpenRequest) -> None:
         """Fail a request that the policy has not answered in time; the policy's own timers expire earlier."""
         self.logger("overdue request failed", request.id)
+        for attempt in request.attempts:
+            if not attempt.ended and attempt.is_written():
+                self.upstreams.close_idle_if_silent(attempt)
         self._owner.abandon(request)
 
     # Called by upstream connections.
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -24,6 +24,7 @@
 from loadbalancer.policy.events import (
     AttemptResult,
 )
+from loadbalancer.proxy import request_table
 from loadbalancer.proxy.open_requests import OpenRequest
 from loadbalancer.upstreams import connections as connections_module
 from loadbalancer.upstreams import http1 as backend_module
@@ -515,6 +516,21 @@
 
 @pytest.mark.parametrize("received", [False, True])
 def test_timeout_closes_idle_connections_only_if_no_byte_was_received(received: bool) -> None:
+    check_idle_connections_after_a_timeout(received)
+
+
+@pytest.mark.parametrize("received", [False, True])
+def test_overdue_request_closes_idle_connections_only_if_no_byte_was_received(
+    received: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process held up as a request begins, whose own timer then expires before its attempt's."""
+    monkeypatch.setattr(request_table, "OVERDUE_S", -0.1)
+    check_idle_connections_after_a_timeout(received)
+
+
+def check_idle_connections_after_a_timeout(received: bool) -> None:
+    """Check what a request without an answer does to the idle connections of its endpoint."""
+
     async def scene() -> None:
         backend = ScriptedBackend("s", answering(OK))
         async with running_proxy(backend) as here:
