Check the chunks of answers behind the parser, and remember valid hosts

Answers are acted on once a read has been parsed, so their chunks can be checked behind the parser, and only chunked ones are looked at twice; a target is one pattern, and the validity of a host is remembered.

--- a/loadbalancer/http_grammar.py
+++ b/loadbalancer/http_grammar.py
@@ -8,12 +8,15 @@
 
 import ipaddress
 import re
+from functools import lru_cache
 
 VERSIONS = frozenset(("1.0", "1.1"))
 """Versions of messages that are read (RFC 9112, 2.3)."""
 CHUNKED = b"chunked"
 """The only transfer coding that is understood (RFC 9112, 7)."""
 MAX_PORT = 65535
+CACHED_HOSTS = 64
+"""Hosts whose validity is remembered: most requests name one of a few."""
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _QUOTED_STRING = rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t \x21-\x7e\x80-\xff])*"'
@@ -25,6 +28,7 @@
 #: Possessive, so that a long text that does not match is given up at once.
 _PATH = re.compile(rb"(?:%b++|%b)*+" % (_PATH_CHARACTER, _PERCENT_ENCODED))
 _QUERY = re.compile(rb"(?:%b++|\?|%b)*+" % (_PATH_CHARACTER, _PERCENT_ENCODED))
+_ORIGIN_FORM = re.compile(rb"/%b(?:\?%b)?" % (_PATH.pattern, _QUERY.pattern))
 _REASON_PHRASE = re.compile(rb"[\t \x21-\x7e\x80-\xff]*")
 _CHUNK_LINE = re.compile(
     rb"[0-9A-Fa-f]{1,16}(?:[ \t]*;[ \t]*%b(?:[ \t]*=[ \t]*(?:%b|%b))?)*" % (_TOKEN, _TOKEN, _QUOTED_STRING)
@@ -35,6 +39,7 @@
     """A message violates a rule of HTTP; the text names it."""
 
 
+@lru_cache(maxsize=CACHED_HOSTS)
 def is_host(value: bytes) -> bool:
     """Return whether a Host field is valid: a host, and a port if there is a colon (RFC 9110, 7.2; RFC 3986, 3.2.2).
 
@@ -67,8 +72,7 @@
 
 def is_origin_form(target: bytes) -> bool:
     """Return whether a request target is an absolute path, with or without a query (RFC 9112, 3.2.1)."""
-    path, _, query = target.partition(b"?")
-    return path.startswith(b"/") and is_path(path) and is_query(query)
+    return _ORIGIN_FORM.fullmatch(target) is not None
 
 
 def is_reason_phrase(value: bytes) -> bool:
--- a/loadbalancer/request_parser.py
+++ b/loadbalancer/request_parser.py
@@ -89,9 +89,11 @@
             httptools.HttpParserError: The bytes are not HTTP/1.1, or a callback has raised.
         """
         while data:
-            part, data = self._split(data)
             try:
+                part, data = self._splitter.split(data)
                 self._parser.feed_data(part)
+            except MessageError as problem:
+                raise httptools.HttpParserError(str(problem)) from problem
             except httptools.HttpParserUpgrade as offer:
                 data = part[offer.args[0] :] + data
                 if not self._framing:
@@ -100,12 +102,6 @@
                 self._restart_in_body()
         return b""
 
-    def _split(self, data: bytes) -> tuple[bytes, bytes]:
-        try:
-            return self._splitter.split(data)
-        except MessageError as problem:
-            raise httptools.HttpParserError(str(problem)) from problem
-
     def _restart_in_body(self) -> None:
         """Let a new parser continue with the body of the current request.
 
--- a/loadbalancer/response_parser.py
+++ b/loadbalancer/response_parser.py
@@ -1,23 +1,20 @@
-"""Parses the answers of one connection to an endpoint, and checks what the parser library lets pass."""
+"""Parses the answers of one connection to an endpoint, and checks the lines between chunks, which the library skips."""
 
 from __future__ import annotations
 
-import sys
 from typing import Protocol
 
 import httptools
 
 from loadbalancer.http_grammar import MessageError
-from loadbalancer.message_splitter import MessageSplitter
-
-UNBOUNDED = sys.maxsize
-"""Length of a body that ends with its connection."""
+from loadbalancer.message_splitter import HEAD_END, ChunkedBody
 
 
 class ResponseHandler(Protocol):
     """Receives the parts of each answer, in order. What it raises ends `feed_data` as an HttpParserCallbackError.
 
-    `on_headers_complete` calls `ResponseParser.begin_body`.
+    `on_headers_complete` calls `ResponseParser.end_head`. What the handler does with an answer it does once `feed_data`
+    has returned.
     """
 
     def on_message_begin(self) -> None:
@@ -42,19 +39,30 @@
 class ResponseParser:
     """The parser of one connection."""
 
-    __slots__ = ("_parser", "_splitter", "get_http_version", "get_status_code", "should_keep_alive")
+    __slots__ = (
+        "_chunks",
+        "_head_tail",
+        "_heads_ended",
+        "_parser",
+        "get_http_version",
+        "get_status_code",
+        "should_keep_alive",
+    )
 
     def __init__(self, handler: ResponseHandler) -> None:
         """Create a parser that expects an answer."""
         self._parser = httptools.HttpResponseParser(handler)
-        self._splitter = MessageSplitter()
+        self._chunks: ChunkedBody | None = None  # the body that is arriving, if it is chunked
+        self._head_tail = b""  # the last bytes before what is being fed
+        self._heads_ended = 0  # in what is being fed: of interim answers, and of the final one
         self.get_http_version = self._parser.get_http_version
         self.get_status_code = self._parser.get_status_code
         self.should_keep_alive = self._parser.should_keep_alive
 
-    def begin_body(self, length: int | None) -> None:
-        """Expect a body of so many bytes, None if it is chunked; the handler calls this in `on_headers_complete`."""
-        self._splitter.begin_body(length)
+    def end_head(self, is_chunked: bool) -> None:
+        """Record that a head is complete, and whether a chunked body follows it."""
+        self._heads_ended += 1
+        self._chunks = ChunkedBody() if is_chunked else None
 
     def feed_data(self, data: bytes) -> None:
         """Parse received bytes.
@@ -62,14 +70,20 @@
         Raises:
             httptools.HttpParserError: The bytes are not HTTP/1.1, or a callback has raised.
             httptools.HttpParserUpgrade: What follows is in another protocol; the argument is its offset.
+            MessageError: A chunk is malformed, also if the parser has taken the whole answer.
         """
-        offset, rest = 0, data
-        while rest:
-            try:
-                part, rest = self._splitter.split(rest)
-                self._parser.feed_data(part)
-            except MessageError as problem:
-                raise httptools.HttpParserError(str(problem)) from problem
-            except httptools.HttpParserUpgrade as offer:
-                raise httptools.HttpParserUpgrade(offset + offer.args[0]) from None
-            offset += len(part)
+        chunks, self._heads_ended = self._chunks, 0
+        self._parser.feed_data(data)
+        if self._chunks is not None:
+            self._chunks.follow(data if self._chunks is chunks else self._body_of(data))
+        self._head_tail = data[1 - len(HEAD_END) :]
+
+    def _body_of(self, data: bytes) -> bytes:
+        """Return the bytes behind the last head that has ended in them."""
+        data = self._head_tail + data
+        end = 0
+        for _ in range(self._heads_ended):
+            end = data.find(HEAD_END, end) + len(HEAD_END)
+            if end < len(HEAD_END):
+                raise MessageError("a head that does not end with an empty line")
+        return data[end:]
--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -11,7 +11,7 @@
 from loadbalancer.http_grammar import VERSIONS, MessageError, is_chunked_alone, is_reason_phrase
 from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES
 from loadbalancer.policy.events import AttemptResult
-from loadbalancer.response_parser import UNBOUNDED, ResponseParser
+from loadbalancer.response_parser import ResponseParser
 from loadbalancer.streaming.streams import Stream
 from loadbalancer.streaming.uploads import Upload
 from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
@@ -32,6 +32,7 @@
 MAX_FIELDS = 256
 #: Body of a request up to which it is copied behind its head, to be sent in one call.
 MAX_JOINED_BODY_BYTES = 16 << 10
+USUAL_REASON = b"OK"
 #: Statuses of answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
 BODILESS = frozenset((204, 304))
 
@@ -202,8 +203,7 @@
         self.status = self.parser.get_status_code()
         self._check_head()
         attempt = self.attempt
-        if self.status != 101:
-            self.parser.begin_body(self._body_length())
+        self.parser.end_head(self._has_chunked_body())
         if attempt is None or self.status < 200:
             return
         attempt.answered_at = time.monotonic()
@@ -219,18 +219,15 @@
         version = self.parser.get_http_version()
         if version not in VERSIONS:
             raise MessageError(f"HTTP/{version} in the status line")
-        if not is_reason_phrase(self.reason):
+        if self.reason != USUAL_REASON and not is_reason_phrase(self.reason):
             raise MessageError("a control character in the reason phrase")
         if self.transfer_codings and (version == "1.0" or not is_chunked_alone(self.transfer_codings)):
             raise MessageError(f"Transfer-Encoding {self.transfer_codings!r} in HTTP/{version}")
 
-    def _body_length(self) -> int | None:
-        """Return the bytes of the body behind the head that is complete; see `ResponseParser.begin_body`."""
-        if self.status < 200 or self.status in BODILESS:
-            return 0
-        if self.transfer_codings:
-            return None
-        return UNBOUNDED if self.length is None else self.length
+    def _has_chunked_body(self) -> bool:
+        """Return whether a chunked body follows the head that is complete; the answer to HEAD has none."""
+        is_bodiless = self.attempt is not None and self.attempt.request.bodiless
+        return bool(self.transfer_codings) and not is_bodiless and self.status not in BODILESS
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body, charged to the budget."""
@@ -280,6 +277,9 @@
                 self.parser.feed_data(data)
             else:
                 self.unparsed = self._parse(data)
+        except MessageError as problem:
+            self._reject(problem)
+            return
         except httptools.HttpParserUpgrade as offer:
             if self.status == 101:
                 self._switch_protocol(data[offer.args[0] :])
@@ -307,6 +307,7 @@
         Raises:
             httptools.HttpParserError: The bytes are not HTTP/1.1.
             httptools.HttpParserUpgrade: What follows is in another protocol; the argument is its offset.
+            MessageError: A chunk is malformed.
         """
         assert self.parser is not None
         self.part_count, begin, size = 0, 0, SLICE_BYTES
