--- a/loadbalancer/response_parser.py
+++ b/loadbalancer/response_parser.py
@@ -76,7 +76,10 @@
         self._parser.feed_data(data)
         if self._chunks is not None:
             self._chunks.follow(data if self._chunks is chunks else self._body_of(data))
-        self._head_tail = data[1 - len(HEAD_END) :]
+        tail = data[1 - len(HEAD_END) :]
+        self._head_tail = (
+            tail if len(data) >= len(HEAD_END) else (self._head_tail + tail)[1 - len(HEAD_END) :]
+        )
 
     def _body_of(self, data: bytes) -> bytes:
         """Return the bytes behind the last head that has ended in them."""
