Let the head of an answer stand apart from the connection that receives it

Readability: upstreams/http1.py had three jobs, and this incident led into all of them. One difference: an upgrade has to be an option of Connection by itself, where any option that contained the word was taken.

--- a/loadbalancer/upstreams/http1.py
+++ b/loadbalancer/upstreams/http1.py
@@ -4,11 +4,11 @@
 
 import socket
 import time
-from typing import Mapping, cast
+from typing import cast
 
 import httptools
 
-from loadbalancer.http_grammar import VERSIONS, MessageError, is_chunked_alone, is_reason_phrase
+from loadbalancer.http_grammar import MessageError
 from loadbalancer.input_turns import MAX_PARTS, SLICE_BYTES
 from loadbalancer.policy.events import AttemptResult
 from loadbalancer.response_parser import ResponseParser
@@ -16,9 +16,9 @@
 from loadbalancer.streaming.uploads import Upload
 from loadbalancer.upstreams.connections import Attempt, UpstreamEndpoint, UpstreamPools
 from loadbalancer.upstreams.dialect import Dialect
-from loadbalancer.upstreams.interfaces import TunnelOwner, UpstreamResponse
+from loadbalancer.upstreams.http1_head import Http1ResponseHead
+from loadbalancer.upstreams.interfaces import TunnelOwner
 from loadbalancer.upstreams.partial_answers import PartialAnswer
-from loadbalancer.upstreams.report import read_report
 from loadbalancer.upstreams.tunnel_end import UpstreamTunnelEnd
 
 #: Bytes that may be received for one request beyond the body of its answer: head, interim answers, framing of chunks.
@@ -28,13 +28,8 @@
 MAX_OVERHEAD_PER_BODY_BYTE = 8
 #: Bytes that may be received before the head of the answer is complete.
 MAX_HEAD_BYTES = 32 << 10
-#: Header fields of an answer, with its trailers, at most.
-MAX_FIELDS = 256
 #: Body of a request up to which it is copied behind its head, to be sent in one call.
 MAX_JOINED_BODY_BYTES = 16 << 10
-USUAL_REASON = b"OK"
-#: Statuses of answers that have no body, whatever their headers say (RFC 9110, 6.4.1).
-BODILESS = frozenset((204, 304))
 
 
 class Http1UpstreamConnection(UpstreamTunnelEnd):
@@ -76,17 +71,7 @@
         self.raw_body_bytes = 0
 
     def _reset_head(self) -> None:
-        self.status = 0
-        self.field_count = 0
-        self.lines: list[bytes] = []
-        self.length: int | None = None
-        self.transfer_codings = b""  # values of the Transfer-Encoding headers
-        self.refusal: bytes | None = None
-        self.retry_value: bytes | None = None  # value of the header that requests a retry
-        self.load_report = b""
-        self.reason = b""
-        self.connection_options = b""  # options of the Connection headers
-        self.upgrade_protocol = b""  # value of the Upgrade header
+        self.head = Http1ResponseHead(self.dialect, self.not_passed)
 
     def _release_body(self) -> None:
         self.pool.budget.release(self.buffered_bytes)
@@ -164,47 +149,29 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header to forward, or one that frames or describes the answer."""
-        self.field_count += 1
-        if self._ignores_field():
-            return
-        value = value.strip(b" \t")  # the parser keeps trailing whitespace (RFC 9112, 5.1)
-        key = name.lower()
-        if key not in self.not_passed:
-            self.lines.append(b"%b: %b\r\n" % (name, value))
-        elif key == self.dialect.report_header:
-            self.load_report = value
-        elif key == self.dialect.refusal_header:
-            self.refusal = value
-        elif key == self.dialect.repeat_header:
-            self.retry_value = value
-        elif key == b"content-length":
-            self.length = int(value)
-        elif key == b"transfer-encoding":
-            self.transfer_codings += b"," + value if self.transfer_codings else value
-        elif key == b"connection":
-            self.connection_options += b"," + value.lower()
-        elif key == b"upgrade":
-            self.upgrade_protocol = value.lower()
+        self.head.field_count += 1
+        if not self._ignores_field():
+            self.head.add(name, value)
 
     def _ignores_field(self) -> bool:
         """Return whether a field is a trailer, of an unsolicited answer, or of an answer with too many of them."""
         if self.has_surplus or self.buffered_bytes or self.stream is not None:
             return True
-        return self.field_count > MAX_FIELDS
+        return self.head.has_too_many_fields()
 
     def on_status(self, reason: bytes) -> None:
         """Append a part of the reason phrase."""
-        self.reason += reason
+        self.head.reason += reason
 
     def on_headers_complete(self) -> None:
         """Store the status; the answer to HEAD is complete."""
         if self.has_surplus or self.parser is None or self.is_complete:
             return
-        self.status = self.parser.get_status_code()
-        self._check_head()
+        self.head.status = self.parser.get_status_code()
+        self.head.check(self.parser.get_http_version())
         attempt = self.attempt
         self.parser.end_head(self._has_chunked_body())
-        if attempt is None or self.status < 200:
+        if attempt is None or self.head.status < 200:
             return
         attempt.answered_at = time.monotonic()
         if attempt.request.bodiless:
@@ -213,28 +180,17 @@
             self.keep_alive = self.parser.should_keep_alive()
             self.length_only = self.is_parser_stale = True
 
-    def _check_head(self) -> None:
-        """Raise MessageError for a head that the parser lets pass although it violates HTTP."""
-        assert self.parser is not None
-        version = self.parser.get_http_version()
-        if version not in VERSIONS:
-            raise MessageError(f"HTTP/{version} in the status line")
-        if self.reason != USUAL_REASON and not is_reason_phrase(self.reason):
-            raise MessageError("a control character in the reason phrase")
-        if self.transfer_codings and (version == "1.0" or not is_chunked_alone(self.transfer_codings)):
-            raise MessageError(f"Transfer-Encoding {self.transfer_codings!r} in HTTP/{version}")
-
     def _has_chunked_body(self) -> bool:
         """Return whether a chunked body follows the head that is complete; the answer to HEAD has none."""
         is_bodiless = self.attempt is not None and self.attempt.request.bodiless
-        return bool(self.transfer_codings) and not is_bodiless and self.status not in BODILESS
+        return bool(self.head.transfer_codings) and not is_bodiless and self.head.allows_body()
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body, charged to the budget."""
         self.part_count += 1
         if self.is_complete:
             self.has_surplus = True
-        elif not self.has_surplus and (self.status == 200 or not self.dialect.platform):
+        elif not self.has_surplus and (self.head.status == 200 or not self.dialect.platform):
             self.body.append(body)
             self.buffered_bytes += len(body)
             self.pool.budget.charge(len(body))
@@ -243,9 +199,9 @@
         """Record that the answer is complete, or skip an interim one."""
         if self.has_surplus or self.parser is None or self.length_only:
             return
-        if self.status == 101:  # what follows is in another protocol, or unsolicited
+        if self.head.status == 101:  # what follows is in another protocol, or unsolicited
             return
-        if self.status < 200:  # an interim answer: the final one follows
+        if self.head.status < 200:  # an interim answer: the final one follows
             self._reset_head()
             return
         self.is_complete = True
@@ -281,7 +237,7 @@
             self._reject(problem)
             return
         except httptools.HttpParserUpgrade as offer:
-            if self.status == 101:
+            if self.head.status == 101:
                 self._switch_protocol(data[offer.args[0] :])
                 return
             self.has_surplus = True
@@ -355,20 +311,20 @@
         if self.stream is not None:
             self._forward(self.stream)
             return
-        if self.field_count > MAX_FIELDS:
+        if self.head.has_too_many_fields():
             self._reject("too many header fields")
             return
         if self._lacks_framing() and not self._may_end_with_connection():
             # A truncated answer would look complete.
             self._reject("the answer has neither a length nor chunked framing")
             return
-        if self.upload is not None and self.status >= 200 and self._is_no_refusal():
+        if self.upload is not None and self.head.status >= 200 and self._is_no_refusal():
             self._reject("answered before the request body was complete")
         elif self.is_complete and self.buffered_bytes <= dialect.body_most:
             self._finish()
         elif self.received_bytes > (
             MAX_OVERHEAD_PER_BODY_BYTE * self.buffered_bytes + MAX_OVERHEAD_BYTES
-            if self.status
+            if self.head.status
             else MAX_HEAD_BYTES
         ):
             self._reject(f"{self.received_bytes} bytes received, with {self.buffered_bytes} of the body")
@@ -381,17 +337,17 @@
         """Return whether the incomplete answer is too long to be buffered, or memory too short to buffer it."""
         if self.length_only:
             return False
-        if max(self.buffered_bytes, self.length or 0) > self.dialect.body_most:
+        if max(self.buffered_bytes, self.head.length or 0) > self.dialect.body_most:
             return True
         return self.pool.budget.account.is_tight and self._can_be_streamed()
 
     def _can_be_streamed(self) -> bool:
         """Return whether the answer, whose end has not come, was served and has a body."""
-        return self._is_served() and not self.length_only and bool(self.dialect.stream_most)
+        return self.head.is_served() and not self.length_only and bool(self.dialect.stream_most)
 
     def _has_unknown_end(self) -> bool:
         """Return whether a part of a body has arrived that is not complete and whose length is not stated."""
-        return self.status >= 200 and self.length is None and not self.is_complete
+        return self.head.status >= 200 and self.head.length is None and not self.is_complete
 
     def find_partial_answer(self) -> PartialAnswer | None:
         """Return the progress of an answer without a stated length that may be streamed; see `Upstream`."""
@@ -408,24 +364,20 @@
 
     def _lacks_framing(self) -> bool:
         """Return whether the head is complete and states no end of the body that it announces."""
-        has_body = self.status > 0 and self.status not in BODILESS and not self.length_only
-        return has_body and not self._is_self_delimited()
-
-    def _is_self_delimited(self) -> bool:
-        """Return whether the answer has a length of its own or is chunked."""
-        return self.length is not None or bool(self.transfer_codings)
+        has_body = self.head.status > 0 and self.head.allows_body() and not self.length_only
+        return has_body and not self.head.is_self_delimited()
 
     def _is_no_refusal(self) -> bool:
-        return self.dialect.result(self.status, self.refusal) != AttemptResult.FULL
+        return self.head.result() != AttemptResult.FULL
 
     def _begin_stream(self) -> None:
         """Stream an answer that is too long to be buffered, if it is SERVED and within the limit for streams."""
         dialect, attempt = self.dialect, self.attempt
         assert attempt is not None
-        if not self._is_served() or max(self.buffered_bytes, self.length or 0) > dialect.stream_most:
+        if not self.head.is_served() or max(self.buffered_bytes, self.head.length or 0) > dialect.stream_most:
             self._reject(f"a body longer than {dialect.body_most} bytes that can't be streamed")
             return
-        stream = self.pool.owner.begin_answer(attempt, self._build_response(b"", self.length), self)
+        stream = self.pool.owner.begin_answer(attempt, self.head.build_response(b"", self.head.length), self)
         if stream is None or self.closed:
             return
         self.stream = stream
@@ -433,10 +385,6 @@
             self.begin_partial_answer(dialect.body_most).watch(stream)
         self._forward(stream)
 
-    def _is_served(self) -> bool:
-        """Return whether the head is complete and says that the request was served."""
-        return self.status > 0 and self.dialect.result(self.status, self.refusal) == AttemptResult.SERVED
-
     def _forward(self, stream: Stream) -> None:
         """Forward the bytes of a streamed body received so far; abort it if the answer turns out to be invalid."""
         data = b"".join(self.body)
@@ -447,8 +395,8 @@
         stream.send(data)
         if self.is_complete and not self.closed:
             self._finish()
-        elif self.length is not None and not self.transfer_codings:
-            self.raw_body_bytes = self.length - stream.passed_bytes
+        elif self.head.length is not None and not self.head.transfer_codings:
+            self.raw_body_bytes = self.head.length - stream.passed_bytes
         elif self.received_bytes > MAX_OVERHEAD_PER_BODY_BYTE * stream.passed_bytes + MAX_OVERHEAD_BYTES:
             self._reject(f"{self.received_bytes} bytes received, with {stream.passed_bytes} of the body")
 
@@ -477,7 +425,7 @@
         whose answers exceed the limits fails.
         """
         self.pool.logger("spoilt answer", error)
-        self.status = 0  # no part of the invalid answer is used
+        self.head.status = 0  # no part of the invalid answer is used
         self.fail(AttemptResult.RESET)
 
     def _finish(self) -> None:
@@ -485,14 +433,14 @@
         attempt = self.attempt
         assert attempt is not None
         self.end_partial_answer()
-        result = self.dialect.result(self.status, self.refusal)
-        report = self._read_load_report()
+        result = self.head.result()
+        report = self.head.read_load_report(self.pool.logger)
         answer, streamed = None, self.stream is not None
         if streamed:
             self.set_reading_paused(False)
         elif result == AttemptResult.SERVED or (result == AttemptResult.ERROR and not self.dialect.platform):
-            stated = self.length if self.length_only or self.status in BODILESS else None
-            answer = self._build_response(b"".join(self.body), stated)
+            stated = self.head.length if self.length_only or not self.head.allows_body() else None
+            answer = self.head.build_response(b"".join(self.body), stated)
         self.attempt = None
         attempt.detach()
         if self.has_surplus:
@@ -506,27 +454,6 @@
             self.drop()
         self.pool.owner.finish_attempt(attempt, result, report, answer)
 
-    def _build_response(self, body: bytes, length: int | None) -> UpstreamResponse:
-        lines = self.lines
-        names = {name.strip() for name in self.connection_options.split(b",")} - {
-            b"",
-            b"close",
-            b"keep-alive",
-        }
-        if names:  # headers that concern this connection alone (RFC 9110, 7.6.1)
-            lines = [line for line in lines if line.partition(b":")[0].lower() not in names]
-        asks_for_retry = self.retry_value is not None and self.dialect.requests_retry(self.retry_value)
-        return UpstreamResponse(lines, body, self.status, self.reason, length, asks_for_retry)
-
-    def _read_load_report(self) -> Mapping[str, float] | None:
-        if not self.load_report:
-            return None
-        try:
-            return read_report(self.load_report, self.dialect.report_fields)
-        except ValueError as problem:
-            self.pool.logger("malformed load report", problem)
-            return None
-
     # Upgrade to another protocol.
 
     def _switch_protocol(self, rest: bytes) -> None:
@@ -534,13 +461,17 @@
         attempt = self.attempt
         assert attempt is not None
         requested = attempt.request.upgrade
-        if not requested or self.upgrade_protocol != requested or b"upgrade" not in self.connection_options:
+        if (
+            not requested
+            or self.head.upgrade_protocol != requested
+            or b"upgrade" not in self.head.connection_options()
+        ):
             self._reject(
-                f"101 with upgrade to {self.upgrade_protocol!r}; the request asked for {requested!r}"
+                f"101 with upgrade to {self.head.upgrade_protocol!r}; the request asked for {requested!r}"
             )
             return
-        self.lines.append(b"Connection: Upgrade\r\nUpgrade: %b\r\n" % requested)
-        answer = self._build_response(b"", None)
+        self.head.lines.append(b"Connection: Upgrade\r\nUpgrade: %b\r\n" % requested)
+        answer = self.head.build_response(b"", None)
         self.attempt = None
         attempt.detach()
         owner = cast(TunnelOwner, self.pool.owner)
@@ -562,7 +493,7 @@
         HTTP/1.0.
         """
         assert self.parser is not None
-        closes = b"close" in [name.strip() for name in self.connection_options.split(b",")]
+        closes = b"close" in self.head.connection_options()
         return self.dialect.close_delimited and (
             closes or self.parser.get_http_version() == "1.0" or not self.dialect.platform
         )
@@ -572,8 +503,8 @@
         return (
             self.dialect.close_delimited
             and self.attempt is not None
-            and self.status >= 200
-            and not self._is_self_delimited()
+            and self.head.status >= 200
+            and not self.head.is_self_delimited()
             and not self.is_unsent()
             and (self.stream is not None or self.buffered_bytes <= self.dialect.body_most)
         )
