--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -48,6 +48,8 @@
 DEADLINE_S = 1.5
 DRAIN_GRACE_S = 1.0
 KEY_WINDOW_S = 3.0
+#: Seconds after SIGTERM for which new connections go on coming to a process of the platform, at most.
+NEW_CONNECTIONS_S = 0.4
 #: Earliest time of SIGKILL, in seconds after the longest deadline.
 KILL_DELAY_S = 0.7
 #: Time limit, in seconds, for a process to accept connections.
@@ -331,7 +333,7 @@
             self.journal.record_violation("crash", f"life {number} ended with {process.returncode}")
         self._set_hanging(self._hangs_at_end)
         await self._hold_ups.begin_shutdown(process)
-        await self._shut_down(process, series, pause_s, address)
+        await self._shut_down(process, series, pause_s, address, clients)
         await self._hold_ups.close()
         if crowds is not None:
             await crowds.close()
@@ -384,6 +386,7 @@
         series: tuple[signal.Signals, ...],
         pause_s: float,
         address: Address,
+        clients: list[SoakClient],
     ) -> None:
         """Send the series of signals, and SIGKILL at its earliest time.
 
@@ -396,6 +399,8 @@
             await self._send(process, number, address)
             if number == signal.SIGTERM and not terminated_at:
                 terminated_at = time.monotonic()
+                for client in () if self.schedule.is_daemon else clients:
+                    client.connects_until = terminated_at + NEW_CONNECTIONS_S
             await asyncio.sleep(pause_s)
         left_s = terminated_at + DEADLINE_S + KILL_DELAY_S - time.monotonic()
         with suppress(TimeoutError):
--- a/benchmarks/soak_peers.py
+++ b/benchmarks/soak_peers.py
@@ -185,6 +185,7 @@
 
     Attributes:
         may_be_closed_unread: Whether the proxy may close new connections unread, as idle ones use up the descriptors.
+        connects_until: Monotonic time from which on it opens no new connection.
     """
 
     number: int
@@ -195,6 +196,7 @@
     may_be_closed_unread: bool
     counts: dict[str, int]
     stopped: bool = False
+    connects_until: float = float("inf")
 
     def _requests(self) -> Iterator[tuple[str, bytes]]:
         for count in range(1 << 30):
@@ -215,6 +217,9 @@
     async def run(self) -> None:
         requests = self._requests()
         while not self.stopped:
+            if time.monotonic() >= self.connects_until:
+                await asyncio.sleep(RECONNECT_S)
+                continue
             try:
                 reader, writer = await asyncio.open_connection(*self.address)
             except OSError:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import pytest
 
 from benchmarks.soak import Disturbances, Schedule, run_soak
+from benchmarks.soak_peers import RECONNECT_S, Journal, SoakClient
 
 SHORT_RUN_S = 4.0
 LONG_RUN_S = 6.0
@@ -33,6 +35,34 @@
     )
 
 
+def test_client_opens_no_connection_after_its_last_moment() -> None:
+    """Guards against a soak that sends new connections to a process later than the platform does."""
+    opened = 0
+
+    async def accept(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal opened
+        opened += 1
+        writer.close()
+
+    async def scene(connects_until: float) -> None:
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()[:2]
+        client = SoakClient(1, address, Journal(), random.Random(1), 1.5, True, {})
+        client.connects_until = connects_until
+        running = asyncio.ensure_future(client.run())
+        for _ in range(100):
+            await asyncio.sleep(0)
+        await asyncio.sleep(RECONNECT_S)
+        client.stopped = True
+        await running
+        server.close()
+
+    asyncio.run(scene(0.0))
+    assert not opened
+    asyncio.run(scene(float("inf")))
+    assert opened
+
+
 def test_seed_always_gives_same_schedule() -> None:
     assert Schedule.from_seed(7, SHORT_RUN_S) == Schedule.from_seed(7, SHORT_RUN_S)
     kinds = {
