Take the characters that browsers do not encode in queries of ordinary clients

Need: the grammar of the commits before refused [] {} | \ ^ and the backtick in queries on serve too, where browsers send them as they are (URL Standard), and where they passed before. In paths, and on run, RFC 3986 holds as it stands.

--- a/loadbalancer/http_grammar.py
+++ b/loadbalancer/http_grammar.py
@@ -28,6 +28,7 @@
 #: Possessive, so that a long text that does not match is given up at once.
 _PATH = re.compile(rb"(?:%b++|%b)*+" % (_PATH_CHARACTER, _PERCENT_ENCODED))
 _QUERY = re.compile(rb"(?:%b++|\?|%b)*+" % (_PATH_CHARACTER, _PERCENT_ENCODED))
+_BROWSER_QUERY = re.compile(rb"(?:[A-Za-z0-9\-._~!$&'()*+,;=:@/?\[\]{}|\\^`]++|%b)*+" % _PERCENT_ENCODED)
 _ORIGIN_FORM = re.compile(rb"/%b(?:\?%b)?" % (_PATH.pattern, _QUERY.pattern))
 _REASON_PHRASE = re.compile(rb"[\t \x21-\x7e\x80-\xff]*")
 _CHUNK_LINE = re.compile(
@@ -65,9 +66,9 @@
     return _PATH.fullmatch(value) is not None
 
 
-def is_query(value: bytes) -> bool:
-    """Return whether the characters of a query, without its question mark, are valid (RFC 3986, 3.4)."""
-    return _QUERY.fullmatch(value) is not None
+def is_browser_query(value: bytes) -> bool:
+    """Return whether a query is valid, or has only such characters beside as browsers do not encode (URL Standard)."""
+    return _BROWSER_QUERY.fullmatch(value) is not None
 
 
 def is_origin_form(target: bytes) -> bool:
--- a/loadbalancer/routing/targets.py
+++ b/loadbalancer/routing/targets.py
@@ -9,7 +9,7 @@
 import re
 from typing import NamedTuple
 
-from loadbalancer.http_grammar import is_host, is_path, is_query
+from loadbalancer.http_grammar import is_browser_query, is_host, is_path
 
 #: Unreserved characters (RFC 3986, 2.3): they mean the same percent-encoded and plain.
 UNRESERVED = frozenset("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
@@ -117,6 +117,6 @@
         raise TargetError("no host")
     name, authority = read_authority(host)
     path, question_mark, query = url.partition("?")
-    if not is_query(query.encode("latin-1", "replace")):
+    if not is_browser_query(query.encode("latin-1", "replace")):
         raise TargetError("the query holds a character that it may not")
     return Target(name, authority, normal_path(path, keep_encoded_slashes), question_mark + query)
