--- a/tests/test_partial_answers.py
+++ b/tests/test_partial_answers.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from copy import deepcopy
+from pathlib import Path
 from typing import Any, Iterator
 
 import peers
 import pytest
+from daemons import LISTENER, pool, requests_to, route, running_daemon
 from peers import (
     OK,
     SETTINGS,
@@ -57,6 +59,7 @@
 
     def __init__(self, framing: str) -> None:
         self.framing = framing
+        self.begin = HEAD[framing] + self.frame(PIECE)
         self.head_was_written = asyncio.Event()
         self.goes_on = asyncio.Event()
 
@@ -64,7 +67,7 @@
         return b"%x\r\n%b\r\n" % (len(data), data) if self.framing == "chunked" else data
 
     async def __call__(self, call: Call) -> None:
-        await call.say(HEAD[self.framing] + self.frame(PIECE))
+        await call.say(self.begin)
         self.head_was_written.set()
         await self.goes_on.wait()
         for _ in range(PIECES - 1):
@@ -242,3 +245,39 @@
             assert here.proxy.upstreams.open == 0 and here.proxy.budget.held_bytes == 0
 
     run_with_timeout(scene)
+
+
+STREAMED = 'limits = { answer_body = "64KiB", answer_stream = "1MiB" }'
+CLASS = '[[class]]\nname = "c"\naim = "300ms"\ndeadline = "5s"\nlate_share = 0.0\neffect = "unsafe"\n'
+
+
+def test_long_answer_whose_body_begins_late_is_not_cut_off_by_serve(tmp_path: Path) -> None:
+    """Guards against a daemon that cuts off what `run` waits for."""
+
+    async def scene() -> None:
+        answer = SteadyAnswer("chunked")
+
+        async def rest_behind_head(call: Call) -> None:
+            await call.say(HEAD["chunked"])
+            await answer(call)
+
+        member = ScriptedBackend("a", rest_behind_head)
+        answer.begin = b""
+
+        def text() -> str:
+            return CLASS + LISTENER + route("r", "p", 'class = "c"') + pool("p", [member], STREAMED)
+
+        async with running_daemon(tmp_path, [member], text) as daemon:
+            proxy = daemon.daemon.pools["p"].proxy
+            client = await daemon.connect()
+            await client.send(requests_to("/", "POST", b"x"))
+            await answer.head_was_written.wait()
+            await until(
+                lambda: any(attempt.timed_out_at for each in proxy.open.values() for attempt in each.attempts)
+            )
+            answer.goes_on.set()
+            status, _, body = await client.read()
+            assert (status, body) == (200, PIECE * (PIECES - 1))
+            assert len(member.calls) == 1
+
+    run_with_timeout(scene)
