Take the pace of an answer over a least time, so that first bytes are no long answer

Cause, traced by its times: the head is due at 0.45 s, the first 20 bytes came late on the busy machine, and were judged some milliseconds after they came. The pace since the first byte had no least time, so 20 bytes in 2 ms counted as on the way to 64 KiB in 10 s. Not the machine's load alone: any trickle that begins just before a check gets there.

Change: the pace is taken over 0.4 s at least, as that of a steady answer is, and over 0.1 s at the last moment, when a long answer may just have begun.

--- a/loadbalancer/proxy/late_answers.py
+++ b/loadbalancer/proxy/late_answers.py
@@ -68,7 +68,9 @@
         is_last = self.time_left_s(attempt) <= 0
         if _time_to_deadline_s(attempt) <= 0:
             waited_s = time.monotonic() - attempt.timed_out_at
-            if progress.may_become_long(max(waited_s, ARRIVING_S) if is_last else waited_s):
+            if progress.may_become_long(waited_s):
+                return Verdict.PASS_ON
+            if is_last and progress.may_become_long(max(waited_s, ARRIVING_S), CHECK_INTERVAL_S):
                 return Verdict.PASS_ON
         return Verdict.END if is_last or self._would_retry(attempt) else Verdict.WAIT
 
--- a/loadbalancer/upstreams/partial_answers.py
+++ b/loadbalancer/upstreams/partial_answers.py
@@ -84,16 +84,18 @@
             return False
         return self._body_bytes >= STEADY_RATE * rated_s
 
-    def may_become_long(self, max_silence_s: float) -> bool:
+    def may_become_long(self, max_silence_s: float, min_rated_s: float = MIN_RATED_S) -> bool:
         """Return whether its body is still arriving, and has not come so slowly that it can only be a short answer.
 
         Args:
             max_silence_s: Seconds after its latest byte in which it counts as arriving.
+            min_rated_s: Seconds from its first byte on over which its pace is taken at least.
         """
         now = time.monotonic()
         if not self._body_bytes or now - self._last_byte_at > max_silence_s:
             return False
-        return self._body_bytes * LONG_WITHIN_S >= self._long_from * (now - self._first_byte_at)
+        rated_s = max(min_rated_s, now - self._first_byte_at)
+        return self._body_bytes * LONG_WITHIN_S >= self._long_from * rated_s
 
     def _limit_hold_back(self) -> None:
         """Pass the body on once a part of it has been held for long, as soon as it may become long."""
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -10,7 +10,7 @@
 import pytest
 from peers import OK, SETTINGS, Call, ScriptedBackend, request, run_with_timeout, running_proxy
 
-from loadbalancer.proxy.late_answers import DECISION_GRACE_S, LateAnswers, Verdict
+from loadbalancer.proxy.late_answers import CHECK_INTERVAL_S, DECISION_GRACE_S, LateAnswers, Verdict
 from loadbalancer.upstreams.partial_answers import ARRIVING_S, STEADY_RATE, PartialAnswer
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -29,7 +29,7 @@
     def is_steady(self) -> bool:
         return self.steady
 
-    def may_become_long(self, max_silence_s: float) -> bool:
+    def may_become_long(self, max_silence_s: float, min_rated_s: float = 0.0) -> bool:
         return not self.is_too_slow and self.silent_s <= max_silence_s
 
 
@@ -90,6 +90,22 @@
     assert late_answers.time_left_s(behind) <= DECISION_GRACE_S - 0.3
 
 
+def test_few_bytes_that_have_just_come_are_no_long_answer() -> None:
+    """Guards against a trickle whose first bytes come just before it is judged, so that its pace seems great."""
+
+    async def scene() -> None:
+        progress = PartialAnswer(cast(Any, None), 64 << 10)
+        progress.record(20)
+        assert not progress.may_become_long(ARRIVING_S)
+        assert not progress.may_become_long(ARRIVING_S, CHECK_INTERVAL_S)
+        progress.record(1_400)
+        assert not progress.may_become_long(ARRIVING_S)
+        assert progress.may_become_long(ARRIVING_S, CHECK_INTERVAL_S)
+        progress.cancel()
+
+    run_with_timeout(scene)
+
+
 def test_one_burst_is_no_steady_answer_and_a_trickle_cannot_become_long() -> None:
     """Guards against heads that are passed on for answers which stop at once, or never end."""
 
